Set up the build, the core types and the design page

Cause: the project starts empty and the shape of the code has to be fixed before subsystems grow. Change: Maven modules, formatter, linter and nullness checks, duty threads joined by bounded rings, the ports to the platform, routing events and decisions, and docs/design.md.

--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/FencingToken.java
@@ -0,0 +1,33 @@
+package org.oleanderspring.coordination.lease;
+
+/**
+ * The number of one ownership; a later owner has a higher one.
+ *
+ * @param value the number, at least 0; 0 stands for no owner yet
+ */
+public record FencingToken(long value) implements Comparable<FencingToken> {
+    /** The token before any owner. */
+    public static final FencingToken NONE = new FencingToken(0);
+
+    /** Checks the range. */
+    public FencingToken {
+        if (value < 0) {
+            throw new IllegalArgumentException("fencing token is negative: " + value);
+        }
+    }
+
+    /** Returns the token of the next owner. */
+    public FencingToken next() {
+        return new FencingToken(value + 1);
+    }
+
+    @Override
+    public int compareTo(FencingToken other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/package-info.java
@@ -0,0 +1,5 @@
+/** Ownership for a limited time, with a fencing token that rises with each owner. */
+@NullMarked
+package org.oleanderspring.coordination.lease;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/MemberId.java
@@ -0,0 +1,28 @@
+package org.oleanderspring.coordination.membership;
+
+import java.util.Objects;
+
+/**
+ * The identity of one run of a member; a restarted process uses a new one.
+ *
+ * @param value the identity
+ */
+public record MemberId(String value) implements Comparable<MemberId> {
+    /** Checks that the identity is not blank. */
+    public MemberId {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("member id is blank");
+        }
+    }
+
+    @Override
+    public int compareTo(MemberId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/StoredValue.java
@@ -0,0 +1,22 @@
+package org.oleanderspring.coordination.store;
+
+import java.util.Objects;
+
+/**
+ * A value read from the key-value service.
+ *
+ * @param key the key
+ * @param bytes the value; not to be changed
+ * @param revision the revision at which it was written
+ */
+public record StoredValue(StoreKey key, byte[] bytes, Revision revision) {
+    /** The largest value that the service holds. */
+    public static final int LIMIT_BYTES = 1 << 20;
+
+    /** Checks for missing parts. */
+    public StoredValue {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(bytes, "bytes");
+        Objects.requireNonNull(revision, "revision");
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/command/WriteResult.java
@@ -0,0 +1,36 @@
+package org.oleanderspring.coordination.store.command;
+
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoredValue;
+
+/** What became of a {@link CompareAndSwap}. */
+public sealed interface WriteResult {
+    /**
+     * The value was written.
+     *
+     * @param revision the key's new revision
+     */
+    record Written(Revision revision) implements WriteResult {}
+
+    /**
+     * The key was at another revision; nothing was written.
+     *
+     * @param current the value found, or null if the key does not exist
+     */
+    record Conflict(@Nullable StoredValue current) implements WriteResult {}
+
+    /**
+     * The request did not reach the service or was refused by it; nothing was written.
+     *
+     * @param reason why, for the log
+     */
+    record Unavailable(String reason) implements WriteResult {}
+
+    /**
+     * No reply arrived; the write may have taken effect.
+     *
+     * @param reason why, for the log
+     */
+    record Unknown(String reason) implements WriteResult {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/ReadResult.java
@@ -0,0 +1,26 @@
+package org.oleanderspring.coordination.store.query;
+
+import java.util.List;
+import org.oleanderspring.coordination.store.StoredValue;
+
+/** What a read returned. */
+public sealed interface ReadResult {
+    /**
+     * The values found, in the order of their keys; empty if there are none.
+     *
+     * @param values the values
+     */
+    record Found(List<StoredValue> values) implements ReadResult {
+        /** Copies the list. */
+        public Found {
+            values = List.copyOf(values);
+        }
+    }
+
+    /**
+     * The service could not be reached or did not reply in time.
+     *
+     * @param reason why, for the log
+     */
+    record Unavailable(String reason) implements ReadResult {}
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/port/command/RunnerCommands.java
@@ -0,0 +1,18 @@
+package org.oleanderspring.core.port.command;
+
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.placement.OrderResult;
+import org.oleanderspring.core.placement.RunnerOrder;
+
+/** Sends orders to runners. */
+public interface RunnerCommands {
+    /**
+     * Sends an order.
+     *
+     * @param address where the runner listens
+     * @param order the order
+     * @return the answer; never completes exceptionally
+     */
+    CompletableFuture<OrderResult> send(Address address, RunnerOrder order);
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/port/query/RunnerQueries.java
@@ -0,0 +1,16 @@
+package org.oleanderspring.core.port.query;
+
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.RunnerReport;
+
+/** Reads the reports of runners. */
+public interface RunnerQueries {
+    /**
+     * Reads a report.
+     *
+     * @param runner the runner
+     * @return the report; never completes exceptionally
+     */
+    CompletableFuture<Reading<RunnerReport>> report(Endpoint runner);
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/port/query/WeightStoreQueries.java
@@ -0,0 +1,11 @@
+package org.oleanderspring.core.port.query;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.fleet.Checkpoint;
+
+/** Reads the catalogue of the weight store. */
+public interface WeightStoreQueries {
+    /** Returns all checkpoints; the future never completes exceptionally. */
+    CompletableFuture<Reading<List<Checkpoint>>> catalogue();
+}
