Check operators' settings and compare sets

Cause: operators drive the fleet by one set of defaults and exceptions with written reasons. Result: SettingsCheckerTest passes.

--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/settings/command/SettingsChecker.java
@@ -0,0 +1,77 @@
+package org.oleanderspring.core.settings.command;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.core.settings.SettingValue;
+import org.oleanderspring.core.settings.SettingsException;
+import org.oleanderspring.core.settings.command.SettingsCheck.SettingsProblem;
+
+/** Checks drafts and turns valid ones into settings. */
+public final class SettingsChecker {
+    /**
+     * Checks a draft and reports every problem at once.
+     *
+     * @param draft what the operator wrote
+     * @return the settings, or all problems
+     */
+    public SettingsCheck check(SettingsDraft draft) {
+        List<SettingsProblem> problems = new ArrayList<>();
+        List<SettingValue> defaults = new ArrayList<>();
+        for (SettingsDraft.DraftValue value : draft.defaults()) {
+            checkValue(value, false, problems).ifPresent(defaults::add);
+        }
+        List<SettingsException> exceptions = new ArrayList<>();
+        for (SettingsDraft.DraftException exception : draft.exceptions()) {
+            checkException(exception, problems).ifPresent(exceptions::add);
+        }
+        if (!problems.isEmpty()) {
+            return new SettingsCheck.Invalid(problems);
+        }
+        return new SettingsCheck.Valid(
+                new FleetSettings(draft.basedOn() + 1, draft.author(), defaults, exceptions));
+    }
+
+    private Optional<SettingsException> checkException(
+            SettingsDraft.DraftException exception, List<SettingsProblem> problems) {
+        Optional<SettingValue> value = checkValue(exception.setting(), true, problems);
+        if (exception.reason().isBlank() || exception.model().isBlank()) {
+            problems.add(problem(ErrorMessage.EXCEPTION_WITHOUT_REASON, exception.model()));
+            return Optional.empty();
+        }
+        return value.map(
+                setting ->
+                        new SettingsException(
+                                new ModelName(exception.model()), setting, exception.reason()));
+    }
+
+    private Optional<SettingValue> checkValue(
+            SettingsDraft.DraftValue draft, boolean forModel, List<SettingsProblem> problems) {
+        Optional<SettingName> name = SettingName.ofKey(draft.name());
+        if (name.isEmpty() || (forModel && !name.get().isPerModel())) {
+            problems.add(problem(ErrorMessage.UNKNOWN_SETTING, draft.name()));
+            return Optional.empty();
+        }
+        SettingName setting = name.get();
+        if (!setting.allows(draft.value())) {
+            problems.add(
+                    problem(
+                            ErrorMessage.SETTING_OUT_OF_RANGE,
+                            setting.key(),
+                            Long.toString(draft.value()),
+                            Long.toString(setting.minimum()),
+                            Long.toString(setting.maximum()),
+                            setting.unit()));
+            return Optional.empty();
+        }
+        return Optional.of(new SettingValue(setting, draft.value()));
+    }
+
+    private static SettingsProblem problem(ErrorMessage message, Object... arguments) {
+        return new SettingsProblem(message, message.format(arguments));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/settings/command/package-info.java
@@ -0,0 +1,5 @@
+/** Checks and acceptance of new settings. */
+@NullMarked
+package org.oleanderspring.core.settings.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/settings/query/package-info.java
@@ -0,0 +1,5 @@
+/** Read-only views of settings. */
+@NullMarked
+package org.oleanderspring.core.settings.query;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/settings/SettingsCheckerTest.java
@@ -0,0 +1,94 @@
+package org.oleanderspring.core.settings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.settings.command.SettingsCheck;
+import org.oleanderspring.core.settings.command.SettingsChecker;
+import org.oleanderspring.core.settings.command.SettingsDraft;
+import org.oleanderspring.core.settings.command.SettingsDraft.DraftException;
+import org.oleanderspring.core.settings.command.SettingsDraft.DraftValue;
+import org.oleanderspring.core.settings.query.SettingsDifference;
+
+class SettingsCheckerTest {
+    private final SettingsChecker mChecker = new SettingsChecker();
+
+    /** Guards against an exception that nobody can justify later. */
+    @Test
+    void exceptionWithoutReasonIsRefused() {
+        assertThat(
+                problemsOf(
+                        draft(
+                                List.of(),
+                                new DraftException(
+                                        "headgate", new DraftValue("replicaLimit", 3), " "))),
+                contains(ErrorMessage.EXCEPTION_WITHOUT_REASON));
+    }
+
+    /** Guards against a misspelled name that silently has no effect, and reports all problems. */
+    @Test
+    void unknownNameAndBadRangeAreBothReported() {
+        assertThat(
+                problemsOf(
+                        draft(
+                                List.of(
+                                        new DraftValue("replicaLimt", 3),
+                                        new DraftValue("idleCostWeight", 101)))),
+                contains(ErrorMessage.UNKNOWN_SETTING, ErrorMessage.SETTING_OUT_OF_RANGE));
+    }
+
+    /** Guards against a per-model exception for a setting that holds for the whole fleet. */
+    @Test
+    void fleetWideSettingHasNoExceptions() {
+        assertThat(
+                problemsOf(
+                        draft(
+                                List.of(),
+                                new DraftException(
+                                        "headgate", new DraftValue("loadsPerSecond", 3), "test"))),
+                contains(ErrorMessage.UNKNOWN_SETTING));
+    }
+
+    /** Guards against exceptions that leak to other models, and against lost differences. */
+    @Test
+    void exceptionAppliesToItsModelOnly() {
+        SettingsCheck check =
+                mChecker.check(
+                        draft(
+                                List.of(new DraftValue("replicaLimit", 1)),
+                                new DraftException(
+                                        "headgate",
+                                        new DraftValue("replicaLimit", 3),
+                                        "morning rush")));
+        assertThat(check, instanceOf(SettingsCheck.Valid.class));
+        FleetSettings settings = ((SettingsCheck.Valid) check).settings();
+        assertThat(settings.number(), is(8L));
+        assertThat(settings.value(SettingName.REPLICA_LIMIT, new ModelName("headgate")), is(3L));
+        assertThat(settings.value(SettingName.REPLICA_LIMIT, new ModelName("hooks")), is(1L));
+        assertThat(
+                new SettingsDifference().between(FleetSettings.INITIAL, settings),
+                equalTo(
+                        List.of(
+                                "replicaLimit: 2 -> 1 replicas",
+                                "added exception for headgate: replicaLimit = 3"
+                                        + " (morning rush)")));
+    }
+
+    private List<ErrorMessage> problemsOf(SettingsDraft draft) {
+        SettingsCheck check = mChecker.check(draft);
+        assertThat(check, instanceOf(SettingsCheck.Invalid.class));
+        return ((SettingsCheck.Invalid) check)
+                .problems().stream().map(SettingsCheck.SettingsProblem::message).toList();
+    }
+
+    private static SettingsDraft draft(List<DraftValue> defaults, DraftException... exceptions) {
+        return new SettingsDraft(7, "operator", defaults, List.of(exceptions));
+    }
+}
