--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RendezvousHash.java
@@ -0,0 +1,24 @@
+package org.oleanderspring.core.routing.command;
+
+import org.oleanderspring.core.fleet.EndpointId;
+
+/** Highest-random-weight hashing of a key onto endpoints. */
+final class RendezvousHash {
+    private static final long GOLDEN_RATIO = 0x9E3779B97F4A7C15L;
+    private static final long FIRST_FACTOR = 0xBF58476D1CE4E5B9L;
+    private static final long SECOND_FACTOR = 0x94D049BB133111EBL;
+
+    private RendezvousHash() {}
+
+    /** Returns the weight of an endpoint for a key; the endpoint with the highest one is chosen. */
+    static long weight(long key, EndpointId endpoint) {
+        return mix(key + endpoint.value().hashCode() * GOLDEN_RATIO);
+    }
+
+    /** The finalizer of SplitMix64. */
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * FIRST_FACTOR;
+        mixed = (mixed ^ (mixed >>> 27)) * SECOND_FACTOR;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SafeRetryPolicy.java
@@ -0,0 +1,21 @@
+package org.oleanderspring.core.routing.command;
+
+import org.oleanderspring.core.routing.AttemptOutcome;
+import org.oleanderspring.core.routing.CallRequest;
+
+/**
+ * Retries work that provably did not run, and idempotent work of whose answer no byte was passed
+ * on. A retry of any other work could run it twice or mix two answers.
+ */
+public final class SafeRetryPolicy implements RetryPolicy {
+    @Override
+    public boolean mayRetry(CallRequest call, AttemptOutcome outcome, boolean answerBegan) {
+        if (answerBegan) {
+            return false;
+        }
+        if (outcome instanceof AttemptOutcome.NotRun) {
+            return true;
+        }
+        return outcome instanceof AttemptOutcome.Failed && call.isIdempotent();
+    }
+}
