--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/CallHandler.java
@@ -0,0 +1,214 @@
+package org.oleanderspring.daemon.front.command;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.daemon.front.CallerStream;
+import org.oleanderspring.daemon.front.IncomingCall;
+import org.oleanderspring.daemon.front.Refusal;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.OfferResult;
+
+/**
+ * Takes calls to models and plain services.
+ *
+ * <p>It checks the request, reads its body and hands both to routing. It decides nothing else.
+ */
+public final class CallHandler extends Handler.Abstract.NonBlocking {
+    private static final String CHAT_PATH = "/v1/chat/completions";
+    private static final String COMPLETION_PATH = "/v1/completions";
+    private static final String SERVICE_PREFIX = "/v1/services/";
+
+    private final MemberId mDaemon;
+    private final CallIntake mIntake;
+    private final int mBodyLimitBytes;
+    private final MonotonicClock mClock;
+    private final AtomicLong mNextCall = new AtomicLong(1);
+
+    /**
+     * Creates the handler.
+     *
+     * @param daemon the identity of this daemon
+     * @param intake takes the calls
+     * @param bodyLimitBytes the largest body
+     * @param clock the clock
+     */
+    public CallHandler(
+            MemberId daemon, CallIntake intake, int bodyLimitBytes, MonotonicClock clock) {
+        mDaemon = daemon;
+        mIntake = intake;
+        mBodyLimitBytes = bodyLimitBytes;
+        mClock = clock;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = Request.getPathInContext(request);
+        boolean modelCall = path.equals(CHAT_PATH) || path.equals(COMPLETION_PATH);
+        if (!modelCall && !path.startsWith(SERVICE_PREFIX)) {
+            return false;
+        }
+        CallId id = new CallId(mNextCall.getAndIncrement());
+        JettyCallerStream stream =
+                new JettyCallerStream(response, callback, () -> mIntake.callerLeft(id));
+        if (modelCall && !HttpMethod.POST.is(request.getMethod())) {
+            stream.refuse(
+                    Refusal.notRun(ErrorMessage.METHOD_NOT_ALLOWED, request.getMethod(), "POST"));
+            return true;
+        }
+        if (request.getLength() > mBodyLimitBytes) {
+            stream.refuse(tooLarge());
+            return true;
+        }
+        request.addFailureListener(failure -> mIntake.callerLeft(id));
+        Content.Source.asByteArrayAsync(request, mBodyLimitBytes)
+                .whenComplete(
+                        (body, failure) -> {
+                            if (failure != null) {
+                                stream.refuse(tooLarge());
+                                return;
+                            }
+                            accept(id, request, body, stream, modelCall);
+                        });
+        return true;
+    }
+
+    private void accept(
+            CallId id, Request request, byte[] body, CallerStream stream, boolean modelCall) {
+        if (modelCall) {
+            acceptModelCall(id, request, body, stream);
+            return;
+        }
+        acceptServiceCall(id, request, body, stream);
+    }
+
+    private void acceptModelCall(CallId id, Request request, byte[] body, CallerStream stream) {
+        ModelCallBody.Content content = ModelCallBody.read(body);
+        if (content instanceof ModelCallBody.Content.Invalid invalid) {
+            stream.refuse(invalid.refusal());
+            return;
+        }
+        ModelCallBody.Content.Valid valid = (ModelCallBody.Content.Valid) content;
+        offer(
+                id,
+                request,
+                new Target.ModelTarget(valid.model()),
+                valid.prefixHash(),
+                true,
+                Request.getPathInContext(request),
+                body,
+                stream);
+    }
+
+    private void acceptServiceCall(CallId id, Request request, byte[] body, CallerStream stream) {
+        String rest = Request.getPathInContext(request).substring(SERVICE_PREFIX.length());
+        int slash = rest.indexOf('/');
+        String name = slash < 0 ? rest : rest.substring(0, slash);
+        String path = slash < 0 ? "/" : rest.substring(slash);
+        if (name.isBlank()) {
+            stream.refuse(Refusal.notRun(ErrorMessage.UNKNOWN_TARGET, "service"));
+            return;
+        }
+        String query = request.getHttpURI().getQuery();
+        boolean idempotentMethod =
+                !HttpMethod.POST.is(request.getMethod())
+                        && !HttpMethod.PATCH.is(request.getMethod());
+        offer(
+                id,
+                request,
+                new Target.ServiceTarget(new ServiceName(name)),
+                0,
+                idempotentMethod,
+                query == null ? path : path + "?" + query,
+                body,
+                stream);
+    }
+
+    private void offer(
+            CallId id,
+            Request request,
+            Target target,
+            long prefixHash,
+            boolean idempotentByDefault,
+            String path,
+            byte[] body,
+            CallerStream stream) {
+        HeaderReader reader = new HeaderReader();
+        Duration timeToAnswer = reader.take(CallHeaders.timeToAnswer(request));
+        Integer priority = reader.take(CallHeaders.priority(request));
+        IdempotencyKey key = reader.take(CallHeaders.idempotencyKey(request));
+        Boolean idempotent = reader.take(CallHeaders.idempotent(request));
+        Refusal refusal = reader.refusal();
+        if (refusal != null) {
+            stream.refuse(refusal);
+            return;
+        }
+        IncomingCall incoming =
+                new IncomingCall(
+                        id,
+                        target,
+                        onceKey(id, key, idempotent, idempotentByDefault),
+                        priority == null ? 0 : priority,
+                        mClock.now(),
+                        timeToAnswer,
+                        prefixHash,
+                        request.getMethod(),
+                        path,
+                        CallHeaders.passedOn(request),
+                        body,
+                        stream);
+        if (mIntake.accept(incoming) != OfferResult.ACCEPTED) {
+            stream.refuse(Refusal.notRun(ErrorMessage.OVERLOADED));
+        }
+    }
+
+    /**
+     * Returns the key of a call that may run only once, or null for an idempotent call. A
+     * non-idempotent call without a key gets one of its own: it cannot be repeated by the caller,
+     * but is never retried either.
+     */
+    private @Nullable IdempotencyKey onceKey(
+            CallId id,
+            @Nullable IdempotencyKey key,
+            @Nullable Boolean idempotent,
+            boolean idempotentByDefault) {
+        boolean repeatable = idempotent == null ? idempotentByDefault && key == null : idempotent;
+        if (repeatable) {
+            return null;
+        }
+        return key == null ? new IdempotencyKey(mDaemon + "/" + id) : key;
+    }
+
+    private Refusal tooLarge() {
+        return Refusal.notRun(ErrorMessage.BODY_TOO_LARGE, Integer.toString(mBodyLimitBytes));
+    }
+
+    /** Collects the first refusal of several headers. */
+    private static final class HeaderReader {
+        private @Nullable Refusal mRefusal;
+
+        <T> @Nullable T take(CallHeaders.Parsed<T> parsed) {
+            if (parsed instanceof CallHeaders.Parsed.Invalid<T> invalid) {
+                mRefusal = mRefusal == null ? invalid.refusal() : mRefusal;
+                return null;
+            }
+            return ((CallHeaders.Parsed.Valid<T>) parsed).value();
+        }
+
+        @Nullable Refusal refusal() {
+            return mRefusal;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/ModelCallBody.java
@@ -0,0 +1,72 @@
+package org.oleanderspring.daemon.front.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.daemon.front.Refusal;
+
+/** Reads from the body of a model call what routing has to know. */
+final class ModelCallBody {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int PREFIX_CHARACTERS = 512;
+
+    private ModelCallBody() {}
+
+    /** What a body contains. */
+    sealed interface Content {
+        /**
+         * A valid body.
+         *
+         * @param model the model or adapter
+         * @param prefixHash a hash of the start of the prompt
+         */
+        record Valid(ModelName model, long prefixHash) implements Content {}
+
+        /**
+         * An invalid body.
+         *
+         * @param refusal the refusal
+         */
+        record Invalid(Refusal refusal) implements Content {}
+    }
+
+    /**
+     * Reads a body.
+     *
+     * @param body the body
+     */
+    static Content read(byte[] body) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(body);
+        } catch (JsonProcessingException malformed) {
+            return broken(malformed.getOriginalMessage());
+        } catch (IOException unreadable) {
+            return broken(String.valueOf(unreadable.getMessage()));
+        }
+        if (root == null || !root.isObject()) {
+            return broken("an object is expected");
+        }
+        JsonNode model = root.get("model");
+        if (model == null || !model.isTextual() || model.textValue().isBlank()) {
+            return new Content.Invalid(
+                    Refusal.notRun(
+                            ErrorMessage.BAD_FIELD, "model", "the name of a model or adapter"));
+        }
+        return new Content.Valid(new ModelName(model.textValue()), prefixHash(root));
+    }
+
+    private static long prefixHash(JsonNode root) {
+        JsonNode prompt = root.has("messages") ? root.get("messages") : root.path("prompt");
+        String text = prompt.isTextual() ? prompt.textValue() : prompt.toString();
+        String prefix = text.substring(0, Math.min(text.length(), PREFIX_CHARACTERS));
+        return prefix.isEmpty() ? 0 : prefix.hashCode();
+    }
+
+    private static Content broken(String reason) {
+        return new Content.Invalid(Refusal.notRun(ErrorMessage.BROKEN_JSON, reason));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/query/JsonAnswer.java
@@ -0,0 +1,86 @@
+package org.oleanderspring.daemon.front.query;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.daemon.front.Refusal;
+import org.oleanderspring.daemon.front.RefusalBody;
+import org.oleanderspring.daemon.front.RefusalStatus;
+
+/** Sends one JSON document as the answer to a request. */
+public final class JsonAnswer {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
+    private static final long REPLY_LIMIT_SECONDS = 5;
+
+    private final Response mResponse;
+    private final Callback mCallback;
+
+    private JsonAnswer(Response response, Callback callback) {
+        mResponse = response;
+        mCallback = callback;
+    }
+
+    /**
+     * Creates an answer.
+     *
+     * @param response the response
+     * @param callback ends the exchange
+     */
+    public static JsonAnswer of(Response response, Callback callback) {
+        return new JsonAnswer(response, callback);
+    }
+
+    /**
+     * Sends a document with status 200.
+     *
+     * @param document the document
+     */
+    public void send(JsonNode document) {
+        try {
+            write(OK, MAPPER.writeValueAsString(document).getBytes(StandardCharsets.UTF_8));
+        } catch (JsonProcessingException fault) {
+            mCallback.failed(fault);
+        }
+    }
+
+    /**
+     * Sends a document as soon as a duty has answered, or a refusal if it does not answer in time.
+     *
+     * @param document the document to come
+     */
+    public void sendLater(CompletableFuture<? extends JsonNode> document) {
+        document.orTimeout(REPLY_LIMIT_SECONDS, TimeUnit.SECONDS)
+                .whenComplete(
+                        (found, failure) -> {
+                            if (failure != null || found == null) {
+                                refuse(Refusal.notRun(ErrorMessage.OVERLOADED));
+                                return;
+                            }
+                            send(found);
+                        });
+    }
+
+    /**
+     * Sends a refusal.
+     *
+     * @param refusal the refusal
+     */
+    public void refuse(Refusal refusal) {
+        write(RefusalStatus.of(refusal.message()), RefusalBody.encode(refusal));
+    }
+
+    private void write(int status, byte[] body) {
+        mResponse.setStatus(status);
+        mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        mResponse.write(true, ByteBuffer.wrap(body), mCallback);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/EnvironmentDefaults.java
@@ -0,0 +1,32 @@
+package org.oleanderspring.daemon.process;
+
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+import picocli.CommandLine.IDefaultValueProvider;
+import picocli.CommandLine.Model.ArgSpec;
+import picocli.CommandLine.Model.OptionSpec;
+
+/**
+ * Gives each flag the value of its environment variable: {@code --caller-port} falls back to {@code
+ * OLEANDERSPRING_CALLER_PORT}.
+ */
+public final class EnvironmentDefaults implements IDefaultValueProvider {
+    private static final String PREFIX = "OLEANDERSPRING_";
+
+    @Override
+    public @Nullable String defaultValue(ArgSpec argument) {
+        if (!(argument instanceof OptionSpec option)) {
+            return null;
+        }
+        return System.getenv(variableOf(option.longestName()));
+    }
+
+    /**
+     * Returns the environment variable of a flag.
+     *
+     * @param flag the flag with its dashes
+     */
+    public static String variableOf(String flag) {
+        return PREFIX + flag.substring(2).replace('-', '_').toUpperCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingMeters.java
@@ -0,0 +1,58 @@
+package org.oleanderspring.daemon.routing.command;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import org.oleanderspring.core.routing.RefusalReason;
+
+/** Counts the decisions of routing. */
+public final class RoutingMeters {
+    private final Meter mServed;
+    private final Meter mAttempts;
+    private final Meter mWakes;
+    private final Map<RefusalReason, Meter> mRefused = new EnumMap<>(RefusalReason.class);
+
+    /**
+     * Registers the meters.
+     *
+     * @param registry the registry
+     */
+    public RoutingMeters(MetricRegistry registry) {
+        mServed = registry.meter("routing.served");
+        mAttempts = registry.meter("routing.attempts");
+        mWakes = registry.meter("routing.wakes");
+        for (RefusalReason reason : RefusalReason.values()) {
+            String name = "routing.refused." + reason.name().toLowerCase(Locale.ROOT);
+            mRefused.put(reason, registry.meter(name));
+        }
+    }
+
+    /** Counts a call that got its whole answer. */
+    public void served() {
+        mServed.mark();
+    }
+
+    /** Counts an attempt. */
+    public void attemptStarted() {
+        mAttempts.mark();
+    }
+
+    /** Counts a wake request. */
+    public void wakeRequested() {
+        mWakes.mark();
+    }
+
+    /**
+     * Counts a refusal.
+     *
+     * @param reason why
+     */
+    public void refused(RefusalReason reason) {
+        Meter meter = mRefused.get(reason);
+        if (meter != null) {
+            meter.mark();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/package-info.java
@@ -0,0 +1,5 @@
+/** The routing duty: carries out the decisions of {@code core.routing}. */
+@NullMarked
+package org.oleanderspring.daemon.routing;
+
+import org.jspecify.annotations.NullMarked;
