--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/UnreadyReason.java
@@ -0,0 +1,15 @@
+package org.oleanderspring.core.placement;
+
+/** Why a model cannot become ready now. */
+public enum UnreadyReason {
+    /** The catalogue does not list the model. */
+    UNKNOWN_CHECKPOINT,
+    /** All replicas that the settings allow are taken by slots that cannot serve yet. */
+    REPLICA_LIMIT,
+    /** No runner has or can free enough memory. */
+    NO_MEMORY,
+    /** No runner of the cell takes new work, or all are backed off after failed loads. */
+    NO_RUNNER,
+    /** The load would be ready only after the last deadline of the waiting calls. */
+    TOO_LATE
+}
