Add the stand-in of the key-value service

The adapters and the daemon need a service with compare-and-swap, leases and watches to talk to. The stand-in serves the HTTP/JSON form of etcd v3 on one duty thread, counts calls, enforces read and write budgets, and takes faults over POST /faults.

--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/query/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that read the engine. */
+@NullMarked
+package org.oleanderspring.standin.engine.query;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/http/ChunkWriter.java
@@ -0,0 +1,90 @@
+package org.oleanderspring.standin.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes the parts of a long answer one after the other, without blocking the sender. */
+public final class ChunkWriter {
+    private final Response mResponse;
+    private final Callback mCallback;
+    private final Runnable mAbort;
+    private final StringBuilder mPending = new StringBuilder();
+    private boolean mWriting;
+    private boolean mEnded;
+    private boolean mClosed;
+
+    ChunkWriter(Response response, Callback callback, Runnable abort) {
+        mResponse = response;
+        mCallback = callback;
+        mAbort = abort;
+    }
+
+    /**
+     * Queues a part.
+     *
+     * @param part the text
+     */
+    public synchronized void send(String part) {
+        if (mClosed || mEnded) {
+            return;
+        }
+        mPending.append(part);
+        pump();
+    }
+
+    /** Ends the answer after the queued parts. */
+    public synchronized void end() {
+        mEnded = true;
+        pump();
+    }
+
+    /** Breaks the connection, so that the reader sees an incomplete answer. */
+    public synchronized void abort() {
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mAbort.run();
+        mCallback.failed(new IOException("aborted by the stand-in"));
+    }
+
+    /** Returns whether the reader went away or the answer is complete. */
+    public synchronized boolean isClosed() {
+        return mClosed;
+    }
+
+    private void pump() {
+        if (mWriting || mClosed) {
+            return;
+        }
+        if (mPending.length() > 0) {
+            mWriting = true;
+            byte[] bytes = mPending.toString().getBytes(StandardCharsets.UTF_8);
+            mPending.setLength(0);
+            mResponse.write(
+                    false, ByteBuffer.wrap(bytes), Callback.from(this::written, this::failed));
+            return;
+        }
+        if (mEnded) {
+            mClosed = true;
+            mResponse.write(true, ByteBuffer.allocate(0), mCallback);
+        }
+    }
+
+    private synchronized void written() {
+        mWriting = false;
+        pump();
+    }
+
+    private synchronized void failed(Throwable cause) {
+        mWriting = false;
+        if (mClosed) {
+            return;
+        }
+        mClosed = true;
+        mCallback.failed(cause);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/http/ResourceServer.java
@@ -0,0 +1,98 @@
+package org.oleanderspring.standin.http;
+
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** An HTTP server on one IP number and port. */
+public final class ResourceServer implements AutoCloseable {
+    private static final int MOST_THREADS = 16;
+    private static final int LEAST_THREADS = 4;
+    private static final int THREAD_IDLE_MILLIS = 60_000;
+
+    private final Server mServer;
+    private final ServerConnector mConnector;
+
+    /**
+     * Creates a server; {@link #start()} binds it.
+     *
+     * @param name the name of its threads
+     * @param ip the IP number to listen on
+     * @param port the port to listen on, or 0 for any free port
+     * @param routes what it answers
+     */
+    public ResourceServer(String name, String ip, int port, Routes routes) {
+        QueuedThreadPool threads =
+                new QueuedThreadPool(MOST_THREADS, LEAST_THREADS, THREAD_IDLE_MILLIS);
+        threads.setName(name);
+        threads.setDaemon(true);
+        mServer = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        mConnector = new ServerConnector(mServer, 1, 1, new HttpConnectionFactory(configuration));
+        mConnector.setHost(ip);
+        mConnector.setPort(port);
+        mServer.addConnector(mConnector);
+        mServer.setHandler(new RouteHandler(routes));
+    }
+
+    /** Binds the port and begins to answer. */
+    public void start() {
+        try {
+            mServer.start();
+        } catch (Exception fault) {
+            throw new IllegalStateException("cannot start the server", fault);
+        }
+    }
+
+    /** Returns the port on which the server listens. */
+    public int port() {
+        return mConnector.getLocalPort();
+    }
+
+    @Override
+    public void close() {
+        try {
+            mServer.stop();
+        } catch (Exception fault) {
+            throw new IllegalStateException("cannot stop the server", fault);
+        }
+    }
+
+    private static final class RouteHandler extends Handler.Abstract {
+        private final Routes mRoutes;
+
+        RouteHandler(Routes routes) {
+            mRoutes = routes;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback)
+                throws Exception {
+            ByteBuffer buffer = Content.Source.asByteBuffer(request);
+            Exchange exchange =
+                    new Exchange(request, response, callback, BufferUtil.toArray(buffer));
+            Resource resource = mRoutes.find(exchange.method(), exchange.path());
+            if (resource == null) {
+                exchange.replyError(404, "no_such_path", exchange.path());
+                return true;
+            }
+            try {
+                resource.handle(exchange);
+            } catch (UncheckedIOException | IllegalArgumentException invalid) {
+                exchange.replyError(400, "invalid_request", String.valueOf(invalid.getMessage()));
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/http/Routes.java
@@ -0,0 +1,48 @@
+package org.oleanderspring.standin.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the resource for a request: the first route that fits. */
+public final class Routes {
+    private static final String ANY_METHOD = "*";
+
+    private final List<Route> mRoutes = new ArrayList<>();
+
+    /**
+     * Adds a route.
+     *
+     * @param method the HTTP method, or {@code *} for any
+     * @param path the path, which may contain one {@code *} for any text
+     * @param resource answers the requests
+     * @return this
+     */
+    public Routes add(String method, String path, Resource resource) {
+        mRoutes.add(new Route(method, path, resource));
+        return this;
+    }
+
+    @Nullable Resource find(String method, String path) {
+        for (Route route : mRoutes) {
+            if (route.fits(method, path)) {
+                return route.resource();
+            }
+        }
+        return null;
+    }
+
+    private record Route(String method, String path, Resource resource) {
+        boolean fits(String requestMethod, String requestPath) {
+            if (!method.equals(ANY_METHOD) && !method.equals(requestMethod)) {
+                return false;
+            }
+            int wildcard = path.indexOf('*');
+            if (wildcard < 0) {
+                return path.equals(requestPath);
+            }
+            return requestPath.startsWith(path.substring(0, wildcard))
+                    && requestPath.endsWith(path.substring(wildcard + 1));
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/KeyValueCodec.java
@@ -0,0 +1,126 @@
+package org.oleanderspring.standin.keyvalue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.List;
+import org.oleanderspring.standin.http.Json;
+
+/** The JSON form of the protocol: base64 for bytes, strings for 64-bit numbers. */
+public final class KeyValueCodec {
+    private KeyValueCodec() {}
+
+    /**
+     * Reads the keys that a request names.
+     *
+     * @param request the request
+     */
+    public static KeyRange range(JsonNode request) {
+        String key = key(request.path("key"));
+        if (key.isEmpty()) {
+            throw new IllegalArgumentException("key is not provided");
+        }
+        return new KeyRange(key, key(request.path("range_end")));
+    }
+
+    /**
+     * Reads a key.
+     *
+     * @param node the key in base64
+     */
+    public static String key(JsonNode node) {
+        byte[] bytes = Base64.getDecoder().decode(node.asText(""));
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    /**
+     * Writes a key.
+     *
+     * @param key the key
+     * @return the key in base64
+     */
+    public static String key(String key) {
+        byte[] bytes = key.getBytes(StandardCharsets.ISO_8859_1);
+        return Base64.getEncoder().encodeToString(bytes);
+    }
+
+    /**
+     * Starts an answer with its header.
+     *
+     * @param revision the current revision
+     */
+    public static ObjectNode answer(long revision) {
+        ObjectNode document = Json.object();
+        document.putObject("header").put("revision", Long.toString(revision));
+        return document;
+    }
+
+    /**
+     * Adds entries to an answer.
+     *
+     * @param document the answer
+     * @param entries the entries
+     */
+    public static void addEntries(ObjectNode document, List<Entry> entries) {
+        ArrayNode array = document.putArray("kvs");
+        entries.forEach(entry -> array.add(entry(entry)));
+        document.put("count", Integer.toString(entries.size()));
+    }
+
+    /**
+     * Writes an entry.
+     *
+     * @param entry the entry
+     */
+    public static ObjectNode entry(Entry entry) {
+        ObjectNode node = Json.object();
+        node.put("key", key(entry.key()));
+        node.put("create_revision", Long.toString(entry.createRevision()));
+        node.put("mod_revision", Long.toString(entry.modRevision()));
+        node.put("version", Long.toString(entry.version()));
+        node.put("value", entry.value());
+        if (entry.lease() != 0) {
+            node.put("lease", Long.toString(entry.lease()));
+        }
+        return node;
+    }
+
+    /**
+     * Writes changes as one message of a watch.
+     *
+     * @param changes the changes
+     * @param revision the current revision
+     * @return one line of text
+     */
+    public static String watchMessage(List<Change> changes, long revision) {
+        ObjectNode result = answer(revision);
+        ArrayNode events = result.putArray("events");
+        for (Change change : changes) {
+            ObjectNode event = events.addObject();
+            Entry entry = change.entry();
+            if (entry != null) {
+                event.set("kv", entry(entry));
+                continue;
+            }
+            event.put("type", "DELETE");
+            event.putObject("kv")
+                    .put("key", key(change.key()))
+                    .put("mod_revision", Long.toString(change.revision()));
+        }
+        return line(result);
+    }
+
+    /**
+     * Wraps a message of a streaming call.
+     *
+     * @param result the message
+     * @return one line of text
+     */
+    public static String line(ObjectNode result) {
+        ObjectNode message = Json.object();
+        message.set("result", result);
+        return Json.write(message) + "\n";
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/Comparison.java
@@ -0,0 +1,47 @@
+package org.oleanderspring.standin.keyvalue.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.keyvalue.Entry;
+import org.oleanderspring.standin.keyvalue.KeyValueCodec;
+import org.oleanderspring.standin.keyvalue.KeyValueStore;
+
+/** A condition of a transaction. */
+final class Comparison {
+    private final JsonNode mRequest;
+
+    Comparison(JsonNode request) {
+        mRequest = request;
+    }
+
+    boolean holds(KeyValueStore store) {
+        Entry entry = store.get(KeyValueCodec.range(mRequest).key());
+        String target = mRequest.path("target").asText("VERSION");
+        int order =
+                switch (target) {
+                    case "MOD" -> compare(entry == null ? 0 : entry.modRevision(), "mod_revision");
+                    case "CREATE" ->
+                            compare(entry == null ? 0 : entry.createRevision(), "create_revision");
+                    case "VERSION" -> compare(entry == null ? 0 : entry.version(), "version");
+                    case "VALUE" -> compareValue(entry);
+                    default -> throw new IllegalArgumentException("unknown target: " + target);
+                };
+        String result = mRequest.path("result").asText("EQUAL");
+        return switch (result) {
+            case "EQUAL" -> order == 0;
+            case "NOT_EQUAL" -> order != 0;
+            case "GREATER" -> order > 0;
+            case "LESS" -> order < 0;
+            default -> throw new IllegalArgumentException("unknown result: " + result);
+        };
+    }
+
+    private int compare(long present, String field) {
+        return Long.compare(present, mRequest.path(field).asLong(0));
+    }
+
+    /** Compares the base64 forms, which orders only equality correctly; a missing key differs. */
+    private int compareValue(@Nullable Entry entry) {
+        return entry == null ? -1 : entry.value().compareTo(mRequest.path("value").asText(""));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/DeleteResource.java
@@ -0,0 +1,29 @@
+package org.oleanderspring.standin.keyvalue.command;
+
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Resource;
+import org.oleanderspring.standin.keyvalue.KeyValueCodec;
+import org.oleanderspring.standin.keyvalue.KeyValueStore;
+
+/** Removes a range of keys. */
+public final class DeleteResource implements Resource {
+    private final KeyValueStore mStore;
+
+    /**
+     * Creates the resource.
+     *
+     * @param store the store
+     */
+    public DeleteResource(KeyValueStore store) {
+        mStore = store;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        int deleted = mStore.delete(KeyValueCodec.range(exchange.json()));
+        mStore.commit();
+        exchange.reply(
+                200,
+                KeyValueCodec.answer(mStore.revision()).put("deleted", Integer.toString(deleted)));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/FaultResource.java
@@ -0,0 +1,49 @@
+package org.oleanderspring.standin.keyvalue.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.Resource;
+import org.oleanderspring.standin.keyvalue.KeyValueFaults;
+import org.oleanderspring.standin.keyvalue.KeyValueStore;
+import org.oleanderspring.standin.keyvalue.Watches;
+
+/** Sets faults, lapses a lease, and saves or restores a snapshot. */
+public final class FaultResource implements Resource {
+    private final KeyValueFaults mFaults;
+    private final KeyValueStore mStore;
+    private final Watches mWatches;
+
+    /**
+     * Creates the resource.
+     *
+     * @param faults the faults in force
+     * @param store the store
+     * @param watches the open watches
+     */
+    public FaultResource(KeyValueFaults faults, KeyValueStore store, Watches watches) {
+        mFaults = faults;
+        mStore = store;
+        mWatches = watches;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        JsonNode request = exchange.json();
+        mFaults.update(request);
+        if (mFaults.isDown()) {
+            mWatches.abort();
+        }
+        if (request.has("lapseLease")) {
+            mStore.endLease(request.path("lapseLease").asLong());
+        }
+        if (request.has("saveSnapshot")) {
+            mStore.saveSnapshot(request.path("saveSnapshot").asText());
+        }
+        if (request.has("restoreSnapshot")) {
+            mStore.restoreSnapshot(request.path("restoreSnapshot").asText());
+            mWatches.abort();
+        }
+        exchange.reply(200, Json.object());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/PutResource.java
@@ -0,0 +1,32 @@
+package org.oleanderspring.standin.keyvalue.command;
+
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Resource;
+import org.oleanderspring.standin.keyvalue.KeyValueCodec;
+import org.oleanderspring.standin.keyvalue.KeyValueStore;
+
+/** Writes a key without a condition. */
+public final class PutResource implements Resource {
+    private final KeyValueStore mStore;
+
+    /**
+     * Creates the resource.
+     *
+     * @param store the store
+     */
+    public PutResource(KeyValueStore store) {
+        mStore = store;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        Operation put = Operation.put(exchange.json());
+        if (!put.isAllowed(mStore)) {
+            exchange.replyError(put.refusalStatus(mStore), "refused", put.refusal(mStore));
+            return;
+        }
+        put.apply(mStore);
+        mStore.commit();
+        exchange.reply(200, KeyValueCodec.answer(mStore.revision()));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/query/RangeResource.java
@@ -0,0 +1,28 @@
+package org.oleanderspring.standin.keyvalue.query;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Resource;
+import org.oleanderspring.standin.keyvalue.KeyValueCodec;
+import org.oleanderspring.standin.keyvalue.KeyValueStore;
+
+/** Reads one key or a range of keys. */
+public final class RangeResource implements Resource {
+    private final KeyValueStore mStore;
+
+    /**
+     * Creates the resource.
+     *
+     * @param store the store
+     */
+    public RangeResource(KeyValueStore store) {
+        mStore = store;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        ObjectNode answer = KeyValueCodec.answer(mStore.revision());
+        KeyValueCodec.addEntries(answer, mStore.range(KeyValueCodec.range(exchange.json())));
+        exchange.reply(200, answer);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/query/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that read the key-value service. */
+@NullMarked
+package org.oleanderspring.standin.keyvalue.query;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/service/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-in of a plain service. */
+@NullMarked
+package org.oleanderspring.standin.service;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/vmlist/command/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that change the VM list. */
+@NullMarked
+package org.oleanderspring.standin.vmlist.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/vmlist/query/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that read the VM list. */
+@NullMarked
+package org.oleanderspring.standin.vmlist.query;
+
+import org.jspecify.annotations.NullMarked;
