Add the stand-ins of the engine, the plain service, the VM list and the weight store

The daemon needs endpoints and a platform for its first end-to-end run, and tests need to know what the endpoints truly did. Each stand-in owns its state on one duty thread, takes faults over POST /faults, and shows a ledger.

--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/PlatformCommand.java
@@ -0,0 +1,91 @@
+package org.oleanderspring.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.keyvalue.KeyValueOptions;
+import org.oleanderspring.standin.keyvalue.KeyValueStandin;
+import org.oleanderspring.standin.vmlist.VmListStandin;
+import org.oleanderspring.standin.weightstore.WeightStoreOptions;
+import org.oleanderspring.standin.weightstore.WeightStoreStandin;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs the key-value service, the VM list and the weight store in one process. */
+@Command(name = "platform", mixinStandardHelpOptions = true)
+final class PlatformCommand implements Callable<Integer> {
+    @Option(names = "--ip", defaultValue = "127.0.0.1", description = "IP number to listen on")
+    private String mIp = "127.0.0.1";
+
+    @Option(names = "--keyvalue-port", defaultValue = "0", description = "key-value service")
+    private int mKeyValuePort;
+
+    @Option(names = "--vmlist-port", defaultValue = "0", description = "VM list")
+    private int mVmListPort;
+
+    @Option(names = "--weights-port", defaultValue = "0", description = "weight store")
+    private int mWeightsPort;
+
+    @Option(names = "--reads-per-second", defaultValue = "2000", description = "read budget")
+    private int mReadsPerSecond;
+
+    @Option(names = "--writes-per-second", defaultValue = "400", description = "write budget")
+    private int mWritesPerSecond;
+
+    @Option(names = "--vms", description = "file with the first VM list")
+    private @Nullable Path mVms;
+
+    @Option(names = "--vmlist-lag-ms", defaultValue = "0", description = "lag of the VM list")
+    private long mVmListLagMillis;
+
+    @Option(names = "--catalogue", description = "file with the catalogue of checkpoints")
+    private @Nullable Path mCatalogue;
+
+    @Option(names = "--loads-per-second", defaultValue = "7", description = "model loads a second")
+    private int mLoadsPerSecond;
+
+    @Option(names = "--full-speed-loads", defaultValue = "4", description = "at full speed at once")
+    private int mFullSpeedLoads;
+
+    @Option(
+            names = "--full-speed-adapters",
+            defaultValue = "30",
+            description = "the same, adapters")
+    private int mFullSpeedAdapters;
+
+    @Override
+    public Integer call() throws IOException {
+        JsonNode vms = read(mVms, "{\"vms\":[],\"entries\":[]}");
+        JsonNode catalogue = read(mCatalogue, "{\"checkpoints\":[]}");
+        KeyValueOptions budgets = new KeyValueOptions(mReadsPerSecond, mWritesPerSecond);
+        WeightStoreOptions limits =
+                new WeightStoreOptions(mLoadsPerSecond, mFullSpeedLoads, mFullSpeedAdapters);
+        try (KeyValueStandin keyValue = new KeyValueStandin(mIp, mKeyValuePort, budgets);
+                VmListStandin vmList =
+                        new VmListStandin(
+                                mIp, mVmListPort, Duration.ofMillis(mVmListLagMillis), vms);
+                WeightStoreStandin weights =
+                        new WeightStoreStandin(mIp, mWeightsPort, limits, catalogue)) {
+            keyValue.start();
+            vmList.start();
+            weights.start();
+            StandinTool.ready("keyvalue", mIp, keyValue.port());
+            StandinTool.ready("vmlist", mIp, vmList.port());
+            StandinTool.ready("weights", mIp, weights.port());
+            StandinTool.awaitTermination();
+        }
+        return 0;
+    }
+
+    private static JsonNode read(@Nullable Path file, String fallback) throws IOException {
+        byte[] bytes =
+                file == null ? fallback.getBytes(StandardCharsets.UTF_8) : Files.readAllBytes(file);
+        return Json.parse(bytes);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/AnswerCodec.java
@@ -0,0 +1,86 @@
+package org.oleanderspring.standin.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.StringJoiner;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.http.Json;
+
+/** The JSON of completion requests and answers. */
+public final class AnswerCodec {
+    /** The last event of a stream. */
+    public static final String DONE = "data: [DONE]\n\n";
+
+    private AnswerCodec() {}
+
+    /**
+     * Returns the prompt of a request.
+     *
+     * @param request the request
+     */
+    public static String prompt(JsonNode request) {
+        if (!request.has("messages")) {
+            return request.path("prompt").asText("");
+        }
+        StringJoiner text = new StringJoiner("\n");
+        request.path("messages").forEach(message -> text.add(message.path("content").asText("")));
+        return text.toString();
+    }
+
+    /**
+     * Writes one token as an event of a stream.
+     *
+     * @param attempt the attempt
+     * @param index the number of the token
+     */
+    public static String event(Attempt attempt, int index) {
+        return event(attempt, attempt.tokens().get(index), null);
+    }
+
+    /**
+     * Writes the event after the last token, and the end of the stream.
+     *
+     * @param attempt the attempt
+     */
+    public static String lastEvents(Attempt attempt) {
+        return event(attempt, "", "stop") + DONE;
+    }
+
+    private static String event(Attempt attempt, String text, @Nullable String finish) {
+        ObjectNode document = header(attempt, attempt.isChat() ? "chat.completion.chunk" : null);
+        ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
+        if (attempt.isChat()) {
+            choice.putObject("delta").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finish);
+        return "data: " + Json.write(document) + "\n\n";
+    }
+
+    /**
+     * Writes a complete answer.
+     *
+     * @param attempt the attempt
+     */
+    public static ObjectNode document(Attempt attempt) {
+        ObjectNode document = header(attempt, attempt.isChat() ? "chat.completion" : null);
+        ObjectNode choice = document.putArray("choices").addObject().put("index", 0);
+        String text = String.join("", attempt.tokens());
+        if (attempt.isChat()) {
+            choice.putObject("message").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", "stop");
+        document.putObject("usage").put("completion_tokens", attempt.tokens().size());
+        return document;
+    }
+
+    private static ObjectNode header(Attempt attempt, @Nullable String chatObject) {
+        return Json.object()
+                .put("id", attempt.id())
+                .put("object", chatObject == null ? "text_completion" : chatObject)
+                .put("model", attempt.model());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/PrefixCache.java
@@ -0,0 +1,111 @@
+package org.oleanderspring.standin.engine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import org.oleanderspring.standin.http.Json;
+
+/**
+ * The cached prompt prefixes and the events about them; confined to the engine's duty.
+ *
+ * <p>Events become visible late, and every tenth is never shown.
+ */
+public final class PrefixCache {
+    private static final int LIMIT = 64;
+    private static final int PREFIX_BYTES = 256;
+    private static final int GAP_PERIOD = 10;
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private final LinkedHashMap<Entry, Boolean> mEntries = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<Event> mEvents = new ArrayList<>();
+
+    /**
+     * Returns the hash of a prompt's prefix: FNV-1a with 64 bits over its first 256 bytes in UTF-8.
+     *
+     * @param prompt the prompt
+     */
+    public static long hash(String prompt) {
+        byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < Math.min(bytes.length, PREFIX_BYTES); i++) {
+            hash = (hash ^ (bytes[i] & 0xff)) * FNV_PRIME;
+        }
+        return hash;
+    }
+
+    /**
+     * Uses the prefix of a prompt.
+     *
+     * @param model the model
+     * @param prompt the prompt
+     * @return whether it was cached
+     */
+    public boolean use(String model, String prompt) {
+        Entry entry = new Entry(model, hash(prompt));
+        if (mEntries.get(entry) != null) {
+            return true;
+        }
+        mEntries.put(entry, Boolean.TRUE);
+        addEvent("STORED", entry);
+        if (mEntries.size() > LIMIT) {
+            remove(mEntries.keySet().iterator().next());
+        }
+        return false;
+    }
+
+    /**
+     * Removes the prefixes of a model.
+     *
+     * @param model the model
+     */
+    public void forget(String model) {
+        List<Entry> entries =
+                mEntries.keySet().stream().filter(entry -> entry.model().equals(model)).toList();
+        entries.forEach(this::remove);
+    }
+
+    private void remove(Entry entry) {
+        mEntries.remove(entry);
+        addEvent("EVICTED", entry);
+    }
+
+    private void addEvent(String kind, Entry entry) {
+        mEvents.add(new Event(mEvents.size() + 1, kind, entry, Instant.now()));
+    }
+
+    /**
+     * Returns the events that are visible.
+     *
+     * @param after only events with a higher number
+     * @param lag how old an event must be
+     */
+    public ObjectNode eventsAfter(long after, Duration lag) {
+        Instant visible = Instant.now().minus(lag);
+        ObjectNode document = Json.object();
+        ArrayNode events = document.putArray("events");
+        for (Event event : mEvents) {
+            if (event.number() <= after || event.number() % GAP_PERIOD == 0) {
+                continue;
+            }
+            if (event.at().isAfter(visible)) {
+                break;
+            }
+            events.addObject()
+                    .put("number", event.number())
+                    .put("kind", event.kind())
+                    .put("model", event.entry().model())
+                    .put("prefixHash", Long.toUnsignedString(event.entry().hash()));
+        }
+        return document;
+    }
+
+    private record Entry(String model, long hash) {}
+
+    private record Event(long number, String kind, Entry entry, Instant at) {}
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/RecentNames.java
@@ -0,0 +1,49 @@
+package org.oleanderspring.standin.engine;
+
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A bounded set of names that forgets the one that was added longest ago. */
+public final class RecentNames {
+    private final int mLimit;
+    private final LinkedHashSet<String> mNames = new LinkedHashSet<>();
+
+    /**
+     * Creates an empty set.
+     *
+     * @param limit the most names kept
+     */
+    public RecentNames(int limit) {
+        mLimit = limit;
+    }
+
+    /**
+     * Adds a name as the most recent one.
+     *
+     * @param name the name
+     */
+    public void add(String name) {
+        mNames.remove(name);
+        mNames.add(name);
+        Iterator<String> oldest = mNames.iterator();
+        while (mNames.size() > mLimit) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
+    /**
+     * Returns whether a name is kept.
+     *
+     * @param name the name
+     */
+    public boolean contains(String name) {
+        return mNames.contains(name);
+    }
+
+    /** Returns the names, oldest first. */
+    public Set<String> names() {
+        return mNames;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/command/FaultResource.java
@@ -0,0 +1,27 @@
+package org.oleanderspring.standin.engine.command;
+
+import org.oleanderspring.standin.engine.EngineState;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.Resource;
+
+/** Sets faults. */
+public final class FaultResource implements Resource {
+    private final EngineState mState;
+
+    /**
+     * Creates the resource.
+     *
+     * @param state the state
+     */
+    public FaultResource(EngineState state) {
+        mState = state;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        mState.faults().update(exchange.json());
+        mState.changed();
+        exchange.reply(200, Json.object());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/command/OrderResource.java
@@ -0,0 +1,121 @@
+package org.oleanderspring.standin.engine.command;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.oleanderspring.standin.engine.CatalogueEntry;
+import org.oleanderspring.standin.engine.EngineOrder;
+import org.oleanderspring.standin.engine.EngineState;
+import org.oleanderspring.standin.engine.Slot;
+import org.oleanderspring.standin.engine.SlotState;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.Resource;
+
+/** Takes orders: 202 if accepted, 409 with a reason if refused. */
+public final class OrderResource implements Resource {
+    private static final String ACCEPTED = "ACCEPTED";
+
+    private final EngineState mState;
+    private final Loader mLoader;
+    private final Set<String> mAcceptedIds = new HashSet<>();
+
+    /**
+     * Creates the resource.
+     *
+     * @param state the state
+     * @param loader carries out loads and unloads
+     */
+    public OrderResource(EngineState state, Loader loader) {
+        mState = state;
+        mLoader = loader;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        EngineOrder order = EngineOrder.read(exchange.json());
+        if (mState.faults().takeDroppedReply()) {
+            exchange.loseReply();
+        }
+        if (mAcceptedIds.contains(order.id())) {
+            mState.ledger().addOrder(order, "REPEATED");
+            exchange.reply(202, Json.object().put("id", order.id()));
+            return;
+        }
+        String result = take(order);
+        mState.ledger().addOrder(order, result);
+        if (!result.equals(ACCEPTED)) {
+            exchange.reply(409, Json.object().put("id", order.id()).put("reason", result));
+            return;
+        }
+        mAcceptedIds.add(order.id());
+        exchange.reply(202, Json.object().put("id", order.id()));
+    }
+
+    private String take(EngineOrder order) {
+        if (mState.options().checksToken() && order.token() < mState.highestToken()) {
+            return "STALE_TOKEN";
+        }
+        String result =
+                switch (order.kind()) {
+                    case "LOAD_MODEL", "LOAD_ADAPTER" -> load(order);
+                    case "UNLOAD_MODEL", "UNLOAD_ADAPTER" -> unload(order);
+                    case "CHANGE_ROLE" -> changeRole(order);
+                    default -> "UNSUPPORTED";
+                };
+        if (result.equals(ACCEPTED)) {
+            mState.acceptToken(order.token());
+            mState.changed();
+        }
+        return result;
+    }
+
+    private String load(EngineOrder order) {
+        if (mState.faults().isDraining()) {
+            return "DRAINING";
+        }
+        CatalogueEntry entry = mState.catalogueEntry(order.subject());
+        boolean adapterOrder = order.kind().equals("LOAD_ADAPTER");
+        if (entry == null || adapterOrder != (entry.base() != null)) {
+            return "UNKNOWN_CHECKPOINT";
+        }
+        Slot present = mState.slots().get(entry.name());
+        if (present != null) {
+            return repeatLoad(order, present);
+        }
+        String base = entry.base();
+        if (base != null && !mState.isReady(base)) {
+            return "BASE_NOT_LOADED";
+        }
+        long free = mState.options().memoryMegabytes() - mState.usedMegabytes();
+        if (entry.memoryMegabytes() > free) {
+            return "NO_MEMORY";
+        }
+        mLoader.load(order, new Slot(entry, order.version()));
+        return ACCEPTED;
+    }
+
+    /** A loaded checkpoint has to be unloaded before another version of it can be loaded. */
+    private String repeatLoad(EngineOrder order, Slot present) {
+        if (present.state() == SlotState.UNLOADING || !present.version().equals(order.version())) {
+            return "UNSUPPORTED";
+        }
+        mState.endedOrders().add(order.id());
+        return ACCEPTED;
+    }
+
+    private String unload(EngineOrder order) {
+        Slot present = mState.slots().get(order.subject());
+        if (present == null) {
+            mState.endedOrders().add(order.id());
+            return ACCEPTED;
+        }
+        mLoader.unload(order, present);
+        return ACCEPTED;
+    }
+
+    private String changeRole(EngineOrder order) {
+        mState.setRole(order.subject());
+        mState.endedOrders().add(order.id());
+        return ACCEPTED;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/service/ServiceStandin.java
@@ -0,0 +1,48 @@
+package org.oleanderspring.standin.service;
+
+import java.time.Duration;
+import org.oleanderspring.standin.http.ResourceServer;
+import org.oleanderspring.standin.http.Routes;
+import org.oleanderspring.standin.http.StateDuty;
+import org.oleanderspring.standin.service.command.WorkResource;
+import org.oleanderspring.standin.service.query.LedgerResource;
+
+/** A plain service as one server. */
+public final class ServiceStandin implements AutoCloseable {
+    private final StateDuty mDuty = new StateDuty("service");
+    private final ResourceServer mServer;
+
+    /**
+     * Creates the server; {@link #start()} binds it.
+     *
+     * @param ip the IP number to listen on
+     * @param port the port to listen on, or 0 for any
+     * @param delay how long the work takes
+     */
+    public ServiceStandin(String ip, int port, Duration delay) {
+        ServiceState state = new ServiceState(delay);
+        WorkResource work = new WorkResource(mDuty, state);
+        LedgerResource ledger = new LedgerResource(state);
+        Routes routes = new Routes();
+        routes.add("GET", "/ledger", e -> mDuty.handle(e, () -> ledger.handle(e)));
+        routes.add("POST", "/faults", e -> mDuty.handle(e, () -> work.setFaults(e)));
+        routes.add("*", "/*", e -> mDuty.handle(e, () -> work.run(e)));
+        mServer = new ResourceServer("service-http", ip, port, routes);
+    }
+
+    /** Binds the port and begins to answer. */
+    public void start() {
+        mServer.start();
+    }
+
+    /** Returns the port on which the service listens. */
+    public int port() {
+        return mServer.port();
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+        mDuty.close();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/vmlist/command/ReplaceResource.java
@@ -0,0 +1,32 @@
+package org.oleanderspring.standin.vmlist.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.LaggedValue;
+import org.oleanderspring.standin.http.Resource;
+
+/** Replaces the VM list. */
+public final class ReplaceResource implements Resource {
+    private final LaggedValue<JsonNode> mList;
+
+    /**
+     * Creates the resource.
+     *
+     * @param list the list
+     */
+    public ReplaceResource(LaggedValue<JsonNode> list) {
+        mList = list;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        JsonNode document = exchange.json();
+        if (!document.path("vms").isArray() || !document.path("entries").isArray()) {
+            throw new IllegalArgumentException("the list needs the arrays vms and entries");
+        }
+        mList.set(document, Instant.now());
+        exchange.reply(200, Json.object());
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/vmlist/query/ListResource.java
@@ -0,0 +1,26 @@
+package org.oleanderspring.standin.vmlist.query;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Instant;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.LaggedValue;
+import org.oleanderspring.standin.http.Resource;
+
+/** Shows the VM list as it was some time ago. */
+public final class ListResource implements Resource {
+    private final LaggedValue<JsonNode> mList;
+
+    /**
+     * Creates the resource.
+     *
+     * @param list the list
+     */
+    public ListResource(LaggedValue<JsonNode> list) {
+        mList = list;
+    }
+
+    @Override
+    public void handle(Exchange exchange) {
+        exchange.reply(200, mList.visible(Instant.now()));
+    }
+}
