Add documents that never go back to an older version

Members need the operators' settings and the plans everywhere within seconds, and must not return to older content when the key-value service recovers with it. The decider keeps the newest version by number, spreads it by push, digest and fetch, writes it back over older content, and derives from replies to its own requests whether the member may decide.

--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/DocumentName.java
@@ -0,0 +1,32 @@
+package org.oleanderspring.coordination.document;
+
+import java.util.Objects;
+
+/**
+ * The name of a document, such as {@code settings}.
+ *
+ * @param value the name, 1 to 100 characters
+ */
+public record DocumentName(String value) implements Comparable<DocumentName> {
+    /** The largest number of characters of a name. */
+    public static final int LIMIT_CHARACTERS = 100;
+
+    /** Checks the length. */
+    public DocumentName {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank() || value.length() > LIMIT_CHARACTERS) {
+            throw new IllegalArgumentException(
+                    "document name has " + value.length() + " characters");
+        }
+    }
+
+    @Override
+    public int compareTo(DocumentName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/DigestPublisher.java
@@ -0,0 +1,61 @@
+package org.oleanderspring.coordination.document.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.document.DocumentOptions;
+import org.oleanderspring.coordination.document.DocumentVersion;
+import org.oleanderspring.coordination.document.query.DigestSnapshot;
+
+/**
+ * Chooses the versions that digests contain: always the governing document, and as many others as
+ * fit, in turns.
+ */
+final class DigestPublisher {
+    private final DocumentName mGoverning;
+    private final int mLimit;
+    private int mStart;
+    private @Nullable DigestSnapshot mPublished;
+
+    DigestPublisher(DocumentOptions options) {
+        mGoverning = options.governing();
+        mLimit = options.digestVersions();
+    }
+
+    /** Moves on to the next documents. */
+    void rotate(HeldDocuments held) {
+        if (held.names().size() > mLimit) {
+            mStart += mLimit - 1;
+        }
+    }
+
+    /** Returns the current choice of versions. */
+    DigestSnapshot snapshot(HeldDocuments held, @Nullable Instant freshAt) {
+        List<DocumentName> others = new ArrayList<>(held.names());
+        List<DocumentName> chosen = new ArrayList<>();
+        if (others.remove(mGoverning)) {
+            chosen.add(mGoverning);
+        }
+        int room = Math.min(mLimit - chosen.size(), others.size());
+        for (int offset = 0; offset < room; offset++) {
+            chosen.add(others.get(Math.floorMod(mStart + offset, others.size())));
+        }
+        List<DocumentVersion> versions =
+                chosen.stream().map(held::version).filter(Objects::nonNull).toList();
+        return new DigestSnapshot(versions, freshAt);
+    }
+
+    /** Returns the current choice as a decision if it differs from the one published last. */
+    Optional<DocumentDecision> publishChanges(HeldDocuments held, @Nullable Instant freshAt) {
+        DigestSnapshot snapshot = snapshot(held, freshAt);
+        if (snapshot.equals(mPublished)) {
+            return Optional.empty();
+        }
+        mPublished = snapshot;
+        return Optional.of(new DocumentDecision.PublishDigest(snapshot));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/Freshness.java
@@ -0,0 +1,112 @@
+package org.oleanderspring.coordination.document.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.document.DocumentOptions;
+import org.oleanderspring.coordination.membership.Address;
+
+/** Keeps when the key-value service and the members last replied, and derives the authority. */
+final class Freshness {
+    private final Address mSelf;
+    private final Duration mFreshnessBound;
+    private final Duration mContactBound;
+    private final Map<Address, Instant> mContacts = new HashMap<>();
+    private Set<Address> mCounted = Set.of();
+    private @Nullable Instant mFreshAt;
+    private @Nullable Instant mServiceAt;
+
+    Freshness(Address self, DocumentOptions options) {
+        mSelf = self;
+        mFreshnessBound = options.freshnessBound();
+        mContactBound = options.contactBound();
+    }
+
+    /** Notes a reply of the service to a request that was sent at the given time. */
+    void reachedService(Instant requestSentAt) {
+        mServiceAt = later(mServiceAt, requestSentAt);
+        reachedThroughPeer(requestSentAt);
+    }
+
+    /** Notes that everything accepted before the given time is known here. */
+    void reachedThroughPeer(Instant serviceAt) {
+        mFreshAt = later(mFreshAt, serviceAt);
+    }
+
+    /** Notes a reply of a member to a request that was sent at the given time. */
+    void contacted(Address peer, Instant requestSentAt) {
+        mContacts.merge(peer, requestSentAt, Freshness::later);
+    }
+
+    /** Replaces the members that a majority is counted of. */
+    void count(Set<Address> counted) {
+        mCounted = counted;
+        mContacts.keySet().retainAll(counted);
+    }
+
+    /** Returns the time before which every accepted version is known here, or null. */
+    @Nullable Instant freshAt() {
+        return mFreshAt;
+    }
+
+    /** Returns whether a read sent within the bound got a reply of the service itself. */
+    boolean reachesService(Instant now) {
+        return mServiceAt != null && !now.isAfter(mServiceAt.plus(mFreshnessBound));
+    }
+
+    /** Returns whether more than half of the members replied within the bound on contact. */
+    boolean reachesMajority(Instant now) {
+        Instant end = majorityEnd(now);
+        return end != null && !now.isAfter(end);
+    }
+
+    /** Returns the end of the authority, or null if it has passed. */
+    @Nullable Instant authorityEnd(Instant now) {
+        Instant freshEnd = mFreshAt == null ? null : mFreshAt.plus(mFreshnessBound);
+        if (freshEnd != null && !now.isAfter(freshEnd)) {
+            return freshEnd;
+        }
+        Instant majorityEnd = majorityEnd(now);
+        if (majorityEnd != null && !now.isAfter(majorityEnd)) {
+            return majorityEnd;
+        }
+        return null;
+    }
+
+    /**
+     * Returns until when the contacts so far make a majority. Before the first member list nothing
+     * is known about the majority.
+     */
+    private @Nullable Instant majorityEnd(Instant now) {
+        if (mCounted.isEmpty()) {
+            return null;
+        }
+        boolean countsSelf = mCounted.contains(mSelf);
+        int members = countsSelf ? mCounted.size() : mCounted.size() + 1;
+        int othersNeeded = members / 2;
+        if (othersNeeded == 0) {
+            return now.plus(mContactBound);
+        }
+        List<Instant> latestFirst =
+                mContacts.entrySet().stream()
+                        .filter(contact -> mCounted.contains(contact.getKey()))
+                        .filter(contact -> !contact.getKey().equals(mSelf))
+                        .map(Map.Entry::getValue)
+                        .sorted(Comparator.reverseOrder())
+                        .limit(othersNeeded)
+                        .toList();
+        if (latestFirst.size() < othersNeeded) {
+            return null;
+        }
+        return latestFirst.get(othersNeeded - 1).plus(mContactBound);
+    }
+
+    private static Instant later(@Nullable Instant first, Instant second) {
+        return first == null || first.isBefore(second) ? second : first;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/PeerFetches.java
@@ -0,0 +1,58 @@
+package org.oleanderspring.coordination.document.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.membership.Address;
+
+/** The requests for documents that members have not replied to, at most one for each document. */
+final class PeerFetches {
+    private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(1);
+
+    private final RandomGenerator mRandom;
+    private final Map<DocumentName, Fetch> mFetches = new HashMap<>();
+    private long mLastId;
+
+    PeerFetches(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    /** Asks a member for a document, unless a request for it waits for its reply. */
+    Optional<DocumentDecision> ask(Address peer, DocumentName name, Instant now) {
+        Fetch earlier = mFetches.get(name);
+        if (earlier != null && now.isBefore(earlier.sentAt().plus(REPLY_TIMEOUT))) {
+            return Optional.empty();
+        }
+        mLastId++;
+        mFetches.put(name, new Fetch(mLastId, peer, now));
+        return Optional.of(new DocumentDecision.FetchDocument(peer, mLastId, name));
+    }
+
+    /** Asks a member chosen at random. */
+    Optional<DocumentDecision> askAnyone(List<Address> peers, DocumentName name, Instant now) {
+        if (peers.isEmpty()) {
+            return Optional.empty();
+        }
+        return ask(peers.get(mRandom.nextInt(peers.size())), name, now);
+    }
+
+    /** Ends a request; returns when it was sent, or null if it is not known any more. */
+    @Nullable Instant end(long id, Address peer) {
+        for (Map.Entry<DocumentName, Fetch> entry : mFetches.entrySet()) {
+            Fetch fetch = entry.getValue();
+            if (fetch.id() == id && fetch.peer().equals(peer)) {
+                mFetches.remove(entry.getKey());
+                return fetch.sentAt();
+            }
+        }
+        return null;
+    }
+
+    private record Fetch(long id, Address peer, Instant sentAt) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/ServiceLink.java
@@ -0,0 +1,174 @@
+package org.oleanderspring.coordination.document.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The reads and the watch of one document at the key-value service.
+ *
+ * <p>Every start has a random delay and every retry a random, growing one. After an outage the
+ * reads of all watchers are therefore spread over the longest delay, and members that do not watch
+ * read at most once in {@link #LAST_RESORT_PERIOD}.
+ */
+final class ServiceLink {
+    static final Duration LAST_RESORT_PERIOD = Duration.ofSeconds(30);
+
+    private static final Duration START_SPREAD = Duration.ofSeconds(2);
+    private static final Duration FIRST_RETRY = Duration.ofSeconds(1);
+    private static final Duration LONGEST_RETRY = Duration.ofSeconds(8);
+    private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(5);
+    private static final int LARGEST_RETRY_SHIFT = 3;
+
+    private final RandomGenerator mRandom;
+    private boolean mWatcher;
+    private boolean mWatching;
+    private @Nullable Instant mWatchDue;
+    private @Nullable Instant mReadDue;
+    private @Nullable Instant mReadSentAt;
+    private long mReadId;
+    private @Nullable Instant mWriteBackSentAt;
+    private @Nullable Instant mLastResortAt;
+    private int mFailures;
+
+    ServiceLink(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    boolean isWatcher() {
+        return mWatcher;
+    }
+
+    /** Becomes a watcher or stops being one; returns whether a running watch has to be stopped. */
+    boolean setWatcher(boolean watcher, Instant now) {
+        if (watcher == mWatcher) {
+            return false;
+        }
+        mWatcher = watcher;
+        if (watcher) {
+            mWatchDue = now.plus(upTo(START_SPREAD));
+            return false;
+        }
+        boolean stop = mWatching;
+        mWatching = false;
+        mWatchDue = null;
+        mReadDue = null;
+        return stop;
+    }
+
+    /** Returns whether the watch has to be started now; if so, it counts as started. */
+    boolean takeWatchStart(Instant now) {
+        if (mWatchDue == null || now.isBefore(mWatchDue)) {
+            return false;
+        }
+        mWatchDue = null;
+        mWatching = true;
+        readAt(now);
+        return true;
+    }
+
+    /** Schedules the next start after a watch has failed. */
+    void watchFailed(Instant now) {
+        mWatching = false;
+        if (mWatcher) {
+            mWatchDue = now.plus(retryDelay());
+            mFailures++;
+        }
+    }
+
+    /** Asks for a read at the given time, unless one is due earlier. */
+    void readAt(Instant due) {
+        if (mReadDue == null || due.isBefore(mReadDue)) {
+            mReadDue = due;
+        }
+    }
+
+    /** Asks for a read by a member that does not watch, at most once in a long period. */
+    void readAsLastResort(Instant now, Duration spread) {
+        if (mReadDue != null || mReadSentAt != null) {
+            return;
+        }
+        if (mLastResortAt != null && now.isBefore(mLastResortAt.plus(LAST_RESORT_PERIOD))) {
+            return;
+        }
+        Instant due = now.plus(upTo(spread));
+        mLastResortAt = due;
+        readAt(due);
+    }
+
+    /** Returns whether a read has to be sent now; if so, it counts as sent. */
+    boolean takeRead(long readId, Instant now) {
+        if (mReadSentAt != null && now.isAfter(mReadSentAt.plus(REPLY_TIMEOUT))) {
+            readFailed(now);
+        }
+        if (mReadSentAt != null || mReadDue == null || now.isBefore(mReadDue)) {
+            return false;
+        }
+        mReadDue = null;
+        mReadSentAt = now;
+        mReadId = readId;
+        return true;
+    }
+
+    /**
+     * Ends the read with the given number; returns when it was sent, or null if it is not known.
+     */
+    @Nullable Instant endRead(long readId) {
+        if (mReadSentAt == null || readId != mReadId) {
+            return null;
+        }
+        Instant sentAt = mReadSentAt;
+        mReadSentAt = null;
+        return sentAt;
+    }
+
+    /** Notes that the service replied. */
+    void replied() {
+        mFailures = 0;
+    }
+
+    /** Notes that a read got no reply, and schedules the next one. */
+    void readFailed(Instant now) {
+        mReadSentAt = null;
+        if (mWatcher) {
+            readAt(now.plus(retryDelay()));
+            mFailures++;
+        }
+    }
+
+    /** Schedules the next regular read of a watcher. */
+    void scheduleRegularRead(Instant now, Duration period) {
+        if (mWatcher) {
+            readAt(now.plus(period.dividedBy(2)).plus(upTo(period)));
+        }
+    }
+
+    /** Returns whether no write-back is under way; if so, the caller's counts as sent. */
+    boolean takeWriteBack(Instant now) {
+        if (mWriteBackSentAt != null && now.isBefore(mWriteBackSentAt.plus(REPLY_TIMEOUT))) {
+            return false;
+        }
+        mWriteBackSentAt = now;
+        return true;
+    }
+
+    /** Ends the write-back; unless it succeeded, the service is read again. */
+    void writeBackEnded(boolean written, Instant now) {
+        mWriteBackSentAt = null;
+        if (!written) {
+            readAt(now.plus(retryDelay()));
+        }
+    }
+
+    private Duration retryDelay() {
+        Duration doubled = FIRST_RETRY.multipliedBy(1L << Math.min(mFailures, LARGEST_RETRY_SHIFT));
+        Duration longest = doubled.compareTo(LONGEST_RETRY) < 0 ? doubled : LONGEST_RETRY;
+        Duration half = longest.dividedBy(2);
+        return half.plus(upTo(half));
+    }
+
+    private Duration upTo(Duration longest) {
+        return Duration.ofMillis(mRandom.nextLong(longest.toMillis() + 1));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/query/WatcherSelection.java
@@ -0,0 +1,44 @@
+package org.oleanderspring.coordination.document.query;
+
+import java.util.Collection;
+import java.util.List;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.query.RendezvousRanking;
+
+/** Chooses which members watch a document at the key-value service. */
+public final class WatcherSelection {
+    private final int mPerDomain;
+
+    /**
+     * Creates a selection.
+     *
+     * @param perDomain the number of watchers in each failure domain
+     */
+    public WatcherSelection(int perDomain) {
+        mPerDomain = perDomain;
+    }
+
+    /**
+     * Returns whether a member watches a document.
+     *
+     * @param name the document
+     * @param self the member
+     * @param live the live members; may contain the member itself
+     */
+    public boolean isWatcher(DocumentName name, Member self, Collection<Member> live) {
+        List<String> rivals =
+                live.stream()
+                        .filter(member -> member.failureDomain().equals(self.failureDomain()))
+                        .map(member -> member.id().value())
+                        .filter(id -> !id.equals(self.id().value()))
+                        .distinct()
+                        .toList();
+        long own = RendezvousRanking.weight(name.value(), self.id().value());
+        long ahead =
+                rivals.stream()
+                        .filter(id -> RendezvousRanking.weight(name.value(), id) > own)
+                        .count();
+        return ahead < mPerDomain;
+    }
+}
