--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/codec/SettingsCodec.java
@@ -0,0 +1,186 @@
+package org.oleanderspring.daemon.codec;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingValue;
+import org.oleanderspring.core.settings.SettingsException;
+import org.oleanderspring.core.settings.command.SettingsCheck;
+import org.oleanderspring.core.settings.command.SettingsChecker;
+import org.oleanderspring.core.settings.command.SettingsDraft;
+
+/** Encodes settings documents and decodes drafts of operators. */
+public final class SettingsCodec {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+                    .build();
+
+    private SettingsCodec() {}
+
+    /**
+     * Encodes a document for the key-value service.
+     *
+     * @param document the document
+     */
+    public static byte[] encode(SettingsDocument document) {
+        ObjectNode root = describe(document.settings());
+        root.put("number", document.settings().number());
+        root.remove("basedOn");
+        root.set("history", describe(document.history()));
+        try {
+            return MAPPER.writeValueAsString(root).getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException fault) {
+            throw new IllegalStateException("settings could not be encoded", fault);
+        }
+    }
+
+    /**
+     * Decodes a document of the key-value service.
+     *
+     * @param bytes the encoded document
+     */
+    public static Decoded<SettingsDocument> decode(byte[] bytes) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(bytes);
+        } catch (IOException broken) {
+            return new Decoded.Broken<>(String.valueOf(broken.getMessage()));
+        }
+        if (root == null || !root.path("number").isIntegralNumber()) {
+            return new Decoded.Broken<>("field number is missing");
+        }
+        Decoded<SettingsDraft> draft = draftOf(root, root.path("number").asLong() - 1);
+        if (draft instanceof Decoded.Broken<SettingsDraft> broken) {
+            return new Decoded.Broken<>(broken.reason());
+        }
+        SettingsCheck check =
+                new SettingsChecker().check(((Decoded.Valid<SettingsDraft>) draft).value());
+        if (check instanceof SettingsCheck.Invalid invalid) {
+            return new Decoded.Broken<>(invalid.problems().get(0).text());
+        }
+        FleetSettings settings = ((SettingsCheck.Valid) check).settings();
+        return new Decoded.Valid<>(new SettingsDocument(settings, historyOf(root)));
+    }
+
+    /**
+     * Decodes a draft that an operator wrote.
+     *
+     * @param bytes the draft as JSON
+     */
+    public static Decoded<SettingsDraft> decodeDraft(byte[] bytes) {
+        JsonNode root;
+        try {
+            root = MAPPER.readTree(bytes);
+        } catch (IOException broken) {
+            return new Decoded.Broken<>(String.valueOf(broken.getMessage()));
+        }
+        if (root == null || !root.path("basedOn").isIntegralNumber()) {
+            return new Decoded.Broken<>("field basedOn is missing");
+        }
+        for (Map.Entry<String, JsonNode> field : root.properties()) {
+            if (!List.of("basedOn", "author", "defaults", "exceptions").contains(field.getKey())) {
+                return new Decoded.Broken<>("unknown field " + field.getKey());
+            }
+        }
+        return draftOf(root, root.path("basedOn").asLong());
+    }
+
+    /**
+     * Describes settings as a draft that changes nothing.
+     *
+     * @param settings the settings
+     */
+    public static ObjectNode describe(FleetSettings settings) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("basedOn", settings.number());
+        root.put("author", settings.author());
+        ObjectNode defaults = root.putObject("defaults");
+        for (SettingValue value : settings.defaults()) {
+            defaults.put(value.name().key(), value.value());
+        }
+        ArrayNode exceptions = root.putArray("exceptions");
+        for (SettingsException exception : settings.exceptions()) {
+            ObjectNode entry = exceptions.addObject();
+            entry.put("model", exception.model().value());
+            entry.put("setting", exception.setting().name().key());
+            entry.put("value", exception.setting().value());
+            entry.put("reason", exception.reason());
+        }
+        return root;
+    }
+
+    /**
+     * Describes the latest changes.
+     *
+     * @param history the changes, newest first
+     */
+    public static ArrayNode describe(List<SettingsDocument.HistoryEntry> history) {
+        ArrayNode entries = MAPPER.createArrayNode();
+        for (SettingsDocument.HistoryEntry change : history) {
+            ObjectNode entry = entries.addObject();
+            entry.put("number", change.number());
+            entry.put("author", change.author());
+            change.changes().forEach(entry.putArray("changes")::add);
+        }
+        return entries;
+    }
+
+    private static Decoded<SettingsDraft> draftOf(JsonNode root, long basedOn) {
+        if (basedOn < 0) {
+            return new Decoded.Broken<>("field basedOn is negative");
+        }
+        JsonNode defaults = root.path("defaults");
+        JsonNode exceptions = root.path("exceptions");
+        if (!(defaults.isMissingNode() || defaults.isObject())) {
+            return new Decoded.Broken<>("field defaults is not an object");
+        }
+        if (!(exceptions.isMissingNode() || exceptions.isArray())) {
+            return new Decoded.Broken<>("field exceptions is not an array");
+        }
+        List<SettingsDraft.DraftValue> values = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> field : defaults.properties()) {
+            if (!field.getValue().canConvertToLong() || !field.getValue().isIntegralNumber()) {
+                return new Decoded.Broken<>(field.getKey() + " is not a whole number");
+            }
+            values.add(new SettingsDraft.DraftValue(field.getKey(), field.getValue().asLong()));
+        }
+        List<SettingsDraft.DraftException> drafts = new ArrayList<>();
+        for (JsonNode entry : exceptions) {
+            if (!entry.path("value").isIntegralNumber()) {
+                return new Decoded.Broken<>("an exception has no whole number as value");
+            }
+            drafts.add(
+                    new SettingsDraft.DraftException(
+                            entry.path("model").asText(),
+                            new SettingsDraft.DraftValue(
+                                    entry.path("setting").asText(), entry.path("value").asLong()),
+                            entry.path("reason").asText()));
+        }
+        return new Decoded.Valid<>(
+                new SettingsDraft(basedOn, root.path("author").asText(), values, drafts));
+    }
+
+    private static List<SettingsDocument.HistoryEntry> historyOf(JsonNode root) {
+        List<SettingsDocument.HistoryEntry> history = new ArrayList<>();
+        for (JsonNode entry : root.path("history")) {
+            List<String> changes = new ArrayList<>();
+            entry.path("changes").forEach(line -> changes.add(line.asText()));
+            history.add(
+                    new SettingsDocument.HistoryEntry(
+                            entry.path("number").asLong(), entry.path("author").asText(), changes));
+        }
+        return history;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseDuty.java
@@ -0,0 +1,173 @@
+package org.oleanderspring.daemon.lease.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.lease.LeaseName;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.query.RendezvousRanking;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.KeyValueQueries;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/** Carries out the decisions about leases. All of its state belongs to the lease thread. */
+public final class LeaseDuty implements EventHandler<LeaseInput> {
+    private static final Logger LOGGER = System.getLogger(LeaseDuty.class.getName());
+
+    private final MemberId mSelf;
+    private final DefaultLeaseDecider mDecider;
+    private final KeyValueCommands mCommands;
+    private final KeyValueQueries mQueries;
+    private final LeaseListener mListener;
+    private final MonotonicClock mClock;
+    private final EventSink<LeaseInput> mOwnRing;
+    private Set<CellName> mCells = Set.of();
+    private List<MemberId> mMembers = List.of();
+    private List<LeaseCandidacy> mCandidacies = List.of();
+    private @Nullable CompletableFuture<Boolean> mStopWaiter;
+
+    /**
+     * Creates the duty.
+     *
+     * @param self the identity of this daemon
+     * @param decider decides
+     * @param commands changes the key-value service
+     * @param queries reads the key-value service
+     * @param listener is told of leases
+     * @param clock the clock
+     * @param ownRing the ring of this duty, for replies
+     */
+    public LeaseDuty(
+            MemberId self,
+            DefaultLeaseDecider decider,
+            KeyValueCommands commands,
+            KeyValueQueries queries,
+            LeaseListener listener,
+            MonotonicClock clock,
+            EventSink<LeaseInput> ownRing) {
+        mSelf = self;
+        mDecider = decider;
+        mCommands = commands;
+        mQueries = queries;
+        mListener = listener;
+        mClock = clock;
+        mOwnRing = ownRing;
+    }
+
+    @Override
+    public void handle(LeaseInput input) {
+        if (input instanceof LeaseInput.Event event) {
+            decide(event.event());
+        } else if (input instanceof LeaseInput.CellsListed listed) {
+            mCells = listed.cells();
+            compete();
+        } else if (input instanceof LeaseInput.MembersListed listed) {
+            mMembers = listed.members();
+            compete();
+        } else if (input instanceof LeaseInput.StopAsked asked) {
+            mStopWaiter = asked.done();
+            decide(new LeaseEvent.StopRequested());
+        } else if (input instanceof LeaseInput.LeasesAsked asked) {
+            asked.reply().complete(mDecider.leases(mClock.now()));
+        }
+    }
+
+    private void compete() {
+        List<LeaseCandidacy> candidacies = new ArrayList<>();
+        for (CellName cell : mCells.stream().sorted().toList()) {
+            List<MemberId> ranking =
+                    RendezvousRanking.top(
+                            cell.value(), mMembers, MemberId::value, mMembers.size());
+            int rank = ranking.indexOf(mSelf);
+            if (rank >= 0) {
+                candidacies.add(new LeaseCandidacy(new LeaseName(cell.value()), rank));
+            }
+        }
+        if (!candidacies.equals(mCandidacies)) {
+            mCandidacies = List.copyOf(candidacies);
+            decide(new LeaseEvent.CompetitionChanged(candidacies));
+        }
+    }
+
+    private void decide(LeaseEvent event) {
+        for (LeaseDecision decision : mDecider.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+            mCommands
+                    .grantLease(grant.timeToLive())
+                    .thenAccept(
+                            result ->
+                                    reply(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    grant.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+            mCommands
+                    .renewLease(renew.lease())
+                    .thenAccept(
+                            result ->
+                                    reply(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    renew.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
+            mCommands
+                    .revokeLease(revoke.lease())
+                    .thenAccept(
+                            result ->
+                                    reply(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    revoke.operation(), result)));
+        } else if (decision instanceof LeaseDecision.WriteKey write) {
+            mCommands
+                    .compareAndSwap(write.command())
+                    .thenAccept(
+                            result ->
+                                    reply(
+                                            new LeaseEvent.KeyWriteReplied(
+                                                    write.operation(), result)));
+        } else if (decision instanceof LeaseDecision.ReadKey read) {
+            mQueries.read(read.key())
+                    .thenAccept(
+                            result ->
+                                    reply(
+                                            new LeaseEvent.KeyReadReplied(
+                                                    read.operation(), result)));
+        } else {
+            inform(decision);
+        }
+    }
+
+    private void inform(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
+            LOGGER.log(Level.INFO, "[lease] The lease of cell {0} is held.", acquired.name());
+            mListener.acquired(new CellName(acquired.name().value()));
+        } else if (decision instanceof LeaseDecision.LeaseLost lost) {
+            LOGGER.log(
+                    Level.INFO,
+                    "[lease] The lease of cell {0} is no longer held: {1}.",
+                    lost.name(),
+                    lost.reason());
+            mListener.lost(new CellName(lost.name().value()));
+        } else if (decision instanceof LeaseDecision.HandedOver && mStopWaiter != null) {
+            mStopWaiter.complete(true);
+        }
+    }
+
+    private void reply(LeaseEvent event) {
+        mOwnRing.offer(new LeaseInput.Event(event));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/DraftHandler.java
@@ -0,0 +1,104 @@
+package org.oleanderspring.daemon.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.settings.command.SettingsDraft;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.codec.SettingsCodec;
+import org.oleanderspring.daemon.front.Refusal;
+import org.oleanderspring.daemon.front.query.JsonAnswer;
+
+/** Reads a settings draft from a request and answers with what became of it. */
+public abstract class DraftHandler extends Handler.Abstract.NonBlocking {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int BODY_LIMIT_BYTES = 1 << 20;
+    private static final long REPLY_LIMIT_SECONDS = 10;
+
+    private final String mPath;
+    private final Function<SettingsDraft, CompletableFuture<SettingsReply>> mAction;
+
+    /**
+     * Creates the handler.
+     *
+     * @param path the path that it takes
+     * @param action what to do with a draft
+     */
+    protected DraftHandler(
+            String path, Function<SettingsDraft, CompletableFuture<SettingsReply>> action) {
+        mPath = path;
+        mAction = action;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        boolean mine =
+                Request.getPathInContext(request).equals(mPath)
+                        && HttpMethod.POST.is(request.getMethod());
+        if (!mine) {
+            return false;
+        }
+        JsonAnswer answer = JsonAnswer.of(response, callback);
+        Content.Source.asByteArrayAsync(request, BODY_LIMIT_BYTES)
+                .whenComplete((body, failure) -> take(body, failure, answer));
+        return true;
+    }
+
+    private void take(
+            byte @Nullable [] body, @Nullable Throwable failure, JsonAnswer answer) {
+        if (failure != null || body == null) {
+            answer.refuse(
+                    Refusal.notRun(
+                            ErrorMessage.BODY_TOO_LARGE, Integer.toString(BODY_LIMIT_BYTES)));
+            return;
+        }
+        Decoded<SettingsDraft> draft = SettingsCodec.decodeDraft(body);
+        if (draft instanceof Decoded.Broken<SettingsDraft> broken) {
+            answer.refuse(Refusal.notRun(ErrorMessage.SETTINGS_MALFORMED, broken.reason()));
+            return;
+        }
+        mAction.apply(((Decoded.Valid<SettingsDraft>) draft).value())
+                .orTimeout(REPLY_LIMIT_SECONDS, TimeUnit.SECONDS)
+                .whenComplete((reply, late) -> send(reply, answer));
+    }
+
+    private static void send(@Nullable SettingsReply reply, JsonAnswer answer) {
+        if (reply == null) {
+            answer.refuse(
+                    Refusal.notRun(
+                            ErrorMessage.SETTINGS_UNAVAILABLE,
+                            "no answer in time; read the settings to see whether they apply"));
+            return;
+        }
+        if (reply instanceof SettingsReply.Refused refused) {
+            answer.refuse(
+                    new Refusal(
+                            refused.message(),
+                            refused.text(),
+                            org.oleanderspring.core.routing.WorkState.NOT_RUN));
+            return;
+        }
+        answer.send(describe(reply));
+    }
+
+    private static JsonNode describe(SettingsReply reply) {
+        ObjectNode root = MAPPER.createObjectNode();
+        if (reply instanceof SettingsReply.Accepted accepted) {
+            root.put("number", accepted.number());
+        } else if (reply instanceof SettingsReply.Checked checked) {
+            checked.differences().forEach(root.putArray("differences")::add);
+        }
+        return root;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/command/SettingsApplyHandler.java
@@ -0,0 +1,15 @@
+package org.oleanderspring.daemon.operator.command;
+
+import org.oleanderspring.daemon.operator.DraftHandler;
+
+/** Applies settings at {@code POST /settings}. */
+public final class SettingsApplyHandler extends DraftHandler {
+    /**
+     * Creates the handler.
+     *
+     * @param commands applies drafts
+     */
+    public SettingsApplyHandler(SettingsCommands commands) {
+        super("/settings", commands::apply);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/command/package-info.java
@@ -0,0 +1,5 @@
+/** Handlers that change the settings. */
+@NullMarked
+package org.oleanderspring.daemon.operator.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/query/SettingsCheckHandler.java
@@ -0,0 +1,15 @@
+package org.oleanderspring.daemon.operator.query;
+
+import org.oleanderspring.daemon.operator.DraftHandler;
+
+/** Checks settings at {@code POST /settings/check}. */
+public final class SettingsCheckHandler extends DraftHandler {
+    /**
+     * Creates the handler.
+     *
+     * @param queries checks drafts
+     */
+    public SettingsCheckHandler(SettingsQueries queries) {
+        super("/settings/check", queries::check);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/query/StatusHandler.java
@@ -0,0 +1,35 @@
+package org.oleanderspring.daemon.operator.query;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.daemon.front.query.JsonAnswer;
+
+/** Shows what is loaded where, who holds which lease and which settings are in force. */
+public final class StatusHandler extends Handler.Abstract.NonBlocking {
+    private static final String PATH = "/status";
+
+    private final Supplier<? extends CompletableFuture<? extends JsonNode>> mStatus;
+
+    /**
+     * Creates the handler.
+     *
+     * @param status collects the status from the duties
+     */
+    public StatusHandler(Supplier<? extends CompletableFuture<? extends JsonNode>> status) {
+        mStatus = status;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        if (!Request.getPathInContext(request).equals(PATH)) {
+            return false;
+        }
+        JsonAnswer.of(response, callback).sendLater(mStatus.get());
+        return true;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/query/package-info.java
@@ -0,0 +1,5 @@
+/** Handlers that show the state. */
+@NullMarked
+package org.oleanderspring.daemon.operator.query;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -0,0 +1,468 @@
+package org.oleanderspring.daemon.placement.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.query.RendezvousRanking;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.KeyValueQueries;
+import org.oleanderspring.coordination.store.query.ReadResult;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointKind;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.fleet.VmId;
+import org.oleanderspring.core.fleet.VmList;
+import org.oleanderspring.core.placement.ModelUse;
+import org.oleanderspring.core.placement.OrderResult;
+import org.oleanderspring.core.placement.OrderSender;
+import org.oleanderspring.core.placement.PlacementLimits;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.Readiness;
+import org.oleanderspring.core.placement.RunnerOrder;
+import org.oleanderspring.core.placement.command.DefaultPlacementDecider;
+import org.oleanderspring.core.placement.command.PlacementDecider;
+import org.oleanderspring.core.placement.command.PlacementDecision;
+import org.oleanderspring.core.placement.command.PlacementEvent;
+import org.oleanderspring.core.port.command.RunnerCommands;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.codec.PlanCodec;
+import org.oleanderspring.daemon.peering.command.PeerCommands;
+import org.oleanderspring.daemon.process.DaemonIdentity;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.StoreKeys;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/**
+ * Carries out the decisions of placement for the cells whose leases this daemon holds, and passes
+ * wakes and uses on to the holders of the others. All of its state belongs to the placement thread.
+ */
+public final class PlacementDuty implements EventHandler<PlacementInput> {
+    private static final Logger LOGGER = System.getLogger(PlacementDuty.class.getName());
+    private static final Duration PLAN_READ_RETRY = Duration.ofMillis(500);
+
+    private final MemberId mSelf;
+    private final Address mSelfAddress;
+    private final KeyValueCommands mStoreCommands;
+    private final KeyValueQueries mStoreQueries;
+    private final RunnerCommands mRunners;
+    private final PeerCommands mPeers;
+    private final PlacementListener mListener;
+    private final MonotonicClock mClock;
+    private final EventSink<PlacementInput> mOwnRing;
+    private final Map<CellName, PlacementDecider> mDeciders = new TreeMap<>();
+    private final Set<CellName> mLeased = new TreeSet<>();
+    private final Map<CellName, Instant> mPlanReads = new TreeMap<>();
+    private final Map<CellName, Plan> mPlans = new TreeMap<>();
+    private final OrderExchanges mExchanges = new OrderExchanges();
+    private final RunnerDirectory mDirectory = new RunnerDirectory();
+    private @Nullable VmId mVm;
+    private @Nullable VmList mVms;
+    private List<Checkpoint> mCatalogue = List.of();
+    private PlacementLimits mLimits = PlacementLimits.DEFAULT;
+    private Instant mAuthorityUntil = Instant.MIN;
+    private boolean mMayDecide;
+
+    /**
+     * Creates the duty.
+     *
+     * @param self the identity of this daemon
+     * @param selfAddress its peer address
+     * @param storeCommands changes the key-value service
+     * @param storeQueries reads the key-value service
+     * @param runners sends orders to runners
+     * @param peers sends messages to other daemons
+     * @param listener is told of results
+     * @param clock the clock
+     * @param ownRing the ring of this duty, for results of I/O
+     */
+    public PlacementDuty(
+            MemberId self,
+            Address selfAddress,
+            KeyValueCommands storeCommands,
+            KeyValueQueries storeQueries,
+            RunnerCommands runners,
+            PeerCommands peers,
+            PlacementListener listener,
+            MonotonicClock clock,
+            EventSink<PlacementInput> ownRing) {
+        mSelf = self;
+        mSelfAddress = selfAddress;
+        mStoreCommands = storeCommands;
+        mStoreQueries = storeQueries;
+        mRunners = runners;
+        mPeers = peers;
+        mListener = listener;
+        mClock = clock;
+        mOwnRing = ownRing;
+    }
+
+    @Override
+    public void handle(PlacementInput input) {
+        checkAuthority();
+        if (input instanceof PlacementInput.Event event) {
+            endExchange(event.event());
+            decide(event.cell(), event.event());
+        } else if (input instanceof PlacementInput.Tick) {
+            tick();
+        } else if (input instanceof PlacementInput.WakeHere wake) {
+            wakeHere(wake);
+        } else if (input instanceof PlacementInput.WakeThere wake) {
+            decide(
+                    wake.cell(),
+                    new PlacementEvent.WakeRequested(
+                            wake.daemon(), wake.model(), wake.earliestDeadline(), wake.waiting()));
+        } else if (input instanceof PlacementInput.UseHere use) {
+            use(use.uses());
+        } else if (input instanceof PlacementInput.TermAnnounced announced) {
+            acknowledge(announced);
+        } else if (input instanceof PlacementInput.PlansAsked asked) {
+            asked.reply().complete(List.copyOf(mPlans.values()));
+        } else {
+            learn(input);
+        }
+        sendDueAcknowledgements();
+    }
+
+    private void learn(PlacementInput input) {
+        if (input instanceof PlacementInput.LeaseAcquired acquired) {
+            mLeased.add(acquired.cell());
+            readPlan(acquired.cell());
+        } else if (input instanceof PlacementInput.LeaseLost lost) {
+            mLeased.remove(lost.cell());
+            mPlanReads.remove(lost.cell());
+            decide(lost.cell(), new PlacementEvent.TermEnded());
+        } else if (input instanceof PlacementInput.PlanRead read) {
+            startTerm(read);
+        } else if (input instanceof PlacementInput.PlanUnreadable unreadable) {
+            mPlanReads.put(unreadable.cell(), mClock.now().plus(PLAN_READ_RETRY));
+            LOGGER.log(
+                    Level.WARNING,
+                    "[placement] The plan of cell {0} could not be read: {1}.",
+                    unreadable.cell(),
+                    unreadable.reason());
+        } else if (input instanceof PlacementInput.PlanInForce changed) {
+            mPlans.merge(
+                    changed.plan().cell(),
+                    changed.plan(),
+                    (old, next) -> next.number() > old.number() ? next : old);
+        } else if (input instanceof PlacementInput.AuthorityUntil authority) {
+            mAuthorityUntil = authority.until();
+            checkAuthority();
+        } else {
+            learnFleet(input);
+        }
+    }
+
+    private void learnFleet(PlacementInput input) {
+        if (input instanceof PlacementInput.VmsListed listed) {
+            mVms = listed.vms();
+            mDirectory.setVms(listed.vms());
+            mVm = mDirectory.vmOf(mSelfAddress);
+            decideAll(new PlacementEvent.VmsListed(listed.vms()));
+        } else if (input instanceof PlacementInput.MembersListed listed) {
+            mDirectory.setMembers(listed.members());
+        } else if (input instanceof PlacementInput.CatalogueListed listed) {
+            mCatalogue = listed.checkpoints();
+            decideAll(new PlacementEvent.CatalogueListed(listed.checkpoints()));
+        } else if (input instanceof PlacementInput.RunnerSeen seen) {
+            report(seen.report());
+        } else if (input instanceof PlacementInput.SettingsInForce settings) {
+            mLimits = PlacementLimitsMapper.map(settings.settings());
+            decideAll(new PlacementEvent.LimitsChanged(mLimits));
+        }
+    }
+
+    private void tick() {
+        Instant now = mClock.now();
+        for (CellName cell : List.copyOf(mLeased)) {
+            Instant readAt = mPlanReads.get(cell);
+            if (readAt != null && !now.isBefore(readAt)) {
+                mPlanReads.remove(cell);
+                readPlan(cell);
+            }
+        }
+        decideAll(new PlacementEvent.TimerFired());
+    }
+
+    /** Compares with the clock, so that a paused document thread cannot extend the authority. */
+    private void checkAuthority() {
+        boolean mayDecide = mClock.now().isBefore(mAuthorityUntil);
+        if (mayDecide == mMayDecide) {
+            return;
+        }
+        mMayDecide = mayDecide;
+        decideAll(new PlacementEvent.AuthorityChanged(mayDecide));
+    }
+
+    private void readPlan(CellName cell) {
+        mStoreQueries
+                .read(StoreKeys.document(StoreKeys.plan(cell)))
+                .thenAccept(result -> mOwnRing.offer(PlanReplies.ofRead(cell, result)));
+    }
+
+    private void startTerm(PlacementInput.PlanRead read) {
+        VmId vm = mVm;
+        if (!mLeased.contains(read.cell())) {
+            return;
+        }
+        if (vm == null) {
+            mPlanReads.put(read.cell(), mClock.now().plus(PLAN_READ_RETRY));
+            return;
+        }
+        PlacementDecider decider =
+                mDeciders.computeIfAbsent(read.cell(), cell -> newDecider(cell, vm));
+        LOGGER.log(Level.INFO, "[placement] A term of cell {0} starts here.", read.cell());
+        carryOut(
+                read.cell(),
+                decider.decide(
+                        new PlacementEvent.TermStarted(highest(read), read.revision()),
+                        mClock.now()));
+    }
+
+    private @Nullable Plan highest(PlacementInput.PlanRead read) {
+        Plan known = mPlans.get(read.cell());
+        Plan found = read.plan();
+        if (known == null) {
+            return found;
+        }
+        return found == null || known.number() > found.number() ? known : found;
+    }
+
+    private PlacementDecider newDecider(CellName cell, VmId vm) {
+        PlacementDecider decider = new DefaultPlacementDecider(cell, new OrderSender(mSelf, vm));
+        Instant now = mClock.now();
+        List<PlacementEvent> known = new ArrayList<>();
+        known.add(new PlacementEvent.LimitsChanged(mLimits));
+        known.add(new PlacementEvent.AuthorityChanged(mMayDecide));
+        known.add(new PlacementEvent.CatalogueListed(mCatalogue));
+        if (mVms != null) {
+            known.add(new PlacementEvent.VmsListed(mVms));
+        }
+        known.forEach(event -> decider.decide(event, now));
+        return decider;
+    }
+
+    private void report(RunnerReport report) {
+        CellName cell = mDirectory.cellOf(report.runner());
+        if (cell != null) {
+            decide(cell, new PlacementEvent.RunnerReported(report));
+        }
+    }
+
+    private void wakeHere(PlacementInput.WakeHere wake) {
+        CellName cell = cellOf(wake.model());
+        MemberId holder = cell == null ? null : holderOf(cell);
+        if (cell == null || holder == null) {
+            return;
+        }
+        if (holder.equals(mSelf)) {
+            decide(
+                    cell,
+                    new PlacementEvent.WakeRequested(
+                            mSelf, wake.model(), wake.earliestDeadline(), wake.waiting()));
+            return;
+        }
+        Duration remaining = Duration.between(mClock.now(), wake.earliestDeadline());
+        DaemonIdentity.addressOf(holder)
+                .ifPresent(
+                        address ->
+                                mPeers.wake(
+                                        address, cell, wake.model(), remaining, wake.waiting()));
+    }
+
+    private void use(List<ModelUse> uses) {
+        for (CellName cell : mDirectory.cells()) {
+            MemberId holder = holderOf(cell);
+            if (holder == null) {
+                continue;
+            }
+            if (holder.equals(mSelf)) {
+                decide(cell, new PlacementEvent.UseReported(mSelf, uses));
+                continue;
+            }
+            DaemonIdentity.addressOf(holder)
+                    .ifPresent(address -> mPeers.reportUse(address, cell, uses));
+        }
+    }
+
+    /** Chooses a cell that already has the model, or else the same one at every daemon. */
+    private @Nullable CellName cellOf(ModelName model) {
+        for (Plan plan : mPlans.values()) {
+            if (plan.slots().stream().anyMatch(slot -> slot.key().name().equals(model))) {
+                return plan.cell();
+            }
+        }
+        return RendezvousRanking.first(model.value(), mDirectory.cells(), CellName::value)
+                .orElse(null);
+    }
+
+    private @Nullable MemberId holderOf(CellName cell) {
+        if (mLeased.contains(cell)) {
+            return mSelf;
+        }
+        Plan plan = mPlans.get(cell);
+        return plan == null ? null : plan.holder();
+    }
+
+    private void decideAll(PlacementEvent event) {
+        for (CellName cell : List.copyOf(mDeciders.keySet())) {
+            decide(cell, event);
+        }
+    }
+
+    private void decide(CellName cell, PlacementEvent event) {
+        PlacementDecider decider = mDeciders.get(cell);
+        if (decider == null) {
+            return;
+        }
+        carryOut(cell, decider.decide(event, mClock.now()));
+    }
+
+    private void carryOut(CellName cell, List<PlacementDecision> decisions) {
+        for (PlacementDecision decision : decisions) {
+            if (decision instanceof PlacementDecision.WritePlan write) {
+                writePlan(write);
+            } else if (decision instanceof PlacementDecision.SendOrder send) {
+                sendOrder(cell, send);
+            } else if (decision instanceof PlacementDecision.AnnounceTerm announce) {
+                announce(announce);
+            } else if (decision instanceof PlacementDecision.EstimateReadiness estimate) {
+                estimate(estimate);
+            }
+        }
+    }
+
+    private void writePlan(PlacementDecision.WritePlan write) {
+        Plan plan = write.plan();
+        CompareAndSwap command =
+                new CompareAndSwap(
+                        StoreKeys.document(StoreKeys.plan(plan.cell())),
+                        write.expected(),
+                        PlanCodec.encode(plan),
+                        StoreLeaseId.NONE);
+        mStoreCommands
+                .compareAndSwap(command)
+                .thenAccept(
+                        result -> {
+                            PlacementEvent event = PlanReplies.ofWrite(plan, result);
+                            if (event instanceof PlacementEvent.PlanWritten written) {
+                                mListener.planWritten(plan, written.revision());
+                            }
+                            mOwnRing.offer(new PlacementInput.Event(plan.cell(), event));
+                        });
+    }
+
+    private void sendOrder(CellName cell, PlacementDecision.SendOrder send) {
+        RunnerOrder order = send.order();
+        if (mClock.now().isAfter(order.validUntil())) {
+            mOwnRing.offer(
+                    new PlacementInput.Event(
+                            cell,
+                            new PlacementEvent.OrderAnswered(
+                                    order.id(), new OrderResult.NotSent("no longer valid"))));
+            return;
+        }
+        LOGGER.log(
+                Level.INFO,
+                "[placement] Order {0}: {1} of {2} at {3}: {4}.",
+                order.id(),
+                order.kind(),
+                order.subject(),
+                order.runner(),
+                send.reason());
+        mExchanges.began(cell, order);
+        mRunners.send(send.runner().address(), order)
+                .thenAccept(
+                        result ->
+                                mOwnRing.offer(
+                                        new PlacementInput.Event(
+                                                cell,
+                                                new PlacementEvent.OrderAnswered(
+                                                        order.id(), result))));
+    }
+
+    private void endExchange(PlacementEvent event) {
+        if (event instanceof PlacementEvent.OrderAnswered answered) {
+            mExchanges.ended(answered.order());
+        }
+    }
+
+    private void announce(PlacementDecision.AnnounceTerm announce) {
+        for (MemberId awaited : announce.awaited()) {
+            DaemonIdentity.addressOf(awaited)
+                    .ifPresent(
+                            address ->
+                                    mPeers.announceTerm(
+                                            address,
+                                            announce.cell(),
+                                            announce.term(),
+                                            announce.awaited()));
+        }
+    }
+
+    /** Acknowledges for this run and for earlier runs at the same address, which are dead. */
+    private void acknowledge(PlacementInput.TermAnnounced announced) {
+        Plan known = mPlans.get(announced.cell());
+        boolean heldHere = mLeased.contains(announced.cell());
+        boolean later = known == null || announced.term().compareTo(known.term()) >= 0;
+        if (heldHere && later) {
+            decide(announced.cell(), new PlacementEvent.TermEnded());
+            readPlan(announced.cell());
+        }
+        for (MemberId awaited : announced.awaited()) {
+            boolean mine =
+                    DaemonIdentity.addressOf(awaited).filter(mSelfAddress::equals).isPresent();
+            if (mine) {
+                mExchanges.await(
+                        new OrderExchanges.WaitingAcknowledgement(
+                                announced.from(), announced.cell(), announced.term(), awaited));
+            }
+        }
+    }
+
+    private void sendDueAcknowledgements() {
+        for (OrderExchanges.WaitingAcknowledgement due : mExchanges.takeDue()) {
+            if (due.receiver().equals(mSelfAddress)) {
+                decide(
+                        due.cell(),
+                        new PlacementEvent.TermAcknowledged(due.member(), due.term()));
+                continue;
+            }
+            mPeers.acknowledgeTerm(due.receiver(), due.cell(), due.term(), due.member());
+        }
+    }
+
+    private void estimate(PlacementDecision.EstimateReadiness estimate) {
+        if (!(estimate.readiness() instanceof Readiness.ReadyAt ready)) {
+            LOGGER.log(
+                    Level.WARNING,
+                    "[placement] {0} cannot become ready: {1}.",
+                    estimate.model(),
+                    estimate.readiness());
+            return;
+        }
+        mListener.readinessEstimated(estimate.model(), ready.at());
+        Duration remaining = Duration.between(mClock.now(), ready.at());
+        for (Address other : mDirectory.otherDaemons(mSelfAddress)) {
+            mPeers.estimateReadiness(other, estimate.model(), remaining);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementInput.java
@@ -0,0 +1,184 @@
+package org.oleanderspring.daemon.placement.command;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.MemberList;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.fleet.VmList;
+import org.oleanderspring.core.placement.ModelUse;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.command.PlacementEvent;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.jspecify.annotations.Nullable;
+
+/** What the ring of the placement duty holds. */
+public sealed interface PlacementInput {
+    /**
+     * An event for the decider of one cell.
+     *
+     * @param cell the cell
+     * @param event the event
+     */
+    record Event(CellName cell, PlacementEvent event) implements PlacementInput {}
+
+    /** Time has passed. */
+    record Tick() implements PlacementInput {}
+
+    /**
+     * The daemon holds the lease of a cell.
+     *
+     * @param cell the cell
+     */
+    record LeaseAcquired(CellName cell) implements PlacementInput {}
+
+    /**
+     * The daemon no longer holds the lease of a cell.
+     *
+     * @param cell the cell
+     */
+    record LeaseLost(CellName cell) implements PlacementInput {}
+
+    /**
+     * The plan of a cell was read from the key-value service after its lease was acquired.
+     *
+     * @param cell the cell
+     * @param plan the plan, or null if there is none
+     * @param revision the revision of its key
+     */
+    record PlanRead(CellName cell, @Nullable Plan plan, Revision revision)
+            implements PlacementInput {}
+
+    /**
+     * The plan of a cell could not be read.
+     *
+     * @param cell the cell
+     * @param reason why, for the log
+     */
+    record PlanUnreadable(CellName cell, String reason) implements PlacementInput {}
+
+    /**
+     * A plan came into force.
+     *
+     * @param plan the plan
+     */
+    record PlanInForce(Plan plan) implements PlacementInput {}
+
+    /**
+     * Calls of this daemon wait for a model.
+     *
+     * @param model the model or adapter
+     * @param earliestDeadline the earliest deadline among them
+     * @param waiting how many calls wait
+     */
+    record WakeHere(ModelName model, Instant earliestDeadline, int waiting)
+            implements PlacementInput {}
+
+    /**
+     * Calls of another daemon wait for a model of a cell.
+     *
+     * @param cell the cell
+     * @param daemon the other daemon
+     * @param model the model or adapter
+     * @param earliestDeadline the earliest deadline among them
+     * @param waiting how many calls wait
+     */
+    record WakeThere(
+            CellName cell,
+            MemberId daemon,
+            ModelName model,
+            Instant earliestDeadline,
+            int waiting)
+            implements PlacementInput {}
+
+    /**
+     * The use of models at this daemon.
+     *
+     * @param uses the models in use
+     */
+    record UseHere(List<ModelUse> uses) implements PlacementInput {
+        /** Copies the list. */
+        public UseHere {
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /**
+     * Another daemon announced a new term.
+     *
+     * @param from its peer address
+     * @param cell the cell
+     * @param term the new term
+     * @param awaited the daemon runs whose acknowledgement it awaits
+     */
+    record TermAnnounced(
+            Address from, CellName cell, FencingToken term, Set<MemberId> awaited)
+            implements PlacementInput {
+        /** Copies the set. */
+        public TermAnnounced {
+            awaited = Set.copyOf(awaited);
+        }
+    }
+
+    /**
+     * The member list changed.
+     *
+     * @param members the list
+     */
+    record MembersListed(MemberList members) implements PlacementInput {}
+
+    /**
+     * The VM list was read.
+     *
+     * @param vms the list
+     */
+    record VmsListed(VmList vms) implements PlacementInput {}
+
+    /**
+     * The catalogue was read.
+     *
+     * @param checkpoints all models and adapters
+     */
+    record CatalogueListed(List<Checkpoint> checkpoints) implements PlacementInput {
+        /** Copies the list. */
+        public CatalogueListed {
+            checkpoints = List.copyOf(checkpoints);
+        }
+    }
+
+    /**
+     * A runner reported.
+     *
+     * @param report the report
+     */
+    record RunnerSeen(RunnerReport report) implements PlacementInput {}
+
+    /**
+     * The operators' settings changed.
+     *
+     * @param settings the settings in force
+     */
+    record SettingsInForce(FleetSettings settings) implements PlacementInput {}
+
+    /**
+     * The daemon may decide by its settings until a time.
+     *
+     * @param until the end, on this daemon's clock; {@link Instant#MIN} if it may not decide
+     */
+    record AuthorityUntil(Instant until) implements PlacementInput {}
+
+    /**
+     * Somebody asks for the plans.
+     *
+     * @param reply receives the plans in force
+     */
+    record PlansAsked(CompletableFuture<List<Plan>> reply) implements PlacementInput {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementLimitsMapper.java
@@ -0,0 +1,62 @@
+package org.oleanderspring.daemon.placement.command;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.placement.KeepAliveLimits;
+import org.oleanderspring.core.placement.LoadLimits;
+import org.oleanderspring.core.placement.ModelLimits;
+import org.oleanderspring.core.placement.PlacementLimits;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.core.settings.SettingsException;
+
+/** Turns the operators' settings into the limits that placement follows. */
+final class PlacementLimitsMapper {
+    private PlacementLimitsMapper() {}
+
+    /**
+     * Maps settings.
+     *
+     * @param settings the settings in force
+     */
+    static PlacementLimits map(FleetSettings settings) {
+        Map<ModelName, ModelLimits> exceptions = new HashMap<>();
+        for (SettingsException exception : settings.exceptions()) {
+            exceptions.computeIfAbsent(
+                    exception.model(),
+                    model ->
+                            limits(
+                                    settings.value(SettingName.REPLICA_LIMIT, model),
+                                    settings.value(SettingName.MINIMUM_REPLICAS, model)));
+        }
+        return new PlacementLimits(
+                limits(
+                        settings.value(SettingName.REPLICA_LIMIT),
+                        settings.value(SettingName.MINIMUM_REPLICAS)),
+                exceptions,
+                new LoadLimits(
+                        (int) settings.value(SettingName.LOADS_PER_SECOND),
+                        (int) settings.value(SettingName.CONCURRENT_LOADS),
+                        (int) settings.value(SettingName.CONCURRENT_ADAPTER_LOADS)),
+                keepAlive(settings),
+                PlacementLimits.DEFAULT.drainingNotice(),
+                PlacementLimits.DEFAULT.vmListLag(),
+                PlacementLimits.DEFAULT.orderSettle());
+    }
+
+    /** A minimum above the limit is cut down to it, since the limit must hold. */
+    private static ModelLimits limits(long replicaLimit, long minimumReplicas) {
+        return new ModelLimits((int) replicaLimit, (int) Math.min(minimumReplicas, replicaLimit));
+    }
+
+    private static KeepAliveLimits keepAlive(FleetSettings settings) {
+        long shortest = settings.value(SettingName.KEEP_ALIVE_MINIMUM);
+        long longest = settings.value(SettingName.KEEP_ALIVE_MAXIMUM);
+        return new KeepAliveLimits(
+                Duration.ofSeconds(Math.min(shortest, longest)),
+                Duration.ofSeconds(longest),
+                (int) settings.value(SettingName.IDLE_COST_WEIGHT));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlanReplies.java
@@ -0,0 +1,76 @@
+package org.oleanderspring.daemon.placement.command;
+
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoredValue;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.WriteFailure;
+import org.oleanderspring.core.placement.command.PlacementEvent;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.codec.PlanCodec;
+
+/** Turns replies of the key-value service into events of placement. */
+final class PlanReplies {
+    private PlanReplies() {}
+
+    /**
+     * Turns the reply to a read.
+     *
+     * @param cell the cell
+     * @param result the reply
+     */
+    static PlacementInput ofRead(CellName cell, ReadResult result) {
+        if (result instanceof ReadResult.Unavailable unavailable) {
+            return new PlacementInput.PlanUnreadable(cell, unavailable.reason());
+        }
+        ReadResult.Found found = (ReadResult.Found) result;
+        if (found.values().isEmpty()) {
+            return new PlacementInput.PlanRead(cell, null, Revision.ABSENT);
+        }
+        StoredValue value = found.values().get(0);
+        Decoded<Plan> decoded = PlanCodec.decode(value.bytes());
+        if (decoded instanceof Decoded.Broken<Plan> broken) {
+            return new PlacementInput.PlanUnreadable(cell, broken.reason());
+        }
+        Plan plan = ((Decoded.Valid<Plan>) decoded).value();
+        return new PlacementInput.PlanRead(cell, plan, value.revision());
+    }
+
+    /**
+     * Turns the reply to a write.
+     *
+     * @param plan the plan that was written
+     * @param result the reply
+     */
+    static PlacementEvent ofWrite(Plan plan, WriteResult result) {
+        if (result instanceof WriteResult.Written written) {
+            return new PlacementEvent.PlanWritten(plan.mark(), written.revision());
+        }
+        return new PlacementEvent.PlanWriteFailed(plan.mark(), failure(result));
+    }
+
+    private static WriteFailure failure(WriteResult result) {
+        if (result instanceof WriteResult.Unavailable unavailable) {
+            return new WriteFailure.NotWritten(unavailable.reason());
+        }
+        if (result instanceof WriteResult.Conflict conflict) {
+            return conflict(conflict);
+        }
+        return new WriteFailure.OutcomeUnknown(((WriteResult.Unknown) result).reason());
+    }
+
+    private static WriteFailure conflict(WriteResult.Conflict conflict) {
+        StoredValue current = conflict.current();
+        if (current == null) {
+            return new WriteFailure.Conflict(null, Revision.ABSENT);
+        }
+        Decoded<Plan> decoded = PlanCodec.decode(current.bytes());
+        if (decoded instanceof Decoded.Broken<Plan> broken) {
+            return new WriteFailure.NotWritten("the stored plan is broken: " + broken.reason());
+        }
+        Plan found = ((Decoded.Valid<Plan>) decoded).value();
+        return new WriteFailure.Conflict(found, current.revision());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/StoreKeys.java
@@ -0,0 +1,62 @@
+package org.oleanderspring.daemon.process;
+
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.lease.LeaseName;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.core.fleet.CellName;
+
+/** The keys of the key-value service. */
+public final class StoreKeys {
+    /** The document of the operators' settings. */
+    public static final DocumentName SETTINGS = new DocumentName("settings");
+
+    private static final String ROOT = "/oleanderspring/";
+    private static final String PLAN_PREFIX = "plan/";
+
+    private StoreKeys() {}
+
+    /** Returns the key below which all dispatch records are. */
+    public static StoreKey dispatch() {
+        return new StoreKey(ROOT + "dispatch");
+    }
+
+    /**
+     * Returns the key of a cell's lease.
+     *
+     * @param lease the lease, named like the cell
+     */
+    public static StoreKey lease(LeaseName lease) {
+        return new StoreKey(ROOT + "cells/" + lease.value() + "/lease");
+    }
+
+    /**
+     * Returns the name of a cell's plan as a document.
+     *
+     * @param cell the cell
+     */
+    public static DocumentName plan(CellName cell) {
+        return new DocumentName(PLAN_PREFIX + cell.value());
+    }
+
+    /**
+     * Returns whether a document is a plan.
+     *
+     * @param name the document
+     */
+    public static boolean isPlan(DocumentName name) {
+        return name.value().startsWith(PLAN_PREFIX);
+    }
+
+    /**
+     * Returns the key of a document.
+     *
+     * @param name the document
+     */
+    public static StoreKey document(DocumentName name) {
+        if (isPlan(name)) {
+            String cell = name.value().substring(PLAN_PREFIX.length());
+            return new StoreKey(ROOT + "cells/" + cell + "/plan");
+        }
+        return new StoreKey(ROOT + name.value());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/report/command/ReportDuty.java
@@ -0,0 +1,166 @@
+package org.oleanderspring.daemon.report.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointKind;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.fleet.Vm;
+import org.oleanderspring.core.fleet.VmList;
+import org.oleanderspring.core.port.query.Reading;
+import org.oleanderspring.core.port.query.RunnerQueries;
+import org.oleanderspring.core.port.query.VmListQueries;
+import org.oleanderspring.core.port.query.WeightStoreQueries;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/**
+ * Reads the platform and the runners of held cells at fixed periods.
+ *
+ * <p>Each source has at most one read in flight, so a slow source is asked less often and cannot
+ * pile up requests.
+ */
+public final class ReportDuty implements EventHandler<ReportInput> {
+    private static final Logger LOGGER = System.getLogger(ReportDuty.class.getName());
+    private static final Duration VM_LIST_PERIOD = Duration.ofSeconds(1);
+    private static final Duration CATALOGUE_PERIOD = Duration.ofSeconds(30);
+    private static final Duration CATALOGUE_RETRY = Duration.ofSeconds(1);
+
+    private final VmListQueries mVmList;
+    private final WeightStoreQueries mWeightStore;
+    private final RunnerQueries mRunners;
+    private final ReportListener mListener;
+    private final MonotonicClock mClock;
+    private final EventSink<ReportInput> mOwnRing;
+    private final Set<EndpointId> mAsked = new HashSet<>();
+    private Set<CellName> mCells = Set.of();
+    private List<Endpoint> mRunnersKnown = List.of();
+    private Instant mNextVmList = Instant.MIN;
+    private Instant mNextCatalogue = Instant.MIN;
+    private boolean mVmListAsked;
+    private boolean mCatalogueAsked;
+    private @Nullable String mLastProblem;
+
+    /**
+     * Creates the duty.
+     *
+     * @param vmList reads the VM list
+     * @param weightStore reads the catalogue
+     * @param runners reads runners' reports
+     * @param listener is told of each successful read
+     * @param clock the clock
+     * @param ownRing the ring of this duty, for results of reads
+     */
+    public ReportDuty(
+            VmListQueries vmList,
+            WeightStoreQueries weightStore,
+            RunnerQueries runners,
+            ReportListener listener,
+            MonotonicClock clock,
+            EventSink<ReportInput> ownRing) {
+        mVmList = vmList;
+        mWeightStore = weightStore;
+        mRunners = runners;
+        mListener = listener;
+        mClock = clock;
+        mOwnRing = ownRing;
+    }
+
+    @Override
+    public void handle(ReportInput input) {
+        if (input instanceof ReportInput.Tick) {
+            ask(mClock.now());
+        } else if (input instanceof ReportInput.VmsRead read) {
+            mVmListAsked = false;
+            take(read);
+        } else if (input instanceof ReportInput.CatalogueRead read) {
+            mCatalogueAsked = false;
+            take(read);
+        } else if (input instanceof ReportInput.RunnerRead read) {
+            mAsked.remove(read.runner());
+            if (read.reading() instanceof Reading.Found<RunnerReport> found) {
+                mListener.runnerReported(found.value());
+            }
+        } else if (input instanceof ReportInput.CellsHeld held) {
+            mCells = held.cells();
+        }
+    }
+
+    private void ask(Instant now) {
+        if (!mVmListAsked && !now.isBefore(mNextVmList)) {
+            mVmListAsked = true;
+            mNextVmList = now.plus(VM_LIST_PERIOD);
+            mVmList.list().thenAccept(found -> mOwnRing.offer(new ReportInput.VmsRead(found)));
+        }
+        if (!mCatalogueAsked && !now.isBefore(mNextCatalogue)) {
+            mCatalogueAsked = true;
+            mNextCatalogue = now.plus(CATALOGUE_PERIOD);
+            mWeightStore
+                    .catalogue()
+                    .thenAccept(found -> mOwnRing.offer(new ReportInput.CatalogueRead(found)));
+        }
+        for (Endpoint runner : mRunnersKnown) {
+            askRunner(runner);
+        }
+    }
+
+    private void askRunner(Endpoint runner) {
+        if (!mCells.contains(runner.cell()) || !mAsked.add(runner.id())) {
+            return;
+        }
+        mRunners.report(runner)
+                .thenAccept(
+                        found -> mOwnRing.offer(new ReportInput.RunnerRead(runner.id(), found)));
+    }
+
+    private void take(ReportInput.VmsRead read) {
+        if (read.reading() instanceof Reading.Found<VmList> found) {
+            mRunnersKnown = runnersOf(found.value());
+            mListener.vmsListed(found.value());
+            mLastProblem = null;
+            return;
+        }
+        logProblem("VM list", ((Reading.Unavailable<VmList>) read.reading()).reason());
+    }
+
+    private void take(ReportInput.CatalogueRead read) {
+        if (read.reading() instanceof Reading.Found<List<Checkpoint>> found) {
+            mListener.catalogueListed(found.value());
+            return;
+        }
+        mNextCatalogue = mClock.now().plus(CATALOGUE_RETRY);
+        logProblem("catalogue", ((Reading.Unavailable<List<Checkpoint>>) read.reading()).reason());
+    }
+
+    /** Logs a problem once, not at every read. */
+    private void logProblem(String source, String reason) {
+        String problem = source + reason;
+        if (!problem.equals(mLastProblem)) {
+            LOGGER.log(Level.WARNING, "[report] The {0} could not be read: {1}.", source, reason);
+        }
+        mLastProblem = problem;
+    }
+
+    private static List<Endpoint> runnersOf(VmList list) {
+        List<Endpoint> runners = new ArrayList<>();
+        for (Vm vm : list.vms()) {
+            for (Endpoint endpoint : vm.endpoints()) {
+                if (endpoint.kind() == EndpointKind.RUNNER) {
+                    runners.add(endpoint);
+                }
+            }
+        }
+        return runners;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/codec/SettingsCodecTest.java
@@ -0,0 +1,57 @@
+package org.oleanderspring.daemon.codec;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.core.settings.SettingValue;
+import org.oleanderspring.core.settings.SettingsException;
+import org.oleanderspring.core.settings.command.SettingsDraft;
+
+class SettingsCodecTest {
+    /** Guards against settings that change on the way through the key-value service. */
+    @Test
+    void documentSurvivesEncoding() {
+        FleetSettings settings =
+                new FleetSettings(
+                        4,
+                        "operator",
+                        List.of(new SettingValue(SettingName.REPLICA_LIMIT, 3)),
+                        List.of(
+                                new SettingsException(
+                                        new ModelName("headgate"),
+                                        new SettingValue(SettingName.REPLICA_LIMIT, 5),
+                                        "morning rush")));
+        SettingsDocument document =
+                SettingsDocument.INITIAL.followedBy(
+                        settings, List.of("replicaLimit: 2 -> 3 replicas"));
+        assertThat(
+                SettingsCodec.decode(SettingsCodec.encode(document)),
+                is(new Decoded.Valid<>(document)));
+    }
+
+    /** Guards against drafts whose misspelled fields are silently ignored. */
+    @Test
+    void malformedDraftsAreReported() {
+        for (String draft :
+                List.of(
+                        "",
+                        "{",
+                        "[]",
+                        "{\"basedOn\":-1}",
+                        "{\"basedOn\":0,\"default\":{}}",
+                        "{\"basedOn\":0,\"defaults\":{\"replicaLimit\":\"2\"}}",
+                        "{\"basedOn\":0,\"defaults\":{\"replicaLimit\":1,\"replicaLimit\":2}}",
+                        "{\"basedOn\":0,\"exceptions\":{}}")) {
+            Decoded<SettingsDraft> decoded =
+                    SettingsCodec.decodeDraft(draft.getBytes(StandardCharsets.UTF_8));
+            assertThat(draft, decoded, instanceOf(Decoded.Broken.class));
+        }
+    }
+}
