Add gossip membership with suspicion

Members need to know each other for the entry directory, for pushes and for the majority rule of documents.

--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/DefaultDocumentDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/DefaultDocumentDecider.java
@@ -22,6 +22,7 @@
 import org.oleanderspring.coordination.document.query.WatcherSelection;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.query.RandomChoice;
 import org.oleanderspring.coordination.store.Revision;
 
 /**
@@ -360,7 +361,9 @@
             return;
         }
         decisions.add(new DocumentDecision.PutInForce(document));
-        List<Address> receivers = RandomChoice.of(mOthers, sender, mOptions.fanOut(), mRandom);
+        List<Address> candidates =
+                mOthers.stream().filter(address -> !address.equals(sender)).toList();
+        List<Address> receivers = RandomChoice.of(candidates, mOptions.fanOut(), mRandom);
         if (!receivers.isEmpty()) {
             decisions.add(new DocumentDecision.PushDocument(receivers, document));
         }
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/MemberTable.java
@@ -0,0 +1,153 @@
+package org.oleanderspring.coordination.membership.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.MemberList;
+import org.oleanderspring.coordination.membership.MemberState;
+
+/** The members that one member remembers, itself included, and the entry VMs of the VM list. */
+final class MemberTable {
+    private final Map<MemberId, Entry> mEntries = new TreeMap<>();
+    private final MemberId mSelfId;
+    private Set<Address> mSeeds = Set.of();
+    private boolean mSeedsListed;
+    private long mChanges = 1;
+
+    MemberTable(Member self, Instant now) {
+        mSelfId = self.id();
+        mEntries.put(self.id(), new Entry(self, now));
+    }
+
+    Member self() {
+        Entry entry = mEntries.get(mSelfId);
+        if (entry == null) {
+            throw new IllegalStateException("the member does not remember itself");
+        }
+        return entry.member();
+    }
+
+    /** Replaces what is known of a member. */
+    void put(Member member, Instant now) {
+        mEntries.put(member.id(), new Entry(member, now));
+        mChanges++;
+    }
+
+    /** Returns a number that grows whenever the snapshot may change. */
+    long changes() {
+        return mChanges;
+    }
+
+    @Nullable Member find(MemberId id) {
+        Entry entry = mEntries.get(id);
+        return entry == null ? null : entry.member();
+    }
+
+    /** Returns the other members that are expected to reply. */
+    List<Member> liveOthers() {
+        return mEntries.values().stream()
+                .map(Entry::member)
+                .filter(member -> member.state().isLive())
+                .filter(member -> !member.id().equals(mSelfId))
+                .toList();
+    }
+
+    List<Member> remembered() {
+        return mEntries.values().stream().map(Entry::member).toList();
+    }
+
+    /** Returns the other members at an address that are not known to have ended. */
+    List<Member> liveAt(Address address) {
+        return liveOthers().stream()
+                .filter(member -> member.peerAddress().equals(address))
+                .toList();
+    }
+
+    /** Returns the members whose suspicion began at or before the given time. */
+    List<Member> suspectedBefore(Instant time) {
+        return mEntries.values().stream()
+                .filter(entry -> entry.member().state() == MemberState.SUSPECTED)
+                .filter(entry -> !entry.since().isAfter(time))
+                .map(Entry::member)
+                .toList();
+    }
+
+    /** Moves all times on after this member was paused. */
+    void addPause(Duration pause) {
+        mEntries.replaceAll((id, entry) -> new Entry(entry.member(), entry.since().plus(pause)));
+    }
+
+    /** Replaces the entry VMs of the VM list. */
+    void setSeeds(List<Address> seeds) {
+        Set<Address> listed = new LinkedHashSet<>(seeds);
+        if (!listed.equals(mSeeds)) {
+            mChanges++;
+        }
+        mSeeds = listed;
+        mSeedsListed = true;
+    }
+
+    /** Returns the addresses of entry VMs at which no live member is known. */
+    List<Address> unreachedSeeds() {
+        Set<Address> reached = new HashSet<>();
+        reached.add(self().peerAddress());
+        liveOthers().forEach(member -> reached.add(member.peerAddress()));
+        return mSeeds.stream().filter(seed -> !reached.contains(seed)).toList();
+    }
+
+    /** Forgets left members, and failed ones whose VM is not on the VM list, after a time. */
+    void forgetBefore(Instant time) {
+        boolean forgotten =
+                mEntries.values()
+                        .removeIf(
+                                entry ->
+                                        !entry.since().isAfter(time)
+                                                && isForgettable(entry.member()));
+        if (forgotten) {
+            mChanges++;
+        }
+    }
+
+    private boolean isForgettable(Member member) {
+        if (member.id().equals(mSelfId)) {
+            return false;
+        }
+        if (member.state() == MemberState.LEFT) {
+            return true;
+        }
+        return member.state() == MemberState.FAILED
+                && mSeedsListed
+                && !mSeeds.contains(member.peerAddress());
+    }
+
+    MemberList snapshot() {
+        List<Member> live = new ArrayList<>();
+        List<Member> directory = new ArrayList<>();
+        Set<Address> counted = new HashSet<>(mSeeds);
+        for (Entry entry : mEntries.values()) {
+            Member member = entry.member();
+            if (member.state().isLive()) {
+                live.add(member);
+            }
+            if (member.state() == MemberState.ALIVE) {
+                directory.add(member);
+            }
+            if (member.state() != MemberState.LEFT) {
+                counted.add(member.peerAddress());
+            }
+        }
+        return new MemberList(live, directory, counted);
+    }
+
+    private record Entry(Member member, Instant since) {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/ProbeRounds.java
@@ -0,0 +1,142 @@
+package org.oleanderspring.coordination.membership.command;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberId;
+
+/**
+ * The probes without a reply, and the order in which members are probed.
+ *
+ * <p>Every member is probed once before any is probed again, so the time until a failure is noticed
+ * is bounded.
+ */
+final class ProbeRounds {
+    private final RandomGenerator mRandom;
+    private final Deque<MemberId> mOrder = new ArrayDeque<>();
+    private final Map<Long, Pending> mPending = new LinkedHashMap<>();
+    private long mLastSequence;
+
+    ProbeRounds(RandomGenerator random) {
+        mRandom = random;
+    }
+
+    /** Returns the next member to probe, or null if there is none. */
+    @Nullable Member next(MemberTable table) {
+        if (mOrder.isEmpty()) {
+            table.liveOthers().forEach(member -> mOrder.add(member.id()));
+            shuffle();
+        }
+        while (!mOrder.isEmpty()) {
+            Member member = table.find(mOrder.remove());
+            if (member != null && member.state().isLive()) {
+                return member;
+            }
+        }
+        return null;
+    }
+
+    /** Notes that a probe is sent now and returns its sequence. */
+    long begin(Address address, @Nullable MemberId target, Instant now) {
+        return add(new Pending(address, target, now, null, false));
+    }
+
+    /** Notes that a probe is sent now for another member and returns its sequence. */
+    long beginFor(MembershipOrigin origin, Address address, Instant now) {
+        return add(new Pending(address, null, now, origin, true));
+    }
+
+    /** Ends the probe with the given sequence; returns null if it is not known any more. */
+    @Nullable Pending end(long sequence) {
+        return mPending.remove(sequence);
+    }
+
+    /** Returns the own probes for which other members have to be asked now. */
+    Map<Long, Pending> takeUnanswered(Instant sentBefore) {
+        Map<Long, Pending> unanswered = new LinkedHashMap<>();
+        mPending.forEach(
+                (sequence, pending) -> {
+                    if (!pending.asked() && !pending.sentAt().isAfter(sentBefore)) {
+                        unanswered.put(sequence, pending);
+                    }
+                });
+        unanswered.forEach((sequence, pending) -> mPending.put(sequence, pending.asAsked()));
+        return unanswered;
+    }
+
+    /** Removes the probes sent before the given time; returns the members that did not reply. */
+    List<MemberId> takeFailed(Instant sentBefore) {
+        List<MemberId> failed = new ArrayList<>();
+        Iterator<Pending> pendings = mPending.values().iterator();
+        while (pendings.hasNext()) {
+            Pending pending = pendings.next();
+            if (pending.sentAt().isAfter(sentBefore)) {
+                continue;
+            }
+            pendings.remove();
+            if (pending.target() != null) {
+                failed.add(pending.target());
+            }
+        }
+        return failed;
+    }
+
+    /** Forgets all probes under way. */
+    void clear() {
+        mPending.clear();
+    }
+
+    private long add(Pending pending) {
+        mLastSequence++;
+        mPending.put(mLastSequence, pending);
+        return mLastSequence;
+    }
+
+    private void shuffle() {
+        List<MemberId> order = new ArrayList<>(mOrder);
+        mOrder.clear();
+        while (!order.isEmpty()) {
+            int index = mRandom.nextInt(order.size());
+            mOrder.add(order.get(index));
+            order.set(index, order.get(order.size() - 1));
+            order.remove(order.size() - 1);
+        }
+    }
+
+    /**
+     * The probe of another member that this one probes for.
+     *
+     * @param address the other member's peer address
+     * @param sequence the other member's sequence
+     */
+    record MembershipOrigin(Address address, long sequence) {}
+
+    /**
+     * A probe without a reply.
+     *
+     * @param address where it was sent
+     * @param target the member that was probed, if it is known
+     * @param sentAt when it was sent
+     * @param origin for whom it was sent; null for this member itself
+     * @param asked whether other members were asked to probe
+     */
+    record Pending(
+            Address address,
+            @Nullable MemberId target,
+            Instant sentAt,
+            @Nullable MembershipOrigin origin,
+            boolean asked) {
+        Pending asAsked() {
+            return new Pending(address, target, sentAt, origin, true);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/UpdateQueue.java
@@ -0,0 +1,76 @@
+package org.oleanderspring.coordination.membership.command;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberId;
+
+/**
+ * Updates about members that are passed on with the next messages.
+ *
+ * <p>Each update is sent a number of times that grows with the logarithm of the number of members,
+ * the least sent first, so that it reaches all members with high probability.
+ */
+final class UpdateQueue {
+    private static final int FIXED_BYTES = 32;
+    private static final int SENDS_PER_POWER_OF_TEN = 4;
+
+    private final Map<MemberId, Update> mUpdates = new HashMap<>();
+
+    /** Adds an update, in place of an earlier one about the same member. */
+    void add(Member member) {
+        mUpdates.put(member.id(), new Update(member, 0));
+    }
+
+    /** Returns the updates for one message, at most as many as fit, and counts them as sent. */
+    List<Member> take(int bytes, int memberCount) {
+        List<Member> taken = new ArrayList<>();
+        int remaining = bytes;
+        for (Update update : leastSentFirst()) {
+            int size = estimatedBytes(update.member());
+            if (size > remaining) {
+                break;
+            }
+            remaining -= size;
+            taken.add(update.member());
+            countSend(update, sendLimit(memberCount));
+        }
+        return taken;
+    }
+
+    /** Returns about how many bytes a member takes in a message. */
+    static int estimatedBytes(Member member) {
+        return FIXED_BYTES
+                + member.id().value().length()
+                + member.peerAddress().ip().length()
+                + member.callerAddress().ip().length()
+                + member.failureDomain().length();
+    }
+
+    private List<Update> leastSentFirst() {
+        return mUpdates.values().stream()
+                .sorted(
+                        Comparator.comparingInt(Update::sends)
+                                .thenComparing(update -> update.member().id()))
+                .toList();
+    }
+
+    private void countSend(Update update, int limit) {
+        int sends = update.sends() + 1;
+        MemberId id = update.member().id();
+        if (sends >= limit) {
+            mUpdates.remove(id);
+        } else {
+            mUpdates.put(id, new Update(update.member(), sends));
+        }
+    }
+
+    private static int sendLimit(int memberCount) {
+        return SENDS_PER_POWER_OF_TEN * (int) Math.ceil(Math.log10(memberCount + 1.0));
+    }
+
+    private record Update(Member member, int sends) {}
+}
--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/RandomChoice.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/query/RandomChoice.java
@@ -1,19 +1,23 @@
-package org.oleanderspring.coordination.document.command;
+package org.oleanderspring.coordination.membership.query;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.random.RandomGenerator;
-import org.jspecify.annotations.Nullable;
 
 /** Chooses members at random. */
-final class RandomChoice {
+public final class RandomChoice {
     private RandomChoice() {}
 
-    /** Returns up to {@code count} different elements without the excluded one. */
-    static <T> List<T> of(
-            List<T> candidates, @Nullable T excluded, int count, RandomGenerator random) {
+    /**
+     * Returns different candidates in random order.
+     *
+     * @param candidates what to choose from
+     * @param count the largest number of candidates to return
+     * @param random the source of the choice
+     * @param <T> the type of candidate
+     */
+    public static <T> List<T> of(List<T> candidates, int count, RandomGenerator random) {
         List<T> remaining = new ArrayList<>(candidates);
-        remaining.remove(excluded);
         List<T> chosen = new ArrayList<>();
         while (chosen.size() < count && !remaining.isEmpty()) {
             int last = remaining.size() - 1;
