Split routing into queue, admission, attempts and endpoint health

The first decider scanned all calls with each event and had no estimate of the wait. Calls now wait in one queue per target, ordered by deadline and priority; the overdue ones come from an index. Admission compares the remaining time with observed service times and the estimated readiness. Endpoints that fail or refuse get a back-off that ends with one trial call, and retries take tokens from a budget in percent of the first attempts.

Adds the event EndpointLoadSeen. Selectors, overload policies and retry policies are interfaces.

--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -0,0 +1,96 @@
+package org.oleanderspring.core.routing.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.oleanderspring.core.routing.AttemptOutcome;
+
+/** Starts and stops attempts, and learns from their ends. */
+final class AttemptControl {
+    private final RoutingState mState;
+
+    AttemptControl(RoutingState state) {
+        mState = state;
+    }
+
+    void start(CallState call, ReplicaSlot slot, String reason, Turn turn) {
+        mState.dequeue(call);
+        boolean trial = slot.endpoint().backoff().started();
+        call.target().started(slot);
+        call.started(slot, turn.now(), trial);
+        mState.tally().started(call.attempts());
+        if (call.attempts() == 1) {
+            mState.budget().firstAttempt(mState.limits().retryBudgetPercent());
+        }
+        turn.add(
+                new RoutingDecision.StartAttempt(
+                        call.lastAttempt(),
+                        slot.endpoint().id(),
+                        call.request().deadline(),
+                        trial ? "trial after back-off" : reason));
+    }
+
+    void answerBegan(CallState call, RunningAttemptState attempt, Instant now) {
+        if (call.hasAnswerBegun()) {
+            return;
+        }
+        call.answerBegan();
+        mState.calls().answerBegan(call);
+        call.target().times().firstByteObserved(Duration.between(attempt.startedAt(), now));
+        if (attempt.trial()) {
+            attempt.slot().endpoint().backoff().succeeded();
+        }
+    }
+
+    /** Takes note of an attempt's end; the call is without an attempt afterwards. */
+    void ended(CallState call, RunningAttemptState attempt, AttemptOutcome outcome, Instant now) {
+        detach(call, attempt);
+        EndpointState endpoint = attempt.slot().endpoint();
+        if (outcome instanceof AttemptOutcome.Completed) {
+            answerBegan(call, attempt, now);
+            call.target().times().wholeObserved(Duration.between(attempt.startedAt(), now));
+        } else if (outcome instanceof AttemptOutcome.NotRun notRun && notRun.endpointDraining()) {
+            mState.fleet().drain(endpoint.id(), now);
+        } else {
+            endpoint.backoff().failed(now);
+        }
+    }
+
+    /**
+     * Cancels the running attempt, if any. Its place is free at once: the endpoint sees the
+     * cancellation before a later attempt, and an end that is still reported is dropped as late.
+     */
+    void cancel(CallState call, String reason, Turn turn) {
+        RunningAttemptState attempt = call.running();
+        if (attempt == null) {
+            return;
+        }
+        turn.add(new RoutingDecision.CancelAttempt(call.lastAttempt(), reason));
+        detach(call, attempt);
+        call.mayHaveRun();
+    }
+
+    /** Cancels the running attempt, if any, because no byte of its answer came in time. */
+    void cancelOverdue(CallState call, Turn turn) {
+        RunningAttemptState attempt = call.running();
+        if (attempt == null) {
+            return;
+        }
+        Duration elapsed = Duration.between(attempt.startedAt(), turn.now());
+        ServiceTimes times = call.target().times();
+        cancel(call, "deadline passed", turn);
+        if (times.isSuspiciouslyLong(elapsed)) {
+            attempt.slot().endpoint().backoff().failed(turn.now());
+        } else {
+            times.firstByteMissed(elapsed);
+        }
+    }
+
+    private void detach(CallState call, RunningAttemptState attempt) {
+        call.stopped();
+        call.target().ended(attempt.slot());
+        if (attempt.trial()) {
+            attempt.slot().endpoint().backoff().trialEnded();
+        }
+        mState.touch(call.target());
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -1,45 +1,41 @@
 package org.oleanderspring.core.routing.command;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
-import org.jspecify.annotations.Nullable;
-import org.oleanderspring.coordination.dispatch.IdempotencyKey;
-import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
-import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
-import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.RefusalReason;
-import org.oleanderspring.core.routing.Replica;
-import org.oleanderspring.core.routing.ReplicaState;
-import org.oleanderspring.core.routing.RoutingLimits;
-import org.oleanderspring.core.routing.RoutingTable;
-import org.oleanderspring.core.routing.Target;
-import org.oleanderspring.core.routing.WorkState;
-
-/** Serves calls through ready replicas and wakes models that have none. */
-public final class DefaultRoutingDecider implements RoutingDecider {
-    private final EndpointSelector mSelector;
-    private final OverloadPolicy mOverloadPolicy;
+import org.oleanderspring.core.routing.query.RoutingQueries;
+import org.oleanderspring.core.routing.query.RoutingSnapshot;
+
+/**
+ * Serves calls through ready replicas, lets them wait for one, and ends every call exactly once.
+ *
+ * <p>Why every call ends exactly once: an admitted call is in the call table until {@link
+ * CallCloser} removes it, and every end goes through the closer. A call in the table either has
+ * passed on the beginning of an answer, and then its attempt's end ends it, or is in the deadline
+ * index, whose overdue calls are ended with each event. Events name a call or an attempt; those
+ * that name one that is not in the table, or an attempt that is not the running one, change
+ * nothing.
+ *
+ * <p>Why a refusal with {@code NOT_RUN} is true: a call may have run if one of its attempts ended
+ * without proof that the work did not run. Both ways out of a running attempt set that mark: an end
+ * without proof here, a cancellation in {@link AttemptControl}. The mark is never taken back.
+ *
+ * <p>The order of steps within an event: the event itself first, so that an answer that is here
+ * counts; then overdue calls are ended, so that none of them is started; then waiting calls are
+ * started.
+ */
+public final class DefaultRoutingDecider implements RoutingDecider, RoutingQueries {
+    private final RoutingState mState = new RoutingState();
+    private final CallCloser mCloser = new CallCloser(mState);
+    private final AttemptControl mAttempts = new AttemptControl(mState);
     private final RetryPolicy mRetryPolicy;
-    private final Map<CallId, Call> mCalls = new LinkedHashMap<>();
-    private final Map<EndpointId, Integer> mRunning = new HashMap<>();
-    private final Set<EndpointId> mDraining = new HashSet<>();
-    private final Map<Target, Instant> mLastWake = new HashMap<>();
-    private RoutingTable mTable = RoutingTable.EMPTY;
-    private RoutingLimits mLimits = RoutingLimits.DEFAULT;
-    private boolean mMayDecide;
-    private boolean mDrainStarted;
+    private final Admission mAdmission;
+    private final Dispatcher mDispatcher;
 
     /**
      * Creates a decider that refuses all calls until {@link RoutingEvent.AuthorityChanged} allows
@@ -51,315 +47,157 @@
      */
     public DefaultRoutingDecider(
             EndpointSelector selector, OverloadPolicy overloadPolicy, RetryPolicy retryPolicy) {
-        mSelector = selector;
-        mOverloadPolicy = overloadPolicy;
         mRetryPolicy = retryPolicy;
+        mAdmission = new Admission(mState, overloadPolicy);
+        mDispatcher = new Dispatcher(mState, selector, mAttempts, mCloser);
     }
 
     @Override
     public List<RoutingDecision> decide(RoutingEvent event, Instant now) {
-        List<RoutingDecision> out = new ArrayList<>();
-        handle(event, now, out);
-        for (Call call : new ArrayList<>(mCalls.values())) {
-            expire(call, now, out);
-        }
-        for (Call call : new ArrayList<>(mCalls.values())) {
-            if (call.mWaiting) {
-                startOrWake(call, now, out);
-            }
+        Turn turn = new Turn(now, new ArrayList<>(2));
+        if (!handleCallEvent(event, turn)) {
+            handleFleetEvent(event, turn);
         }
-        return out;
+        expireOverdue(turn);
+        mDispatcher.dispatchTouched(turn);
+        return turn.decisions();
+    }
+
+    @Override
+    public RoutingSnapshot snapshot(Instant now) {
+        return new SnapshotWriter(mState).write(now);
     }
 
-    private void handle(RoutingEvent event, Instant now, List<RoutingDecision> out) {
+    /** Handles an event of one call; returns whether it was one. */
+    private boolean handleCallEvent(RoutingEvent event, Turn turn) {
         if (event instanceof RoutingEvent.CallArrived arrived) {
-            arrive(arrived.request(), now, out);
+            mAdmission.arrive(arrived.request(), turn);
         } else if (event instanceof RoutingEvent.DispatchRecorded recorded) {
-            settle(recorded, out);
+            claimSettled(recorded.call(), recorded.result(), turn);
         } else if (event instanceof RoutingEvent.ResponseBegan began) {
-            Call call = current(began.attempt());
-            if (call != null) {
-                call.mBegan = true;
-            }
+            responseBegan(began.attempt(), turn);
         } else if (event instanceof RoutingEvent.AttemptFinished finished) {
-            finish(finished, out);
+            attemptFinished(finished.attempt(), finished.outcome(), turn);
         } else if (event instanceof RoutingEvent.CallerLeft left) {
-            leave(left.call(), out);
+            callerLeft(left.call(), turn);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void handleFleetEvent(RoutingEvent event, Turn turn) {
+        FleetState fleet = mState.fleet();
+        if (event instanceof RoutingEvent.TimerFired) {
+            fleet.forgetDrained(turn.now());
+            mState.touchWaiting();
         } else if (event instanceof RoutingEvent.TableChanged changed) {
-            mTable = changed.table();
+            fleet.apply(changed.table(), turn.now());
+            mState.touchWaiting();
         } else if (event instanceof RoutingEvent.EndpointDraining draining) {
-            mDraining.add(draining.endpoint());
+            fleet.drain(draining.endpoint(), turn.now());
+            mState.touchWaiting();
+        } else if (event instanceof RoutingEvent.EndpointLoadSeen seen) {
+            fleet.loadSeen(seen.endpoint(), seen.callsOfOthers(), seen.seenAt());
+        } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
+            fleet.estimated(estimated.target(), estimated.readyAt(), turn.now());
         } else if (event instanceof RoutingEvent.LimitsChanged changed) {
-            mLimits = changed.limits();
+            mState.limits(changed.limits());
         } else if (event instanceof RoutingEvent.AuthorityChanged changed) {
-            changeAuthority(changed.mayDecide(), out);
+            authorityChanged(changed.mayDecide(), turn);
         } else if (event instanceof RoutingEvent.DrainStarted) {
-            mDrainStarted = true;
+            mState.drainStarted();
         }
     }
 
-    private void arrive(CallRequest request, Instant now, List<RoutingDecision> out) {
-        RefusalReason reason = refusalAtArrival(request, now);
-        if (reason != null) {
-            out.add(new RoutingDecision.Refuse(request.id(), reason, WorkState.NOT_RUN));
-            return;
-        }
-        Call call = new Call(request);
-        mCalls.put(request.id(), call);
-        IdempotencyKey key = request.onceKey();
-        if (key == null) {
-            call.mWaiting = true;
+    private void claimSettled(CallId id, ClaimResult result, Turn turn) {
+        CallState call = mState.calls().get(id);
+        if (call == null || call.phase() != CallPhase.CLAIMING) {
+            mState.tally().lateEvent();
+        } else if (result instanceof ClaimResult.AlreadyClaimed earlier) {
+            mCloser.refuseDuplicate(call, earlier.state(), turn);
+        } else if (result instanceof ClaimResult.Unavailable) {
+            mCloser.refuse(call, RefusalReason.RECORD_UNAVAILABLE, turn);
         } else {
-            out.add(new RoutingDecision.RecordDispatch(request.id(), key));
+            call.target().changeClaiming(-1);
+            call.claimed();
+            mState.enqueue(call);
         }
     }
 
-    private @Nullable RefusalReason refusalAtArrival(CallRequest request, Instant now) {
-        if (!mMayDecide) {
-            return RefusalReason.NO_AUTHORITY;
-        }
-        if (mDrainStarted) {
-            return RefusalReason.DRAINING;
-        }
-        if (!mTable.known().contains(request.target())) {
-            return RefusalReason.UNKNOWN_TARGET;
-        }
-        int waiting = waitingFor(request.target());
-        boolean ready = hasReadyReplica(request.target());
-        OverloadAction action =
-                mOverloadPolicy.decide(
-                        request,
-                        new OverloadSituation(
-                                now, waiting, mLimits.queueLimit(), ready, Duration.ZERO));
-        return action instanceof OverloadAction.RefuseNow refuse ? refuse.reason() : null;
-    }
-
-    private void settle(RoutingEvent.DispatchRecorded recorded, List<RoutingDecision> out) {
-        Call call = mCalls.get(recorded.call());
-        if (call == null || call.mClaimed || call.mRequest.isIdempotent()) {
+    private void responseBegan(AttemptId id, Turn turn) {
+        CallState call = mState.calls().current(id);
+        RunningAttemptState attempt = call == null ? null : call.running();
+        if (call == null || attempt == null) {
+            mState.tally().lateEvent();
             return;
         }
-        if (recorded.result() instanceof ClaimResult.AlreadyClaimed claimed) {
-            mCalls.remove(recorded.call());
-            WorkState state = workState(claimed.state());
-            out.add(
-                    new RoutingDecision.Refuse(
-                            recorded.call(), RefusalReason.DUPLICATE_KEY, state));
-        } else if (recorded.result() instanceof ClaimResult.Unavailable) {
-            refuse(call, RefusalReason.RECORD_UNAVAILABLE, out);
-        } else {
-            call.mClaimed = true;
-            call.mWaiting = true;
-        }
+        mAttempts.answerBegan(call, attempt, turn.now());
     }
 
-    private void finish(RoutingEvent.AttemptFinished finished, List<RoutingDecision> out) {
-        Call call = current(finished.attempt());
-        if (call == null) {
+    private void attemptFinished(AttemptId id, AttemptOutcome outcome, Turn turn) {
+        CallState call = mState.calls().current(id);
+        RunningAttemptState attempt = call == null ? null : call.running();
+        if (call == null || attempt == null) {
+            mState.tally().lateEvent();
             return;
         }
-        EndpointId endpoint = release(call);
-        AttemptOutcome outcome = finished.outcome();
+        mAttempts.ended(call, attempt, outcome, turn.now());
         if (outcome instanceof AttemptOutcome.Completed) {
-            mCalls.remove(call.mRequest.id());
-            recordOutcome(call, RecordState.RAN, out);
-            out.add(new RoutingDecision.FinishCall(call.mRequest.id()));
-            return;
-        }
-        if (outcome instanceof AttemptOutcome.NotRun notRun && notRun.endpointDraining()) {
-            mDraining.add(endpoint);
-        }
-        if (outcome instanceof AttemptOutcome.Failed failed) {
-            call.mMayHaveRun = true;
-            call.mBegan |= failed.answerBegan();
-        }
-        boolean retry =
-                call.mAttempts < mLimits.attemptLimit()
-                        && mMayDecide
-                        && mRetryPolicy.mayRetry(call.mRequest, outcome, call.mBegan);
-        if (retry) {
-            call.mWaiting = true;
+            mCloser.finish(call, turn);
         } else {
-            refuse(call, RefusalReason.ATTEMPTS_EXHAUSTED, out);
+            retryOrRefuse(call, outcome, turn);
         }
     }
 
-    private void leave(CallId id, List<RoutingDecision> out) {
-        Call call = mCalls.remove(id);
-        if (call != null) {
-            cancelRunning(call, "caller left", out);
-            recordNotRun(call, out);
+    private void retryOrRefuse(CallState call, AttemptOutcome outcome, Turn turn) {
+        boolean began =
+                call.hasAnswerBegun()
+                        || outcome instanceof AttemptOutcome.Failed failed && failed.answerBegan();
+        if (began || outcome instanceof AttemptOutcome.Failed) {
+            call.mayHaveRun();
         }
-    }
-
-    private void changeAuthority(boolean mayDecide, List<RoutingDecision> out) {
-        mMayDecide = mayDecide;
-        for (Call call : new ArrayList<>(mCalls.values())) {
-            if (!mayDecide && call.mEndpoint == null) {
-                refuse(call, RefusalReason.NO_AUTHORITY, out);
-            }
-        }
-    }
-
-    private void expire(Call call, Instant now, List<RoutingDecision> out) {
-        if (call.mBegan || call.mRequest.deadline().isAfter(now)) {
-            return;
+        if (!mState.mayDecide()) {
+            mCloser.refuse(call, RefusalReason.NO_AUTHORITY, turn);
+        } else if (mayRetry(call, outcome, began)) {
+            mState.enqueue(call);
+        } else {
+            mCloser.refuse(call, RefusalReason.ATTEMPTS_EXHAUSTED, turn);
         }
-        cancelRunning(call, "deadline passed", out);
-        refuse(call, RefusalReason.DEADLINE_PASSED, out);
     }
 
-    private void startOrWake(Call call, Instant now, List<RoutingDecision> out) {
-        Target target = call.mRequest.target();
-        List<Replica> replicas = mTable.replicasOf(target);
-        Optional<EndpointChoice> choice =
-                mSelector.select(call.mRequest, new TableCandidates(replicas));
-        if (choice.isPresent()) {
-            Replica replica = replicas.get(choice.get().index());
-            call.start(replica.endpoint());
-            mRunning.merge(replica.endpoint(), 1, Integer::sum);
-            out.add(
-                    new RoutingDecision.StartAttempt(
-                            new AttemptId(call.mRequest.id(), call.mAttempts),
-                            replica.endpoint(),
-                            call.mRequest.deadline(),
-                            choice.get().reason()));
-        } else if (target instanceof Target.ModelTarget model && !hasReadyReplica(target)) {
-            wake(model, call.mRequest.deadline(), now, out);
-        }
+    private boolean mayRetry(CallState call, AttemptOutcome outcome, boolean began) {
+        return call.attempts() < mState.limits().attemptLimit()
+                && mRetryPolicy.mayRetry(call.request(), outcome, began)
+                && mState.budget().takeRetry();
     }
 
-    private void wake(
-            Target.ModelTarget target, Instant deadline, Instant now, List<RoutingDecision> out) {
-        Instant last = mLastWake.get(target);
-        if (last != null && now.isBefore(last.plus(mLimits.wakeRepeat()))) {
+    private void callerLeft(CallId id, Turn turn) {
+        CallState call = mState.calls().get(id);
+        if (call == null) {
+            mState.tally().lateEvent();
             return;
         }
-        mLastWake.put(target, now);
-        out.add(new RoutingDecision.RequestWake(target.model(), deadline, waitingFor(target)));
-    }
-
-    private @Nullable Call current(AttemptId attempt) {
-        Call call = mCalls.get(attempt.call());
-        boolean current =
-                call != null && call.mEndpoint != null && call.mAttempts == attempt.number();
-        return current ? call : null;
-    }
-
-    private @Nullable EndpointId release(Call call) {
-        EndpointId endpoint = call.mEndpoint;
-        if (endpoint != null) {
-            mRunning.computeIfPresent(endpoint, (id, count) -> count > 1 ? count - 1 : null);
-        }
-        call.mEndpoint = null;
-        return endpoint;
-    }
-
-    private void cancelRunning(Call call, String reason, List<RoutingDecision> out) {
-        if (release(call) != null) {
-            call.mMayHaveRun = true;
-            AttemptId attempt = new AttemptId(call.mRequest.id(), call.mAttempts);
-            out.add(new RoutingDecision.CancelAttempt(attempt, reason));
-        }
-    }
-
-    private void refuse(Call call, RefusalReason reason, List<RoutingDecision> out) {
-        mCalls.remove(call.mRequest.id());
-        recordNotRun(call, out);
-        WorkState state = call.mMayHaveRun ? WorkState.UNKNOWN : WorkState.NOT_RUN;
-        out.add(new RoutingDecision.Refuse(call.mRequest.id(), reason, state));
-    }
-
-    private void recordNotRun(Call call, List<RoutingDecision> out) {
-        if (!call.mMayHaveRun) {
-            recordOutcome(call, RecordState.NOT_RUN, out);
-        }
+        mAttempts.cancel(call, "caller left", turn);
+        mCloser.abandon(call, turn);
     }
 
-    private void recordOutcome(Call call, RecordState state, List<RoutingDecision> out) {
-        IdempotencyKey key = call.mRequest.onceKey();
-        if (call.mClaimed && key != null) {
-            out.add(new RoutingDecision.RecordOutcome(key, state));
-        }
-    }
-
-    private int waitingFor(Target target) {
-        int waiting = 0;
-        for (Call call : mCalls.values()) {
-            if (call.mEndpoint == null && call.mRequest.target().equals(target)) {
-                waiting++;
-            }
-        }
-        return waiting;
-    }
-
-    private boolean hasReadyReplica(Target target) {
-        for (Replica replica : mTable.replicasOf(target)) {
-            if (mayServe(replica)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean mayServe(Replica replica) {
-        return replica.state() == ReplicaState.READY && !mDraining.contains(replica.endpoint());
-    }
-
-    private static WorkState workState(RecordState state) {
-        return switch (state) {
-            case DISPATCHED -> WorkState.UNKNOWN;
-            case RAN -> WorkState.RAN;
-            case NOT_RUN -> WorkState.NOT_RUN;
-        };
-    }
-
-    private static final class Call {
-        private final CallRequest mRequest;
-        private @Nullable EndpointId mEndpoint;
-        private int mAttempts;
-        private boolean mWaiting;
-        private boolean mClaimed;
-        private boolean mBegan;
-        private boolean mMayHaveRun;
-
-        private Call(CallRequest request) {
-            mRequest = request;
+    private void authorityChanged(boolean mayDecide, Turn turn) {
+        mState.mayDecide(mayDecide);
+        if (mayDecide) {
+            return;
         }
-
-        private void start(EndpointId endpoint) {
-            mEndpoint = endpoint;
-            mAttempts++;
-            mWaiting = false;
+        for (CallState call : mState.calls().withoutAttempt()) {
+            mCloser.refuse(call, RefusalReason.NO_AUTHORITY, turn);
         }
     }
 
-    private final class TableCandidates implements ReplicaCandidates {
-        private final List<Replica> mReplicas;
-
-        private TableCandidates(List<Replica> replicas) {
-            mReplicas = replicas;
-        }
-
-        @Override
-        public int size() {
-            return mReplicas.size();
-        }
-
-        @Override
-        public EndpointId endpoint(int index) {
-            return mReplicas.get(index).endpoint();
-        }
-
-        @Override
-        public boolean isAvailable(int index) {
-            Replica replica = mReplicas.get(index);
-            return mayServe(replica) && load(index) < replica.concurrency();
-        }
-
-        @Override
-        public int load(int index) {
-            return mRunning.getOrDefault(mReplicas.get(index).endpoint(), 0);
+    private void expireOverdue(Turn turn) {
+        CallState call = mState.calls().firstOverdue(turn.now());
+        while (call != null) {
+            mAttempts.cancelOverdue(call, turn);
+            mCloser.refuse(call, RefusalReason.DEADLINE_PASSED, turn);
+            call = mState.calls().firstOverdue(turn.now());
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
@@ -8,7 +8,7 @@
  */
 public interface OverloadPolicy {
     /**
-     * Decides on one call.
+     * Decides on one call. The queue has room for it; a full queue refuses calls under any policy.
      *
      * @param call the call
      * @param situation the state of its target
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/PowerOfTwoSelector.java
@@ -0,0 +1,50 @@
+package org.oleanderspring.core.routing.command;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.oleanderspring.core.routing.CallRequest;
+
+/**
+ * Draws two available replicas and chooses the one whose endpoint runs fewer calls. The cost does
+ * not grow with the number of replicas while most of them are available.
+ */
+public final class PowerOfTwoSelector implements EndpointSelector {
+    /** Draws before falling back; with half of the replicas available, 1 call in 16 gets there. */
+    private static final int DRAWS = 4;
+
+    private final RandomGenerator mRandom;
+    private final EndpointSelector mFallback;
+
+    /**
+     * Creates a selector.
+     *
+     * @param random a seeded generator
+     * @param fallback chooses when the draws find no available replica
+     */
+    public PowerOfTwoSelector(RandomGenerator random, EndpointSelector fallback) {
+        mRandom = random;
+        mFallback = fallback;
+    }
+
+    @Override
+    public Optional<EndpointChoice> select(CallRequest call, ReplicaCandidates candidates) {
+        if (candidates.size() == 0) {
+            return Optional.empty();
+        }
+        int best = -1;
+        for (int i = 0, found = 0; i < DRAWS && found < 2; i++) {
+            int drawn = mRandom.nextInt(candidates.size());
+            if (!candidates.isAvailable(drawn)) {
+                continue;
+            }
+            found++;
+            if (best < 0 || candidates.load(drawn) < candidates.load(best)) {
+                best = drawn;
+            }
+        }
+        if (best < 0) {
+            return mFallback.select(call, candidates);
+        }
+        return Optional.of(new EndpointChoice(best, "less loaded of two"));
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RefuseByEstimatePolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RefuseByEstimatePolicy.java
@@ -11,9 +11,6 @@
 public final class RefuseByEstimatePolicy implements OverloadPolicy {
     @Override
     public OverloadAction decide(CallRequest call, OverloadSituation situation) {
-        if (situation.waiting() >= situation.queueLimit()) {
-            return new OverloadAction.RefuseNow(RefusalReason.QUEUE_FULL);
-        }
         Duration remaining = Duration.between(situation.now(), call.deadline());
         if (remaining.compareTo(situation.estimatedWait()) < 0) {
             return new OverloadAction.RefuseNow(RefusalReason.DEADLINE_TOO_SHORT);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -86,6 +86,23 @@
      */
     record ReadinessEstimated(Target target, Instant readyAt) implements RoutingEvent {}
 
+    /**
+     * How many calls of other daemons an endpoint ran a while ago.
+     *
+     * @param endpoint the endpoint
+     * @param callsOfOthers how many calls of other daemons it ran
+     * @param seenAt when that was so
+     */
+    record EndpointLoadSeen(EndpointId endpoint, int callsOfOthers, Instant seenAt)
+            implements RoutingEvent {
+        /** Checks the range. */
+        public EndpointLoadSeen {
+            if (callsOfOthers < 0) {
+                throw new IllegalArgumentException("load is negative: " + callsOfOthers);
+            }
+        }
+    }
+
     /** The daemon takes no new calls from now on. */
     record DrainStarted() implements RoutingEvent {}
 
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingTally.java
@@ -0,0 +1,63 @@
+package org.oleanderspring.core.routing.command;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.query.RoutingCounters;
+
+/** Counts what routing did since the start of the daemon. */
+final class RoutingTally {
+    private final Map<RefusalReason, Long> mRefused = new EnumMap<>(RefusalReason.class);
+    private long mArrived;
+    private long mFirstAttempts;
+    private long mRetries;
+    private long mFinished;
+    private long mCallersLeft;
+    private long mWakes;
+    private long mLateEvents;
+
+    void arrived() {
+        mArrived++;
+    }
+
+    void started(int attempt) {
+        if (attempt == 1) {
+            mFirstAttempts++;
+        } else {
+            mRetries++;
+        }
+    }
+
+    void finished() {
+        mFinished++;
+    }
+
+    void callerLeft() {
+        mCallersLeft++;
+    }
+
+    void refused(RefusalReason reason) {
+        mRefused.merge(reason, 1L, Long::sum);
+    }
+
+    void woke() {
+        mWakes++;
+    }
+
+    /** Counts an event of a call or attempt that is no longer current. */
+    void lateEvent() {
+        mLateEvents++;
+    }
+
+    RoutingCounters read() {
+        return new RoutingCounters(
+                mArrived,
+                mFirstAttempts,
+                mRetries,
+                mFinished,
+                mCallersLeft,
+                mRefused,
+                mWakes,
+                mLateEvents);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotWriter.java
@@ -0,0 +1,69 @@
+package org.oleanderspring.core.routing.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.oleanderspring.core.routing.query.EndpointStatus;
+import org.oleanderspring.core.routing.query.RoutingSnapshot;
+import org.oleanderspring.core.routing.query.TargetStatus;
+
+/** Copies the routing state into a snapshot. */
+final class SnapshotWriter {
+    private final RoutingState mState;
+
+    SnapshotWriter(RoutingState state) {
+        mState = state;
+    }
+
+    RoutingSnapshot write(Instant now) {
+        return new RoutingSnapshot(
+                now,
+                mState.mayDecide(),
+                mState.isDrainStarted(),
+                mState.calls().size(),
+                mState.budget().retriesLeft(),
+                targets(now),
+                endpoints(now),
+                mState.tally().read());
+    }
+
+    private List<TargetStatus> targets(Instant now) {
+        List<TargetStatus> statuses = new ArrayList<>();
+        for (TargetState target : mState.fleet().targets()) {
+            if (target.admitted() > 0 || target.running() > 0) {
+                statuses.add(status(target, now));
+            }
+        }
+        statuses.sort(Comparator.comparing(status -> status.target().toString()));
+        return statuses;
+    }
+
+    private static TargetStatus status(TargetState target, Instant now) {
+        return new TargetStatus(
+                target.target(),
+                target.queue().size(),
+                target.claiming(),
+                target.running(),
+                target.capacity(),
+                target.estimatedWait(target.admitted(), now));
+    }
+
+    private List<EndpointStatus> endpoints(Instant now) {
+        List<EndpointStatus> statuses = new ArrayList<>();
+        for (EndpointState endpoint : mState.fleet().endpoints()) {
+            boolean backingOff = endpoint.backoff().isActive();
+            if (endpoint.running() > 0 || endpoint.isDraining() || backingOff) {
+                statuses.add(
+                        new EndpointStatus(
+                                endpoint.id(),
+                                endpoint.running(),
+                                endpoint.load(now),
+                                endpoint.isDraining(),
+                                backingOff));
+            }
+        }
+        statuses.sort(Comparator.comparing(EndpointStatus::endpoint));
+        return statuses;
+    }
+}
