--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -37,10 +37,15 @@
         mState.calls().answerBegan(call);
         call.target().times().firstByteObserved(Duration.between(attempt.startedAt(), now));
         if (attempt.trial()) {
-            attempt.slot().endpoint().backoff().succeeded();
+            liftBackoff(attempt.slot().endpoint());
         }
     }
 
+    private void liftBackoff(EndpointState endpoint) {
+        endpoint.backoff().succeeded();
+        endpoint.listedBy().forEach(mState::touch);
+    }
+
     /** Takes note of an attempt's end; the call is without an attempt afterwards. */
     void ended(CallState call, RunningAttemptState attempt, AttemptOutcome outcome, Instant now) {
         detach(call, attempt);
