--- a/core/src/main/java/org/oleanderspring/core/settings/SettingName.java
+++ b/core/src/main/java/org/oleanderspring/core/settings/SettingName.java
@@ -24,6 +24,8 @@
     ATTEMPT_LIMIT("attemptLimit", 1, 20, 3, "attempts", false),
     /** How many retries a daemon may make for each hundred first attempts. */
     RETRY_BUDGET("retryBudgetPercent", 0, 100, 10, "percent", false),
+    /** How many calls all daemons together send to one runner at a time. */
+    RUNNER_CONCURRENCY("runnerConcurrency", 1, 10_000, 32, "calls", false),
     /** How many loads the weight store allows in a second. */
     LOADS_PER_SECOND("loadsPerSecond", 1, 10_000, 6, "loads per second", false),
     /** How many model loads may run at a time. */
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
@@ -0,0 +1,234 @@
+package org.oleanderspring.daemon.dispatch.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oleanderspring.coordination.dispatch.ClaimId;
+import org.oleanderspring.coordination.dispatch.DispatchLimits;
+import org.oleanderspring.coordination.dispatch.DispatchSettings;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.coordination.dispatch.command.DefaultDispatchDecider;
+import org.oleanderspring.coordination.dispatch.command.DispatchDecision;
+import org.oleanderspring.coordination.dispatch.command.DispatchEvent;
+import org.oleanderspring.coordination.dispatch.query.PartitionMap;
+import org.oleanderspring.coordination.dispatch.query.RendezvousPartitionMap;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.KeyValueQueries;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.daemon.peering.command.PeerCommands;
+import org.oleanderspring.daemon.process.DaemonIdentity;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/**
+ * Sends claims to the owners of their partitions and carries out the decisions about the partitions
+ * that this daemon owns. All of its state belongs to the dispatch thread.
+ *
+ * <p>A claim that gets no reply before its deadline counts as unavailable. Its record may have been
+ * written all the same; then the call never starts under it, which is safe.
+ */
+public final class DispatchDuty implements EventHandler<DispatchInput> {
+    private static final Logger LOGGER = System.getLogger(DispatchDuty.class.getName());
+
+    private final MemberId mSelf;
+    private final DefaultDispatchDecider mDecider;
+    private final DispatchLimits mLimits;
+    private final KeyValueCommands mCommands;
+    private final KeyValueQueries mQueries;
+    private final PeerCommands mPeers;
+    private final ClaimListener mListener;
+    private final MonotonicClock mClock;
+    private final EventSink<DispatchInput> mOwnRing;
+    private final OpenClaims mOpen = new OpenClaims();
+    private final Map<ClaimId, Address> mPeerClaims = new HashMap<>();
+    private PartitionMap mPartitions;
+    private long mNextClaim = 1;
+
+    /**
+     * Creates the duty.
+     *
+     * @param self the identity of this daemon
+     * @param decider decides
+     * @param limits the sizes and times of the decider
+     * @param commands changes the key-value service
+     * @param queries reads the key-value service
+     * @param peers sends messages to other daemons
+     * @param listener is told of settled claims
+     * @param clock the clock
+     * @param ownRing the ring of this duty, for replies
+     */
+    public DispatchDuty(
+            MemberId self,
+            DefaultDispatchDecider decider,
+            DispatchLimits limits,
+            KeyValueCommands commands,
+            KeyValueQueries queries,
+            PeerCommands peers,
+            ClaimListener listener,
+            MonotonicClock clock,
+            EventSink<DispatchInput> ownRing) {
+        mSelf = self;
+        mDecider = decider;
+        mLimits = limits;
+        mCommands = commands;
+        mQueries = queries;
+        mPeers = peers;
+        mListener = listener;
+        mClock = clock;
+        mOwnRing = ownRing;
+        mPartitions = new RendezvousPartitionMap(List.of(self), limits.partitionCount());
+    }
+
+    @Override
+    public void handle(DispatchInput input) {
+        if (input instanceof DispatchInput.Event event) {
+            decide(event.event());
+        } else if (input instanceof DispatchInput.Tick) {
+            tick();
+        } else if (input instanceof DispatchInput.ClaimHere claim) {
+            claimHere(claim);
+        } else if (input instanceof DispatchInput.ClaimThere claim) {
+            claimThere(claim);
+        } else if (input instanceof DispatchInput.ClaimReplied replied) {
+            settleHere(replied.claim(), replied.result());
+        } else if (input instanceof DispatchInput.OutcomeKnown outcome) {
+            recordOutcome(outcome);
+        } else if (input instanceof DispatchInput.MembersListed listed) {
+            changeMembers(listed.members());
+        } else if (input instanceof DispatchInput.SettingsInForce settings) {
+            apply(settings.settings());
+        } else if (input instanceof DispatchInput.PartitionsAsked asked) {
+            asked.reply().complete(mDecider.partitions());
+        }
+    }
+
+    private void tick() {
+        decide(new DispatchEvent.TimerFired());
+        for (CallId call : mOpen.takeExpired(mClock.now())) {
+            mListener.claimSettled(call, new ClaimResult.Unavailable("no reply in time"));
+        }
+    }
+
+    private void claimHere(DispatchInput.ClaimHere claim) {
+        ClaimId id = new ClaimId(mSelf, mNextClaim++);
+        mOpen.add(id, claim.call(), claim.deadline());
+        Optional<MemberId> owner = ownerOf(claim.key());
+        if (owner.filter(mSelf::equals).isPresent()) {
+            decide(new DispatchEvent.ClaimRequested(id, claim.key(), claim.deadline()));
+            return;
+        }
+        Duration remaining = Duration.between(mClock.now(), claim.deadline());
+        owner.flatMap(DaemonIdentity::addressOf)
+                .ifPresentOrElse(
+                        address -> mPeers.requestClaim(address, id, claim.key(), remaining),
+                        () -> settleHere(id, new ClaimResult.Unavailable("no owner is known")));
+    }
+
+    private void claimThere(DispatchInput.ClaimThere claim) {
+        if (ownerOf(claim.key()).filter(mSelf::equals).isEmpty()) {
+            mPeers.replyToClaim(
+                    claim.from(),
+                    claim.claim(),
+                    new ClaimResult.Unavailable("another daemon owns the partition"));
+            return;
+        }
+        mPeerClaims.put(claim.claim(), claim.from());
+        Instant deadline = mClock.now().plus(claim.remaining());
+        decide(new DispatchEvent.ClaimRequested(claim.claim(), claim.key(), deadline));
+    }
+
+    private void recordOutcome(DispatchInput.OutcomeKnown outcome) {
+        Optional<MemberId> owner = ownerOf(outcome.key());
+        if (owner.filter(mSelf::equals).isPresent()) {
+            decide(new DispatchEvent.OutcomeReported(outcome.key(), outcome.state()));
+            return;
+        }
+        owner.flatMap(DaemonIdentity::addressOf)
+                .ifPresent(
+                        address -> mPeers.reportOutcome(address, outcome.key(), outcome.state()));
+    }
+
+    private void changeMembers(List<MemberId> members) {
+        mPartitions = new RendezvousPartitionMap(members, mLimits.partitionCount());
+        decide(new DispatchEvent.OwnershipChanged(mPartitions.ownedBy(mSelf)));
+    }
+
+    private void apply(FleetSettings settings) {
+        decide(
+                new DispatchEvent.SettingsChanged(
+                        new DispatchSettings(
+                                Duration.ofSeconds(settings.value(SettingName.RECORD_RETENTION)),
+                                (int) settings.value(SettingName.RECORD_WRITES))));
+    }
+
+    private Optional<MemberId> ownerOf(IdempotencyKey key) {
+        return mPartitions.ownerOf(mPartitions.partitionOf(key));
+    }
+
+    private void decide(DispatchEvent event) {
+        for (DispatchDecision decision : mDecider.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(DispatchDecision decision) {
+        if (decision instanceof DispatchDecision.WriteValue write) {
+            mCommands
+                    .compareAndSwap(write.command())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new DispatchEvent.WriteReplied(
+                                                    write.operation(), result)));
+        } else if (decision instanceof DispatchDecision.ReadValue read) {
+            mQueries.read(read.key())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new DispatchEvent.ReadReplied(
+                                                    read.operation(), result)));
+        } else if (decision instanceof DispatchDecision.ClaimSettled settled) {
+            settle(settled);
+        } else if (decision instanceof DispatchDecision.PhaseChanged changed) {
+            LOGGER.log(
+                    Level.DEBUG,
+                    "[dispatch] Partition {0} is {1}: {2}.",
+                    changed.partition(),
+                    changed.phase(),
+                    changed.reason());
+        }
+    }
+
+    private void settle(DispatchDecision.ClaimSettled settled) {
+        if (settled.claim().origin().equals(mSelf)) {
+            settleHere(settled.claim(), settled.result());
+            return;
+        }
+        Address from = mPeerClaims.remove(settled.claim());
+        if (from != null) {
+            mPeers.replyToClaim(from, settled.claim(), settled.result());
+        }
+    }
+
+    private void settleHere(ClaimId claim, ClaimResult result) {
+        CallId call = mOpen.take(claim);
+        if (call != null) {
+            mListener.claimSettled(call, result);
+        }
+    }
+
+    private void offer(DispatchEvent event) {
+        mOwnRing.offer(new DispatchInput.Event(event));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
@@ -0,0 +1,221 @@
+package org.oleanderspring.daemon.document.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Set;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.document.WriteOutcome;
+import org.oleanderspring.coordination.document.command.DefaultDocumentDecider;
+import org.oleanderspring.coordination.document.command.DocumentDecision;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.KeyValueQueries;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.codec.PlanCodec;
+import org.oleanderspring.daemon.codec.SettingsCodec;
+import org.oleanderspring.daemon.codec.SettingsDocument;
+import org.oleanderspring.daemon.peering.command.PeerCommands;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.StoreKeys;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/** Carries out the decisions about documents. All of its state belongs to the document thread. */
+public final class DocumentDuty implements EventHandler<DocumentInput> {
+    private static final Logger LOGGER = System.getLogger(DocumentDuty.class.getName());
+
+    private final DefaultDocumentDecider mDecider;
+    private final KeyValueCommands mCommands;
+    private final ServiceReader mReader;
+    private final PeerCommands mPeers;
+    private final DocumentListener mListener;
+    private final MonotonicClock mClock;
+    private final EventSink<DocumentInput> mOwnRing;
+    private final SettingsDesk mDesk = new SettingsDesk();
+    private final Set<DocumentName> mTracked = new HashSet<>();
+
+    /**
+     * Creates the duty.
+     *
+     * @param decider decides
+     * @param commands changes the key-value service
+     * @param queries reads the key-value service
+     * @param peers sends messages to other daemons
+     * @param listener is told of documents
+     * @param clock the clock
+     * @param ownRing the ring of this duty, for results of I/O
+     */
+    public DocumentDuty(
+            DefaultDocumentDecider decider,
+            KeyValueCommands commands,
+            KeyValueQueries queries,
+            PeerCommands peers,
+            DocumentListener listener,
+            MonotonicClock clock,
+            EventSink<DocumentInput> ownRing) {
+        mDecider = decider;
+        mCommands = commands;
+        mReader = new ServiceReader(queries, ownRing);
+        mPeers = peers;
+        mListener = listener;
+        mClock = clock;
+        mOwnRing = ownRing;
+    }
+
+    @Override
+    public void handle(DocumentInput input) {
+        if (input instanceof DocumentInput.Event event) {
+            decide(event.event());
+        } else if (input instanceof DocumentInput.CellsListed listed) {
+            listed.cells().forEach(this::track);
+        } else if (input instanceof DocumentInput.MembersListed listed) {
+            decide(
+                    new DocumentEvent.MembersChanged(
+                            listed.members().live(), listed.members().counted()));
+        } else if (input instanceof DocumentInput.PlanWritten written) {
+            planWritten(written.plan(), written.revision());
+        } else if (input instanceof DocumentInput.DraftSent sent) {
+            mDesk.take(sent).ifPresent(this::decide);
+        } else if (input instanceof DocumentInput.SettingsAsked asked) {
+            asked.reply().complete(mDesk.inForce());
+        }
+    }
+
+    private void track(CellName cell) {
+        DocumentName name = StoreKeys.plan(cell);
+        if (mTracked.add(name)) {
+            decide(new DocumentEvent.DocumentTracked(name));
+        }
+    }
+
+    private void planWritten(Plan plan, Revision revision) {
+        DocumentName name = StoreKeys.plan(plan.cell());
+        VersionedDocument document =
+                new VersionedDocument(name, plan.number(), PlanCodec.encode(plan));
+        decide(new DocumentEvent.ServiceValueWatched(name, document, revision));
+    }
+
+    private void decide(DocumentEvent event) {
+        for (DocumentDecision decision : mDecider.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(DocumentDecision decision) {
+        if (decision instanceof DocumentDecision.StartWatch start) {
+            mReader.startWatch(start.name());
+        } else if (decision instanceof DocumentDecision.StopWatch stop) {
+            mReader.stopWatch(stop.name());
+        } else if (decision instanceof DocumentDecision.ReadService read) {
+            mReader.read(read.readId(), read.name());
+        } else if (decision instanceof DocumentDecision.WriteBack write) {
+            writeBack(write);
+        } else if (decision instanceof DocumentDecision.WriteChange write) {
+            writeChange(write);
+        } else if (decision instanceof DocumentDecision.SettleChange settle) {
+            mDesk.settle(settle);
+        } else if (decision instanceof DocumentDecision.PushDocument push) {
+            push.peers().forEach(peer -> mPeers.pushDocument(peer, push.document()));
+        } else if (decision instanceof DocumentDecision.FetchDocument fetch) {
+            mPeers.fetchDocument(fetch.peer(), fetch.requestId(), fetch.name());
+        } else if (decision instanceof DocumentDecision.ReplyToFetch reply) {
+            mPeers.replyToFetch(
+                    reply.peer(), reply.requestId(), reply.document(), reply.digest());
+        } else {
+            inform(decision);
+        }
+    }
+
+    private void inform(DocumentDecision decision) {
+        if (decision instanceof DocumentDecision.PutInForce put) {
+            putInForce(put.document());
+        } else if (decision instanceof DocumentDecision.GrantAuthority grant) {
+            mListener.authorityUntil(grant.until());
+        } else if (decision instanceof DocumentDecision.WithdrawAuthority) {
+            LOGGER.log(
+                    Level.WARNING,
+                    "[document] Neither the service nor a majority answers; no new work is taken.");
+            mListener.authorityUntil(Instant.MIN);
+        } else if (decision instanceof DocumentDecision.PublishDigest publish) {
+            mListener.digestPublished(publish.snapshot());
+        }
+    }
+
+    private void putInForce(VersionedDocument document) {
+        LOGGER.log(
+                Level.INFO,
+                "[document] {0} number {1} is in force.",
+                document.name(),
+                document.number());
+        if (StoreKeys.isPlan(document.name())) {
+            if (PlanCodec.decode(document.bytes()) instanceof Decoded.Valid<Plan> plan) {
+                mListener.planInForce(plan.value());
+            }
+            return;
+        }
+        if (SettingsCodec.decode(document.bytes())
+                instanceof Decoded.Valid<SettingsDocument> settings) {
+            mDesk.putInForce(settings.value());
+            mListener.settingsInForce(settings.value().settings());
+        }
+    }
+
+    private void writeBack(DocumentDecision.WriteBack write) {
+        LOGGER.log(
+                Level.WARNING,
+                "[document] The service holds an older {0}; number {1} is written back.",
+                write.document().name(),
+                write.document().number());
+        mCommands
+                .compareAndSwap(swapOf(write.document(), write.expected()))
+                .thenAccept(
+                        result ->
+                                offer(
+                                        new DocumentEvent.WriteBackFinished(
+                                                write.document().name(), outcomeOf(result))));
+    }
+
+    private void writeChange(DocumentDecision.WriteChange write) {
+        mCommands
+                .compareAndSwap(swapOf(write.document(), write.expected()))
+                .thenAccept(
+                        result ->
+                                offer(
+                                        new DocumentEvent.ChangeWritten(
+                                                write.change(), outcomeOf(result))));
+    }
+
+    private static CompareAndSwap swapOf(VersionedDocument document, Revision expected) {
+        return new CompareAndSwap(
+                StoreKeys.document(document.name()),
+                expected,
+                document.bytes(),
+                StoreLeaseId.NONE);
+    }
+
+    private static WriteOutcome outcomeOf(WriteResult result) {
+        if (result instanceof WriteResult.Written) {
+            return WriteOutcome.WRITTEN;
+        }
+        if (result instanceof WriteResult.Conflict) {
+            return WriteOutcome.CONFLICT;
+        }
+        return result instanceof WriteResult.Unavailable
+                ? WriteOutcome.UNAVAILABLE
+                : WriteOutcome.UNKNOWN;
+    }
+
+    private void offer(DocumentEvent event) {
+        mOwnRing.offer(new DocumentInput.Event(event));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/ServiceReader.java
@@ -0,0 +1,110 @@
+package org.oleanderspring.daemon.document.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.Map;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoredValue;
+import org.oleanderspring.coordination.store.query.KeyValueQueries;
+import org.oleanderspring.coordination.store.query.ReadResult;
+import org.oleanderspring.coordination.store.query.WatchListener;
+import org.oleanderspring.coordination.store.query.WatchSubscription;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.process.StoreKeys;
+import org.oleanderspring.duty.command.EventSink;
+
+/** Reads and watches documents at the key-value service, and reports them as events. */
+final class ServiceReader {
+    private static final Logger LOGGER = System.getLogger(ServiceReader.class.getName());
+
+    private final KeyValueQueries mQueries;
+    private final EventSink<DocumentInput> mRing;
+    private final Map<DocumentName, WatchSubscription> mWatches = new HashMap<>();
+
+    ServiceReader(KeyValueQueries queries, EventSink<DocumentInput> ring) {
+        mQueries = queries;
+        mRing = ring;
+    }
+
+    void read(long readId, DocumentName name) {
+        mQueries.read(StoreKeys.document(name))
+                .thenAccept(result -> offer(eventOf(readId, name, result)));
+    }
+
+    void startWatch(DocumentName name) {
+        stopWatch(name);
+        mWatches.put(name, mQueries.watch(StoreKeys.document(name), new Listener(name)));
+    }
+
+    void stopWatch(DocumentName name) {
+        WatchSubscription watch = mWatches.remove(name);
+        if (watch != null) {
+            watch.close();
+        }
+    }
+
+    void stopAllWatches() {
+        mWatches.values().forEach(WatchSubscription::close);
+        mWatches.clear();
+    }
+
+    private static DocumentEvent eventOf(long readId, DocumentName name, ReadResult result) {
+        if (result instanceof ReadResult.Unavailable unavailable) {
+            return new DocumentEvent.ServiceUnavailable(readId, name, unavailable.reason());
+        }
+        ReadResult.Found found = (ReadResult.Found) result;
+        if (found.values().isEmpty()) {
+            return new DocumentEvent.ServiceValueRead(readId, name, null, Revision.ABSENT);
+        }
+        StoredValue value = found.values().get(0);
+        Decoded<VersionedDocument> document = DocumentContent.read(name, value.bytes());
+        if (document instanceof Decoded.Broken<VersionedDocument> broken) {
+            return new DocumentEvent.ServiceUnavailable(readId, name, broken.reason());
+        }
+        return new DocumentEvent.ServiceValueRead(
+                readId,
+                name,
+                ((Decoded.Valid<VersionedDocument>) document).value(),
+                value.revision());
+    }
+
+    private void offer(DocumentEvent event) {
+        mRing.offer(new DocumentInput.Event(event));
+    }
+
+    /** Reports the changes of one document. */
+    private final class Listener implements WatchListener {
+        private final DocumentName mName;
+
+        Listener(DocumentName name) {
+            mName = name;
+        }
+
+        @Override
+        public void written(StoredValue value) {
+            Decoded<VersionedDocument> document = DocumentContent.read(mName, value.bytes());
+            if (document instanceof Decoded.Valid<VersionedDocument> valid) {
+                offer(
+                        new DocumentEvent.ServiceValueWatched(
+                                mName, valid.value(), value.revision()));
+                return;
+            }
+            LOGGER.log(Level.WARNING, "[document] The stored {0} is broken.", mName);
+        }
+
+        @Override
+        public void removed(StoreKey key) {
+            offer(new DocumentEvent.ServiceValueWatched(mName, null, Revision.ABSENT));
+        }
+
+        @Override
+        public void failed(String reason) {
+            offer(new DocumentEvent.WatchFailed(mName, reason));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/SettingsDesk.java
@@ -0,0 +1,124 @@
+package org.oleanderspring.daemon.document.command;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.oleanderspring.coordination.document.ChangeId;
+import org.oleanderspring.coordination.document.ChangeResult;
+import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.document.command.DocumentDecision;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.command.SettingsCheck;
+import org.oleanderspring.core.settings.command.SettingsChecker;
+import org.oleanderspring.core.settings.query.SettingsDifference;
+import org.oleanderspring.daemon.codec.Decoded;
+import org.oleanderspring.daemon.codec.SettingsCodec;
+import org.oleanderspring.daemon.codec.SettingsDocument;
+import org.oleanderspring.daemon.operator.SettingsReply;
+import org.oleanderspring.daemon.process.StoreKeys;
+
+/** Checks operators' drafts and answers them once their change is settled. */
+final class SettingsDesk {
+    private final Map<ChangeId, Pending> mPending = new HashMap<>();
+    private SettingsDocument mInForce = SettingsDocument.INITIAL;
+    private long mNextChange = 1;
+
+    private record Pending(
+            SettingsDocument before, long number, CompletableFuture<SettingsReply> reply) {}
+
+    SettingsDocument inForce() {
+        return mInForce;
+    }
+
+    void putInForce(SettingsDocument document) {
+        mInForce = document;
+    }
+
+    /** Answers a draft that is invalid or only to be checked; otherwise proposes its change. */
+    Optional<DocumentEvent> take(DocumentInput.DraftSent sent) {
+        SettingsCheck check = new SettingsChecker().check(sent.draft());
+        if (check instanceof SettingsCheck.Invalid invalid) {
+            String text =
+                    invalid.problems().stream()
+                            .map(SettingsCheck.SettingsProblem::text)
+                            .collect(Collectors.joining("; "));
+            sent.reply()
+                    .complete(
+                            new SettingsReply.Refused(
+                                    invalid.problems().get(0).message(), text));
+            return Optional.empty();
+        }
+        FleetSettings next = ((SettingsCheck.Valid) check).settings();
+        List<String> changes = new SettingsDifference().between(mInForce.settings(), next);
+        if (!sent.apply()) {
+            sent.reply().complete(new SettingsReply.Checked(changes));
+            return Optional.empty();
+        }
+        if (sent.draft().basedOn() != mInForce.settings().number()) {
+            sent.reply().complete(conflict(sent.draft().basedOn(), mInForce));
+            return Optional.empty();
+        }
+        ChangeId change = new ChangeId(mNextChange++);
+        mPending.put(change, new Pending(mInForce, next.number(), sent.reply()));
+        byte[] bytes = SettingsCodec.encode(mInForce.followedBy(next, changes));
+        return Optional.of(
+                new DocumentEvent.ChangeProposed(
+                        change, new VersionedDocument(StoreKeys.SETTINGS, next.number(), bytes)));
+    }
+
+    void settle(DocumentDecision.SettleChange settle) {
+        Pending pending = mPending.remove(settle.change());
+        if (pending != null) {
+            pending.reply().complete(replyOf(pending, settle.result()));
+        }
+    }
+
+    private SettingsReply replyOf(Pending pending, ChangeResult result) {
+        if (result instanceof ChangeResult.Accepted) {
+            return new SettingsReply.Accepted(pending.number());
+        }
+        if (result instanceof ChangeResult.Superseded superseded) {
+            return superseded(pending, superseded);
+        }
+        if (result instanceof ChangeResult.Unavailable unavailable) {
+            return unavailable(unavailable.reason());
+        }
+        if (result instanceof ChangeResult.NotFirst) {
+            return unavailable("no settings exist yet; the first ones are based on number 0");
+        }
+        return unavailable("the write got no reply; show the settings to see whether they apply");
+    }
+
+    private SettingsReply superseded(Pending pending, ChangeResult.Superseded superseded) {
+        Decoded<SettingsDocument> current = SettingsCodec.decode(superseded.current().bytes());
+        if (current instanceof Decoded.Valid<SettingsDocument> valid) {
+            return conflict(pending.before().settings().number(), valid.value());
+        }
+        return unavailable("another operator changed the settings");
+    }
+
+    /** Tells an operator what changed since the settings on which the draft is based. */
+    private static SettingsReply conflict(long basedOn, SettingsDocument current) {
+        String changes =
+                current.history().stream()
+                        .filter(entry -> entry.number() > basedOn)
+                        .map(entry -> entry.author() + ": " + String.join(", ", entry.changes()))
+                        .collect(Collectors.joining("; "));
+        return new SettingsReply.Refused(
+                ErrorMessage.SETTINGS_CONFLICT,
+                ErrorMessage.SETTINGS_CONFLICT.format(
+                        Long.toString(current.settings().number()),
+                        changes.isEmpty() ? "the draft is based on a later number" : changes));
+    }
+
+    private static SettingsReply unavailable(String reason) {
+        return new SettingsReply.Refused(
+                ErrorMessage.SETTINGS_UNAVAILABLE,
+                ErrorMessage.SETTINGS_UNAVAILABLE.format(reason));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/membership/command/DigestHolder.java
@@ -0,0 +1,41 @@
+package org.oleanderspring.daemon.membership.command;
+
+import java.time.Instant;
+import org.oleanderspring.coordination.document.DocumentDigest;
+import org.oleanderspring.coordination.document.query.DigestSnapshot;
+import org.oleanderspring.coordination.membership.query.DigestSource;
+
+/** Keeps the latest digest on the membership thread and encodes it for each message. */
+public final class DigestHolder implements DigestSource {
+    private final DigestEncoder mEncoder;
+    private DigestSnapshot mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+
+    /** Encodes digests. */
+    @FunctionalInterface
+    public interface DigestEncoder {
+        /**
+         * Encodes a digest.
+         *
+         * @param digest the digest
+         */
+        byte[] encode(DocumentDigest digest);
+    }
+
+    /**
+     * Creates an empty holder.
+     *
+     * @param encoder encodes digests
+     */
+    public DigestHolder(DigestEncoder encoder) {
+        mEncoder = encoder;
+    }
+
+    void set(DigestSnapshot snapshot) {
+        mSnapshot = snapshot;
+    }
+
+    @Override
+    public byte[] digest(Instant now) {
+        return mEncoder.encode(mSnapshot.at(now));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/membership/command/MembershipDuty.java
@@ -0,0 +1,105 @@
+package org.oleanderspring.daemon.membership.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberList;
+import org.oleanderspring.coordination.membership.command.DefaultMembershipDecider;
+import org.oleanderspring.coordination.membership.command.MembershipDecision;
+import org.oleanderspring.coordination.membership.command.MembershipEvent;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.daemon.front.query.EntryDirectory;
+import org.oleanderspring.daemon.peering.command.PeerCommands;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.EventHandler;
+
+/** Carries out the decisions about members. All of its state belongs to the membership thread. */
+public final class MembershipDuty implements EventHandler<MembershipInput> {
+    private static final Logger LOGGER = System.getLogger(MembershipDuty.class.getName());
+
+    private final DefaultMembershipDecider mDecider;
+    private final DigestHolder mDigests;
+    private final PeerCommands mPeers;
+    private final MembershipListener mListener;
+    private final MonotonicClock mClock;
+    private MemberList mMembers;
+    private Duration mKeep = Duration.ofSeconds(SettingName.DIRECTORY_KEEP.defaultValue());
+
+    /**
+     * Creates the duty.
+     *
+     * @param decider decides
+     * @param digests the digests that the decider's messages carry
+     * @param peers sends messages
+     * @param listener is told of members
+     * @param clock the clock
+     */
+    public MembershipDuty(
+            DefaultMembershipDecider decider,
+            DigestHolder digests,
+            PeerCommands peers,
+            MembershipListener listener,
+            MonotonicClock clock) {
+        mDecider = decider;
+        mDigests = digests;
+        mPeers = peers;
+        mListener = listener;
+        mClock = clock;
+        mMembers = decider.members();
+    }
+
+    @Override
+    public void handle(MembershipInput input) {
+        if (input instanceof MembershipInput.Event event) {
+            decide(event.event());
+        } else if (input instanceof MembershipInput.DigestPublished published) {
+            mDigests.set(published.snapshot());
+        } else if (input instanceof MembershipInput.DirectoryKeepChanged changed) {
+            mKeep = changed.keep();
+        } else if (input instanceof MembershipInput.DirectoryAsked asked) {
+            asked.reply().complete(directory());
+        } else if (input instanceof MembershipInput.MembersAsked asked) {
+            asked.reply().complete(mDecider.remembered());
+        }
+    }
+
+    private void decide(MembershipEvent event) {
+        for (MembershipDecision decision : mDecider.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(MembershipDecision decision) {
+        if (decision instanceof MembershipDecision.SendMessage send) {
+            mPeers.sendMembership(send.receiver(), send.message());
+        } else if (decision instanceof MembershipDecision.MemberChanged changed) {
+            LOGGER.log(
+                    Level.INFO,
+                    "[membership] {0} is {1}.",
+                    changed.member().id(),
+                    changed.member().state());
+        } else if (decision instanceof MembershipDecision.PublishMembers publish) {
+            mMembers = publish.members();
+            mListener.membersListed(publish.members());
+        } else if (decision instanceof MembershipDecision.PeerContacted contacted) {
+            mListener.peerContacted(
+                    contacted.peer(), contacted.requestSentAt(), contacted.digest());
+        } else if (decision instanceof MembershipDecision.DigestReceived received) {
+            mListener.digestReceived(received.peer(), received.digest());
+        }
+    }
+
+    private EntryDirectory directory() {
+        List<EntryDirectory.Entry> entries = new ArrayList<>();
+        for (Member member : mMembers.directory()) {
+            entries.add(
+                    new EntryDirectory.Entry(
+                            member.callerAddress(), new FailureDomain(member.failureDomain())));
+        }
+        return new EntryDirectory(entries, mKeep);
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -159,10 +159,7 @@
                     unreadable.cell(),
                     unreadable.reason());
         } else if (input instanceof PlacementInput.PlanInForce changed) {
-            mPlans.merge(
-                    changed.plan().cell(),
-                    changed.plan(),
-                    (old, next) -> next.number() > old.number() ? next : old);
+            putInForce(changed.plan());
         } else if (input instanceof PlacementInput.AuthorityUntil authority) {
             mAuthorityUntil = authority.until();
             checkAuthority();
@@ -171,6 +168,17 @@
         }
     }
 
+    private void putInForce(Plan plan) {
+        Plan known = mPlans.get(plan.cell());
+        if (known != null && known.number() >= plan.number()) {
+            return;
+        }
+        mPlans.put(plan.cell(), plan);
+        if (!plan.holder().equals(mSelf)) {
+            yieldTerm(plan.cell());
+        }
+    }
+
     private void learnFleet(PlacementInput input) {
         if (input instanceof PlacementInput.VmsListed listed) {
             mVms = listed.vms();
@@ -407,25 +415,26 @@
 
     private void announce(PlacementDecision.AnnounceTerm announce) {
         for (MemberId awaited : announce.awaited()) {
-            DaemonIdentity.addressOf(awaited)
-                    .ifPresent(
-                            address ->
-                                    mPeers.announceTerm(
-                                            address,
-                                            announce.cell(),
-                                            announce.term(),
-                                            announce.awaited()));
+            DaemonIdentity.addressOf(awaited).ifPresent(address -> announce(announce, address));
         }
     }
 
+    private void announce(PlacementDecision.AnnounceTerm announce, Address receiver) {
+        if (receiver.equals(mSelfAddress)) {
+            acknowledge(
+                    new PlacementInput.TermAnnounced(
+                            receiver, announce.cell(), announce.term(), announce.awaited()));
+            return;
+        }
+        mPeers.announceTerm(receiver, announce.cell(), announce.term(), announce.awaited());
+    }
+
     /** Acknowledges for this run and for earlier runs at the same address, which are dead. */
     private void acknowledge(PlacementInput.TermAnnounced announced) {
         Plan known = mPlans.get(announced.cell());
-        boolean heldHere = mLeased.contains(announced.cell());
-        boolean later = known == null || announced.term().compareTo(known.term()) >= 0;
-        if (heldHere && later) {
-            decide(announced.cell(), new PlacementEvent.TermEnded());
-            readPlan(announced.cell());
+        boolean later = known == null || announced.term().compareTo(known.term()) > 0;
+        if (later && !announced.from().equals(mSelfAddress)) {
+            yieldTerm(announced.cell());
         }
         for (MemberId awaited : announced.awaited()) {
             boolean mine =
@@ -438,6 +447,18 @@
         }
     }
 
+    /**
+     * Stops deciding after another daemon started a term. If this daemon still believes to hold the
+     * lease afterwards, it reads the plan and starts a term of its own.
+     */
+    private void yieldTerm(CellName cell) {
+        if (!mLeased.contains(cell)) {
+            return;
+        }
+        decide(cell, new PlacementEvent.TermEnded());
+        mPlanReads.put(cell, mClock.now().plus(PLAN_READ_RETRY));
+    }
+
     private void sendDueAcknowledgements() {
         for (OrderExchanges.WaitingAcknowledgement due : mExchanges.takeDue()) {
             if (due.receiver().equals(mSelfAddress)) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
@@ -43,6 +43,7 @@
     private final EndpointCommands mEndpoints;
     private final ClaimCommands mClaims;
     private final WakeCommands mWakes;
+    private final UseCommands mUses;
     private final RoutingMeters mMeters;
     private final MonotonicClock mClock;
     private final EventSink<RoutingInput> mOwnRing;
@@ -53,11 +54,11 @@
     private final RoutingTableAssembler mTable = new RoutingTableAssembler();
     private Duration mDefaultTimeToAnswer =
             Duration.ofMillis(SettingName.DEFAULT_DEADLINE.defaultValue());
+    private final UseCounter mUse = new UseCounter();
+    private Instant mAuthorityUntil = Instant.MIN;
+    private boolean mMayDecide;
     private Duration mDeadlineLimit = Duration.ofMillis(SettingName.DEADLINE_LIMIT.defaultValue());
 
-    /** A call with the request that routing knows it by. */
-    private record AcceptedCall(IncomingCall call, CallRequest request) {}
-
     /** An attempt that was started and has not ended. */
     private record Running(RunningAttempt attempt, AnswerRelay relay) {}
 
@@ -69,6 +70,7 @@
      * @param endpoints sends calls to endpoints
      * @param claims asks for dispatch records
      * @param wakes sends wake requests
+     * @param uses reports the use of models
      * @param meters counts decisions
      * @param clock the clock
      * @param ownRing the ring of this duty, for results of I/O
@@ -79,6 +81,7 @@
             EndpointCommands endpoints,
             ClaimCommands claims,
             WakeCommands wakes,
+            UseCommands uses,
             RoutingMeters meters,
             MonotonicClock clock,
             EventSink<RoutingInput> ownRing) {
@@ -87,6 +90,7 @@
         mEndpoints = endpoints;
         mClaims = claims;
         mWakes = wakes;
+        mUses = uses;
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -94,6 +98,7 @@
 
     @Override
     public void handle(RoutingInput input) {
+        checkAuthority();
         if (input instanceof RoutingInput.Event event) {
             decide(event.event());
         } else if (input instanceof RoutingInput.CallAccepted accepted) {
@@ -102,6 +107,11 @@
             admit(began);
         } else if (input instanceof RoutingInput.SettingsInForce changed) {
             apply(changed.settings());
+        } else if (input instanceof RoutingInput.AuthorityUntil authority) {
+            mAuthorityUntil = authority.until();
+            checkAuthority();
+        } else if (input instanceof RoutingInput.UseDue) {
+            mUses.report(mUse.take(mCalls.values(), mRunning.keySet()));
         } else if (input instanceof RoutingInput.ModelsAsked asked) {
             asked.reply().complete(mTable.models());
         } else if (input instanceof RoutingInput.QuietAsked asked) {
@@ -117,13 +127,26 @@
             mTable.setVms(listed.vms());
         } else if (input instanceof RoutingInput.CatalogueListed listed) {
             mTable.setCatalogue(listed.checkpoints());
-        } else if (input instanceof RoutingInput.RunnerSeen seen) {
-            mTable.setReport(seen.report());
+        } else if (input instanceof RoutingInput.PlanInForce changed) {
+            mTable.setPlan(changed.plan());
+        } else if (input instanceof RoutingInput.DaemonsCounted counted) {
+            mTable.setDaemons(counted.daemons());
         }
         decide(new RoutingEvent.TableChanged(mTable.build()));
     }
 
+    /** Compares with the clock, so that a paused document thread cannot extend the authority. */
+    private void checkAuthority() {
+        boolean mayDecide = mClock.now().isBefore(mAuthorityUntil);
+        if (mayDecide != mMayDecide) {
+            mMayDecide = mayDecide;
+            decide(new RoutingEvent.AuthorityChanged(mayDecide));
+        }
+    }
+
     private void apply(FleetSettings settings) {
+        mTable.setRunnerConcurrency((int) settings.value(SettingName.RUNNER_CONCURRENCY));
+        decide(new RoutingEvent.TableChanged(mTable.build()));
         mDefaultTimeToAnswer = Duration.ofMillis(settings.value(SettingName.DEFAULT_DEADLINE));
         mDeadlineLimit = Duration.ofMillis(settings.value(SettingName.DEADLINE_LIMIT));
         decide(
@@ -149,6 +172,7 @@
         }
         CallRequest request = call.toRequest(mDefaultTimeToAnswer);
         mCalls.put(call.id(), new AcceptedCall(call, request));
+        mUse.arrived(request.target());
         decide(new RoutingEvent.CallArrived(request));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingInput.java
@@ -1,11 +1,12 @@
 package org.oleanderspring.daemon.routing.command;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.core.fleet.Checkpoint;
 import org.oleanderspring.core.fleet.ModelName;
-import org.oleanderspring.core.fleet.RunnerReport;
 import org.oleanderspring.core.fleet.VmList;
+import org.oleanderspring.core.placement.Plan;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.command.RoutingEvent;
@@ -48,11 +49,28 @@
     }
 
     /**
-     * A runner reported its state.
+     * A plan came into force.
      *
-     * @param report the report
+     * @param plan the plan
      */
-    record RunnerSeen(RunnerReport report) implements RoutingInput {}
+    record PlanInForce(Plan plan) implements RoutingInput {}
+
+    /**
+     * The number of daemons changed, among which the runners' capacity is shared.
+     *
+     * @param daemons the number of live daemons, at least 1
+     */
+    record DaemonsCounted(int daemons) implements RoutingInput {}
+
+    /**
+     * The daemon may decide by its settings until a time.
+     *
+     * @param until the end, on this daemon's clock; {@link Instant#MIN} if it may not decide
+     */
+    record AuthorityUntil(Instant until) implements RoutingInput {}
+
+    /** The use of models is to be reported. */
+    record UseDue() implements RoutingInput {}
 
     /**
      * The operators' settings changed.
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingTableAssembler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingTableAssembler.java
@@ -8,29 +8,33 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.Checkpoint;
 import org.oleanderspring.core.fleet.Endpoint;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointKind;
-import org.oleanderspring.core.fleet.LoadState;
-import org.oleanderspring.core.fleet.LoadedCheckpoint;
 import org.oleanderspring.core.fleet.ModelName;
-import org.oleanderspring.core.fleet.RunnerReport;
 import org.oleanderspring.core.fleet.Vm;
 import org.oleanderspring.core.fleet.VmList;
 import org.oleanderspring.core.fleet.VmState;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.query.PlacedReplica;
+import org.oleanderspring.core.placement.query.PlacedReplicas;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.ReplicaState;
 import org.oleanderspring.core.routing.RoutingTable;
 import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.settings.SettingName;
 
-/** Puts the routing table together from the VM list, the catalogue and what runners hold. */
+/** Puts the routing table together from the VM list, the catalogue and the plans. */
 final class RoutingTableAssembler {
     private static final int SERVICE_CONCURRENCY = 64;
 
     private final Map<EndpointId, Endpoint> mEndpoints = new HashMap<>();
     private final Set<EndpointId> mLeaving = new HashSet<>();
-    private final Map<EndpointId, RunnerReport> mReports = new HashMap<>();
+    private final Map<CellName, Plan> mPlans = new HashMap<>();
+    private int mRunnerConcurrency = (int) SettingName.RUNNER_CONCURRENCY.defaultValue();
+    private int mDaemons = 1;
     private List<Checkpoint> mCatalogue = List.of();
 
     void setVms(VmList vms) {
@@ -44,15 +48,23 @@
                 }
             }
         }
-        mReports.keySet().retainAll(mEndpoints.keySet());
     }
 
     void setCatalogue(List<Checkpoint> catalogue) {
         mCatalogue = List.copyOf(catalogue);
     }
 
-    void setReport(RunnerReport report) {
-        mReports.put(report.runner(), report);
+    void setPlan(Plan plan) {
+        mPlans.merge(
+                plan.cell(), plan, (old, next) -> next.number() > old.number() ? next : old);
+    }
+
+    void setRunnerConcurrency(int concurrency) {
+        mRunnerConcurrency = concurrency;
+    }
+
+    void setDaemons(int daemons) {
+        mDaemons = daemons;
     }
 
     @Nullable Address addressOf(EndpointId endpoint) {
@@ -77,21 +89,24 @@
                 add(replicas, target, endpoint.id(), SERVICE_CONCURRENCY);
             }
         }
-        for (RunnerReport report : mReports.values()) {
-            addLoaded(report, replicas);
+        for (Plan plan : mPlans.values()) {
+            addPlaced(plan, replicas);
         }
         return new RoutingTable(replicas, known);
     }
 
-    private void addLoaded(RunnerReport report, Map<Target, List<Replica>> replicas) {
-        for (LoadedCheckpoint loaded : report.loaded()) {
-            if (loaded.state() == LoadState.READY) {
-                add(
-                        replicas,
-                        new Target.ModelTarget(loaded.name()),
-                        report.runner(),
-                        report.concurrency());
-            }
+    private void addPlaced(Plan plan, Map<Target, List<Replica>> replicas) {
+        int share = Math.max(1, (mRunnerConcurrency + mDaemons - 1) / mDaemons);
+        for (PlacedReplica placed : PlacedReplicas.of(plan, mEndpoints.values())) {
+            EndpointId endpoint = placed.endpoint().id();
+            boolean draining = placed.draining() || mLeaving.contains(endpoint);
+            replicas.computeIfAbsent(
+                            new Target.ModelTarget(placed.name()), key -> new ArrayList<>())
+                    .add(
+                            new Replica(
+                                    endpoint,
+                                    draining ? ReplicaState.DRAINING : ReplicaState.READY,
+                                    share));
         }
     }
 
--- a/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
+++ b/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
@@ -38,14 +38,12 @@
     private boolean mStopped;
 
     /**
-     * Creates a duty; call {@link #start()} to run it.
+     * Creates the ring of a duty; it takes events at once and handles them after {@link #start}.
      *
      * @param name the name of the thread
      * @param capacity the number of places in the ring, a power of two
-     * @param handler called on the duty's thread for each event
      */
-    public DutyThread(String name, int capacity, EventHandler<T> handler) {
-        Objects.requireNonNull(handler, "handler");
+    public DutyThread(String name, int capacity) {
         mName = Objects.requireNonNull(name, "name");
         ThreadFactory threads =
                 task -> {
@@ -61,12 +59,16 @@
                         ProducerType.MULTI,
                         new BlockingWaitStrategy());
         mDisruptor.setDefaultExceptionHandler(new FaultLogger<>(name));
-        mDisruptor.handleEventsWith(new CellHandler(handler));
         mRing = mDisruptor.getRingBuffer();
     }
 
-    /** Starts the thread. */
-    public void start() {
+    /**
+     * Starts the thread.
+     *
+     * @param handler called on the duty's thread for each event
+     */
+    public void start(EventHandler<T> handler) {
+        mDisruptor.handleEventsWith(new CellHandler(handler));
         mDisruptor.start();
     }
 
--- /dev/null
+++ b/duty/src/main/java/org/oleanderspring/duty/command/RetryingSink.java
@@ -0,0 +1,38 @@
+package org.oleanderspring.duty.command;
+
+import java.time.Duration;
+
+/**
+ * Offers events that must not be lost, such as the results of I/O that a duty waits for.
+ *
+ * <p>When the ring is full, the timer offers the event again a little later, so the offering thread
+ * neither waits nor drops it. An event for a stopped duty is dropped.
+ *
+ * @param <T> the type of event
+ */
+public final class RetryingSink<T> implements EventSink<T> {
+    private static final Duration RETRY_DELAY = Duration.ofMillis(10);
+
+    private final EventSink<T> mTarget;
+    private final DutyTimer mTimer;
+
+    /**
+     * Creates a sink.
+     *
+     * @param target the ring
+     * @param timer offers again
+     */
+    public RetryingSink(EventSink<T> target, DutyTimer timer) {
+        mTarget = target;
+        mTimer = timer;
+    }
+
+    @Override
+    public OfferResult offer(T event) {
+        OfferResult result = mTarget.offer(event);
+        if (result == OfferResult.FULL) {
+            mTimer.after(RETRY_DELAY, this, event);
+        }
+        return result;
+    }
+}
--- a/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
+++ b/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
@@ -18,14 +18,12 @@
         CountDownLatch entered = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         DutyThread<Integer> duty =
-                new DutyThread<>(
-                        "full",
-                        2,
-                        event -> {
-                            entered.countDown();
-                            awaitQuietly(release);
-                        });
-        duty.start();
+                new DutyThread<>("full", 2);
+        duty.start(
+                event -> {
+                    entered.countDown();
+                    awaitQuietly(release);
+                });
         assertThat(duty.offer(1), is(OfferResult.ACCEPTED));
         entered.await();
         assertThat(duty.offer(2), is(OfferResult.ACCEPTED));
@@ -39,8 +37,8 @@
     @Test
     void closeHandlesAcceptedEventsInOrder() {
         List<Integer> seen = new CopyOnWriteArrayList<>();
-        DutyThread<Integer> duty = new DutyThread<>("close", 8, seen::add);
-        duty.start();
+        DutyThread<Integer> duty = new DutyThread<>("close", 8);
+        duty.start(seen::add);
         duty.offer(1);
         duty.offer(2);
         duty.offer(3);
@@ -54,16 +52,14 @@
     void faultInHandlerDoesNotEndTheDuty() {
         List<Integer> seen = new CopyOnWriteArrayList<>();
         DutyThread<Integer> duty =
-                new DutyThread<>(
-                        "fault",
-                        8,
-                        event -> {
-                            if (event == 1) {
-                                throw new IllegalStateException("expected by the test");
-                            }
-                            seen.add(event);
-                        });
-        duty.start();
+                new DutyThread<>("fault", 8);
+        duty.start(
+                event -> {
+                    if (event == 1) {
+                        throw new IllegalStateException("expected by the test");
+                    }
+                    seen.add(event);
+                });
         duty.offer(1);
         duty.offer(2);
         duty.close();
