Fuzz routing against an oracle that knows what the endpoints ran

Random arrivals, tables, failures, claims, pauses, settings and late, repeated and reordered events drive the decider. The oracle keeps plain lists of what endpoints truly did and checks each decision, each timer step and the state that is left at the end.

New limits now also apply to waiting calls.

--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -8,6 +8,7 @@
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.RoutingLimits;
 import org.oleanderspring.core.routing.query.RoutingQueries;
 import org.oleanderspring.core.routing.query.RoutingSnapshot;
 
@@ -102,7 +103,7 @@
         } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
             fleet.estimated(estimated.target(), estimated.readyAt(), turn.now());
         } else if (event instanceof RoutingEvent.LimitsChanged changed) {
-            mState.limits(changed.limits());
+            limitsChanged(changed.limits(), turn);
         } else if (event instanceof RoutingEvent.AuthorityChanged changed) {
             authorityChanged(changed.mayDecide(), turn);
         } else if (event instanceof RoutingEvent.DrainStarted) {
@@ -192,6 +193,16 @@
         }
     }
 
+    /** Applies new limits also to calls that wait for an attempt which the old ones allowed. */
+    private void limitsChanged(RoutingLimits limits, Turn turn) {
+        mState.limits(limits);
+        for (CallState call : mState.calls().withoutAttempt()) {
+            if (call.attempts() >= limits.attemptLimit()) {
+                mCloser.refuse(call, RefusalReason.ATTEMPTS_EXHAUSTED, turn);
+            }
+        }
+    }
+
     private void expireOverdue(Turn turn) {
         CallState call = mState.calls().firstOverdue(turn.now());
         while (call != null) {
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
@@ -0,0 +1,293 @@
+package org.oleanderspring.core.routing.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.RecordState;
+import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.routing.AttemptOutcome;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.Replica;
+import org.oleanderspring.core.routing.ReplicaState;
+import org.oleanderspring.core.routing.RoutingLimits;
+import org.oleanderspring.core.routing.RoutingTable;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.routing.query.RoutingSnapshot;
+
+/** Callers, endpoints and dispatch records around one decider; events wait here until delivered. */
+final class FuzzWorld {
+    private static final int ENDPOINTS = 8;
+    private static final List<Target> TARGETS =
+            List.of(
+                    new Target.ModelTarget(new ModelName("llama")),
+                    new Target.ModelTarget(new ModelName("adapter")),
+                    new Target.ServiceTarget(new ServiceName("pay-service")));
+
+    private final FuzzOracle mOracle = new FuzzOracle();
+    private final DefaultRoutingDecider mDecider;
+    private final List<RoutingEvent> mPending = new ArrayList<>();
+    private final List<RoutingDecision.RecordDispatch> mClaims = new ArrayList<>();
+    private Instant mNow = Instant.EPOCH;
+    private long mNextCall = 1;
+
+    FuzzWorld(EndpointSelector selector, OverloadPolicy policy) {
+        mDecider = new DefaultRoutingDecider(selector, policy, new SafeRetryPolicy());
+        authority(true);
+        table(1);
+    }
+
+    void arrive(int target, int key, int deadlineMillis, int priority) {
+        Target asked = TARGETS.get(target % TARGETS.size());
+        boolean once = asked instanceof Target.ServiceTarget;
+        CallRequest request =
+                new CallRequest(
+                        new CallId(mNextCall++),
+                        asked,
+                        once ? new IdempotencyKey("key-" + key) : null,
+                        priority,
+                        mNow.plusMillis(deadlineMillis),
+                        key);
+        mOracle.mCalls.put(request.id(), new FuzzOracle.Call(request));
+        deliver(new RoutingEvent.CallArrived(request));
+    }
+
+    /** Settles a claim; the result is delivered later. */
+    void settleClaim(int index, boolean unavailable) {
+        if (mClaims.isEmpty()) {
+            return;
+        }
+        RoutingDecision.RecordDispatch claim = mClaims.remove(index % mClaims.size());
+        ClaimResult result = new ClaimResult.Claimed();
+        if (mOracle.mRecordOwners.containsKey(claim.key())) {
+            result = new ClaimResult.AlreadyClaimed(mOracle.mRecords.get(claim.key()));
+        } else {
+            mOracle.mRecordOwners.put(claim.key(), claim.call());
+            mOracle.mRecords.put(claim.key(), RecordState.DISPATCHED);
+        }
+        mPending.add(
+                new RoutingEvent.DispatchRecorded(
+                        claim.call(),
+                        unavailable ? new ClaimResult.Unavailable("lost reply") : result));
+    }
+
+    /** Lets an endpoint act on one of its attempts, cancelled ones included. */
+    void act(int index, int action) {
+        List<FuzzOracle.Attempt> live = mOracle.mAttempts.stream().filter(a -> !a.mEnded).toList();
+        if (live.isEmpty()) {
+            return;
+        }
+        FuzzOracle.Attempt attempt = live.get(index % live.size());
+        switch (action) {
+            case 0, 1 -> refuse(attempt, action == 1);
+            case 2 -> begin(attempt);
+            case 3 -> fail(attempt, false);
+            case 4 -> fail(attempt, true);
+            default -> complete(attempt);
+        }
+    }
+
+    private void refuse(FuzzOracle.Attempt attempt, boolean draining) {
+        if (!attempt.mRan) {
+            end(attempt, new AttemptOutcome.NotRun("busy", draining));
+        }
+    }
+
+    private void begin(FuzzOracle.Attempt attempt) {
+        attempt.run();
+        attempt.mBegan = true;
+        mPending.add(new RoutingEvent.ResponseBegan(attempt.mId));
+    }
+
+    private void fail(FuzzOracle.Attempt attempt, boolean afterWork) {
+        if (afterWork) {
+            attempt.run();
+        }
+        end(attempt, new AttemptOutcome.Failed("broken connection", attempt.mBegan));
+    }
+
+    private void complete(FuzzOracle.Attempt attempt) {
+        attempt.run();
+        attempt.mBegan = true;
+        end(attempt, new AttemptOutcome.Completed());
+    }
+
+    private void end(FuzzOracle.Attempt attempt, AttemptOutcome outcome) {
+        attempt.mEnded = true;
+        mPending.add(new RoutingEvent.AttemptFinished(attempt.mId, outcome));
+    }
+
+    /** Delivers any waiting event, so that events are late and out of order. */
+    void deliverPending(int index, boolean duplicate) {
+        if (mPending.isEmpty()) {
+            return;
+        }
+        int chosen = index % mPending.size();
+        deliver(duplicate ? mPending.get(chosen) : mPending.remove(chosen));
+    }
+
+    void timer(int millis) {
+        mNow = mNow.plusMillis(millis);
+        deliver(new RoutingEvent.TimerFired());
+    }
+
+    void pause(int seconds) {
+        mNow = mNow.plusSeconds(seconds);
+    }
+
+    void leave(int back) {
+        CallId id = new CallId(Math.max(1, mNextCall - 1 - back));
+        deliver(new RoutingEvent.CallerLeft(id));
+    }
+
+    void limits(int queue, int attempts, int budget) {
+        mOracle.mLimits = new RoutingLimits(queue, attempts, budget, Duration.ofMillis(300));
+        deliver(new RoutingEvent.LimitsChanged(mOracle.mLimits));
+    }
+
+    void authority(boolean mayDecide) {
+        mOracle.mMayDecide = mayDecide;
+        deliver(new RoutingEvent.AuthorityChanged(mayDecide));
+    }
+
+    void draining(int endpoint) {
+        EndpointId id = endpoint(endpoint);
+        mOracle.mDraining.add(id);
+        deliver(new RoutingEvent.EndpointDraining(id));
+    }
+
+    void fleetHints(int target, int millis) {
+        Target hinted = TARGETS.get(target % TARGETS.size());
+        deliver(new RoutingEvent.ReadinessEstimated(hinted, mNow.plusMillis(millis)));
+        deliver(new RoutingEvent.EndpointLoadSeen(endpoint(target), millis % 5, mNow));
+    }
+
+    /** Replaces the table by one that the seed determines. */
+    void table(long seed) {
+        Random random = new Random(seed);
+        Map<Target, List<Replica>> replicas = new HashMap<>();
+        Set<Target> known = new HashSet<>(TARGETS);
+        for (Target target : TARGETS) {
+            List<Replica> list = new ArrayList<>();
+            for (int i = 0; i < ENDPOINTS; i++) {
+                if (random.nextInt(3) == 0) {
+                    boolean ready = random.nextInt(5) > 0;
+                    ReplicaState state = ready ? ReplicaState.READY : ReplicaState.DRAINING;
+                    list.add(new Replica(endpoint(i), state, 1 + random.nextInt(3)));
+                }
+            }
+            replicas.put(target, list);
+            if (random.nextInt(8) == 0) {
+                known.remove(target);
+            }
+        }
+        change(new RoutingTable(replicas, known));
+    }
+
+    private void change(RoutingTable table) {
+        mOracle.mTable = table;
+        forgetWakesOfReadyModels();
+        deliver(new RoutingEvent.TableChanged(table));
+    }
+
+    private void forgetWakesOfReadyModels() {
+        mOracle.mWakes.keySet().removeIf(m -> mOracle.hasServing(new Target.ModelTarget(m)));
+    }
+
+    private void deliver(RoutingEvent event) {
+        noteTruth(event);
+        for (RoutingDecision decision : mDecider.decide(event, mNow)) {
+            mOracle.check(decision, mNow);
+            if (decision instanceof RoutingDecision.RecordDispatch claim) {
+                mClaims.add(claim);
+            }
+        }
+        if (event instanceof RoutingEvent.CallerLeft left) {
+            FuzzOracle.Call call = mOracle.mCalls.get(left.call());
+            if (call != null) {
+                call.mOpen = false;
+            }
+        }
+        if (event instanceof RoutingEvent.TimerFired) {
+            mOracle.checkAfterTimer(mNow);
+        }
+    }
+
+    private void noteTruth(RoutingEvent event) {
+        if (event instanceof RoutingEvent.DispatchRecorded recorded) {
+            FuzzOracle.Call call = mOracle.mCalls.get(recorded.call());
+            call.mClaimDelivered |= call.mOpen && recorded.result() instanceof ClaimResult.Claimed;
+        }
+        for (FuzzOracle.Attempt attempt : mOracle.mAttempts) {
+            if (!attempt.mOpenForRouting) {
+                continue;
+            }
+            if (event instanceof RoutingEvent.ResponseBegan began
+                    && began.attempt().equals(attempt.mId)) {
+                attempt.mCall.mBytesPassedOn = true;
+            }
+            if (event instanceof RoutingEvent.AttemptFinished finished
+                    && finished.attempt().equals(attempt.mId)) {
+                noteEnd(attempt, finished.outcome());
+            }
+        }
+    }
+
+    private void noteEnd(FuzzOracle.Attempt attempt, AttemptOutcome outcome) {
+        attempt.mOpenForRouting = false;
+        attempt.mCall.mBytesPassedOn |= attempt.mBegan;
+        if (outcome instanceof AttemptOutcome.Completed) {
+            return;
+        }
+        mOracle.mLastTrouble.put(attempt.mEndpoint, mNow);
+        if (outcome instanceof AttemptOutcome.NotRun notRun) {
+            attempt.mProvedNotRun = true;
+            if (notRun.endpointDraining()) {
+                mOracle.mDraining.add(attempt.mEndpoint);
+            }
+        }
+    }
+
+    /** Ends all work and checks that every call has ended and that no state is left. */
+    void finish() {
+        for (FuzzOracle.Attempt attempt : mOracle.mAttempts) {
+            if (!attempt.mEnded) {
+                complete(attempt);
+            }
+        }
+        while (!mPending.isEmpty()) {
+            deliverPending(0, false);
+        }
+        pause(3600);
+        timer(1);
+        for (FuzzOracle.Attempt attempt : mOracle.mAttempts) {
+            FuzzOracle.check(!attempt.mOpenForRouting, "attempt without an end: " + attempt.mId);
+        }
+        for (FuzzOracle.Call call : mOracle.mCalls.values()) {
+            FuzzOracle.check(!call.mOpen, "call without an end: " + call.mRequest.id());
+        }
+        change(RoutingTable.EMPTY);
+        pause(3600);
+        timer(1);
+        RoutingSnapshot snapshot = mDecider.snapshot(mNow);
+        boolean empty =
+                snapshot.openCalls() == 0
+                        && snapshot.targets().isEmpty()
+                        && snapshot.endpoints().isEmpty();
+        FuzzOracle.check(empty, "state is left: " + snapshot);
+    }
+
+    private static EndpointId endpoint(int index) {
+        return new EndpointId("e" + index % ENDPOINTS);
+    }
+}
