Decide placement: merge wakes, admit loads, drain and unload, survive takeovers

Adds the decider of one cell with its parts: the slot table that charges replicas and memory, the plan writer that resolves lost replies, adoption of a former holder's slots, admission against the weight store, choice of runner, eviction, keep-alive policies and answers to wakes.

--- a/core/src/main/java/org/oleanderspring/core/placement/UnreadyReason.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/UnreadyReason.java
@@ -9,7 +9,5 @@
     /** No runner has or can free enough memory. */
     NO_MEMORY,
     /** No runner of the cell takes new work, or all are backed off after failed loads. */
-    NO_RUNNER,
-    /** The load would be ready only after the last deadline of the waiting calls. */
-    TOO_LATE
+    NO_RUNNER
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/ArrivalHistory.java
@@ -0,0 +1,144 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * When a model or adapter was used: how long it was idle between uses, and in which quarter hours
+ * of the last days it was used.
+ */
+public final class ArrivalHistory {
+    /** Two buckets for each doubling of the gap, from one second to about 24 days. */
+    static final int GAP_BUCKETS = 42;
+
+    /** The quarter hours of a day. */
+    static final int QUARTERS = 96;
+
+    /** The days kept in the daily pattern. */
+    static final int DAYS = 14;
+
+    private static final Duration QUARTER = Duration.ofMinutes(15);
+    private static final long SECONDS_PER_DAY = Duration.ofDays(1).toSeconds();
+
+    /** Gaps below this belong to one use, since reports of use arrive about once a second. */
+    private static final Duration SHORTEST_GAP = Duration.ofSeconds(5);
+
+    /** Counts are halved at this total, so that old habits fade. */
+    private static final int TOTAL_LIMIT = 256;
+
+    private final int[] mGaps = new int[GAP_BUCKETS];
+    private final short[] mDaysByQuarter = new short[QUARTERS];
+    private int mTotal;
+    private long mFirstDay = -1;
+    private long mDay = -1;
+
+    /**
+     * Notes a use after idle time.
+     *
+     * @param lastUse when the model was last used
+     * @param now when it is used again
+     */
+    public void noteGap(Instant lastUse, Instant now) {
+        Duration gap = Duration.between(lastUse, now);
+        if (gap.compareTo(SHORTEST_GAP) < 0) {
+            return;
+        }
+        mGaps[bucketOf(gap)]++;
+        mTotal++;
+        if (mTotal >= TOTAL_LIMIT) {
+            halve();
+        }
+    }
+
+    /**
+     * Notes a use, for the daily pattern.
+     *
+     * @param now when the model was used
+     */
+    public void noteDay(Instant now) {
+        turnDaysTo(dayOf(now));
+        mDaysByQuarter[quarterOf(now)] |= 1;
+    }
+
+    private void turnDaysTo(long day) {
+        if (mFirstDay < 0) {
+            mFirstDay = day;
+            mDay = day;
+        }
+        long shift = Math.min(day - mDay, DAYS);
+        if (shift <= 0) {
+            return;
+        }
+        int mask = (1 << DAYS) - 1;
+        for (int i = 0; i < QUARTERS; i++) {
+            mDaysByQuarter[i] = (short) ((mDaysByQuarter[i] << shift) & mask);
+        }
+        mDay = day;
+    }
+
+    private void halve() {
+        mTotal = 0;
+        for (int i = 0; i < GAP_BUCKETS; i++) {
+            mGaps[i] /= 2;
+            mTotal += mGaps[i];
+        }
+    }
+
+    /** Returns the number of gaps in a bucket. */
+    int gapsIn(int bucket) {
+        return mGaps[bucket];
+    }
+
+    /** Returns the number of gaps kept. */
+    int total() {
+        return mTotal;
+    }
+
+    /**
+     * Returns the number of complete days before the day of {@code now} that the pattern covers.
+     */
+    int daysObserved(Instant now) {
+        if (mFirstDay < 0) {
+            return 0;
+        }
+        return (int) Math.min(dayOf(now) - mFirstDay, DAYS - 1);
+    }
+
+    /**
+     * Returns on how many of the observed earlier days it was used in the quarter hour of {@code
+     * at}.
+     */
+    int daysWithUse(Instant at) {
+        long behind = dayOf(at) - mDay;
+        if (mDay < 0 || behind >= DAYS) {
+            return 0;
+        }
+        int bits = mDaysByQuarter[quarterOf(at)] & 0xffff;
+        int earlier = (int) (((long) bits << behind) & ((1 << DAYS) - 1)) >> 1;
+        return Integer.bitCount(earlier);
+    }
+
+    /** Returns the end of the quarter hour of a time. */
+    static Instant endOfQuarter(Instant at) {
+        long quarter = Math.floorDiv(at.getEpochSecond(), QUARTER.toSeconds());
+        return Instant.ofEpochSecond((quarter + 1) * QUARTER.toSeconds());
+    }
+
+    /** Returns the longest gap of a bucket. */
+    static Duration upperBound(int bucket) {
+        return Duration.ofMillis((long) (1000 * Math.pow(2, (bucket + 1) / 2.0)));
+    }
+
+    static int bucketOf(Duration gap) {
+        double doublings = Math.log(Math.max(1, gap.toMillis()) / 1000.0) / Math.log(2);
+        return Math.max(0, Math.min(GAP_BUCKETS - 1, (int) Math.floor(2 * doublings)));
+    }
+
+    private static long dayOf(Instant at) {
+        return Math.floorDiv(at.getEpochSecond(), SECONDS_PER_DAY);
+    }
+
+    private static int quarterOf(Instant at) {
+        return (int) (Math.floorMod(at.getEpochSecond(), SECONDS_PER_DAY) / QUARTER.toSeconds());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/FixedKeepAlivePolicy.java
@@ -0,0 +1,35 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Objects;
+import org.oleanderspring.core.placement.KeepAliveLimits;
+
+/** The same keep-alive for all models and no loading ahead; the baseline. */
+public final class FixedKeepAlivePolicy implements KeepAlivePolicy {
+    private final Duration mKeepAlive;
+
+    /**
+     * Creates the policy.
+     *
+     * @param keepAlive how long replicas stay loaded after their last use
+     */
+    public FixedKeepAlivePolicy(Duration keepAlive) {
+        mKeepAlive = Objects.requireNonNull(keepAlive, "keepAlive");
+    }
+
+    @Override
+    public Duration keepAlive(
+            ArrivalHistory history,
+            ArrivalHistory pool,
+            Duration coldStart,
+            KeepAliveLimits limits) {
+        return mKeepAlive;
+    }
+
+    @Override
+    public boolean expectsUse(
+            ArrivalHistory history, Instant now, Duration coldStart, KeepAliveLimits limits) {
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/ModelActivity.java
@@ -0,0 +1,67 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The use of one model or adapter over all daemons. */
+final class ModelActivity {
+    private final ArrivalHistory mHistory = new ArrivalHistory();
+    private final List<Instant> mLastNeeded = new ArrayList<>();
+    private int mInFlight;
+    private int mQueued;
+    private Instant mLastUse = Instant.MIN;
+
+    ArrivalHistory history() {
+        return mHistory;
+    }
+
+    /** Adds the difference between a daemon's new and old report. */
+    void add(int inFlight, int queued) {
+        mInFlight += inFlight;
+        mQueued += queued;
+    }
+
+    /** Returns the calls that run or wait. */
+    int demand() {
+        return mInFlight + mQueued;
+    }
+
+    /** Notes that the model is in use now. */
+    void touch(Instant now, ArrivalHistory pool) {
+        if (mLastUse.equals(Instant.MIN)) {
+            mHistory.noteDay(now);
+        } else if (now.isAfter(mLastUse)) {
+            noteUseAfter(mLastUse, now, pool);
+        }
+        mLastUse = now.isAfter(mLastUse) ? now : mLastUse;
+        noteNeeded(1, now);
+    }
+
+    private void noteUseAfter(Instant lastUse, Instant now, ArrivalHistory pool) {
+        mHistory.noteGap(lastUse, now);
+        pool.noteGap(lastUse, now);
+        mHistory.noteDay(now);
+    }
+
+    /** Returns when the model was last used; {@link Instant#MIN} if never. */
+    Instant lastUse() {
+        return mLastUse;
+    }
+
+    /** Notes that so many replicas are needed now. */
+    void noteNeeded(int replicas, Instant now) {
+        for (int i = 0; i < replicas; i++) {
+            if (i < mLastNeeded.size()) {
+                mLastNeeded.set(i, now);
+            } else {
+                mLastNeeded.add(now);
+            }
+        }
+    }
+
+    /** Returns when at least so many replicas were last needed. */
+    Instant lastNeeded(int replicas) {
+        return replicas <= mLastNeeded.size() ? mLastNeeded.get(replicas - 1) : Instant.MIN;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/OrderOutcomes.java
@@ -0,0 +1,113 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.placement.OrderId;
+import org.oleanderspring.core.placement.OrderSender;
+import org.oleanderspring.core.placement.Slot;
+
+/**
+ * Knows from when on the report of a runner shows the final effect of an order.
+ *
+ * <p>For an order of this term that is the end of its exchange with the runner. For an order of an
+ * earlier term it is the time from which its sender certainly sends nothing older: the sender
+ * acknowledged the new term, or its VM is gone. The settle time is added wherever the runner may
+ * have received the order without having answered.
+ */
+final class OrderOutcomes {
+    private final Map<OrderId, Instant> mExchangeEnded = new HashMap<>();
+    private final Map<MemberId, Instant> mAcknowledged = new HashMap<>();
+    private final Map<OrderSender, Instant> mSenderGone = new HashMap<>();
+
+    /** Starts over with a new term. */
+    void reset() {
+        mExchangeEnded.clear();
+        mAcknowledged.clear();
+        mSenderGone.clear();
+    }
+
+    /** Notes that reports made after {@code from} show the effect of an order. */
+    void exchangeEnded(OrderId order, Instant from) {
+        mExchangeEnded.put(order, from);
+    }
+
+    /** Notes that the order is not waited for any more. */
+    void forget(OrderId order) {
+        mExchangeEnded.remove(order);
+    }
+
+    /** Notes that a daemon sends no order of an earlier term. */
+    void acknowledged(MemberId member, Instant now) {
+        mAcknowledged.putIfAbsent(member, now);
+    }
+
+    /** Notes that the VM of a sender is gone. */
+    void senderGone(OrderSender sender, Instant now) {
+        mSenderGone.putIfAbsent(sender, now);
+    }
+
+    /** Returns whether a report shows the final effect of the slot's last order. */
+    boolean isDecidedBy(
+            RunnerReport report,
+            Slot slot,
+            @Nullable Endpoint runner,
+            FencingToken term,
+            Duration settle) {
+        if (report.endedOrders().contains(slot.order().id().value())) {
+            return true;
+        }
+        if (slot.state().isUnsettled() && rejectsEarlierTerms(report, runner, term)) {
+            return true;
+        }
+        Instant from = settledFrom(slot, settle);
+        return from != null && report.madeAt().isAfter(from);
+    }
+
+    private static boolean rejectsEarlierTerms(
+            RunnerReport report, @Nullable Endpoint runner, FencingToken term) {
+        return runner != null
+                && runner.checksFencingToken()
+                && report.highestToken().compareTo(term) >= 0;
+    }
+
+    private @Nullable Instant settledFrom(Slot slot, Duration settle) {
+        Instant ended = mExchangeEnded.get(slot.order().id());
+        if (ended != null || !slot.state().isUnsettled()) {
+            return ended;
+        }
+        Instant acknowledged = mAcknowledged.get(slot.order().sender().member());
+        Instant gone = mSenderGone.get(slot.order().sender());
+        Instant from = earlier(acknowledged, gone);
+        return from == null ? null : from.plus(settle);
+    }
+
+    private static @Nullable Instant earlier(@Nullable Instant a, @Nullable Instant b) {
+        if (a == null || b == null) {
+            return a == null ? b : a;
+        }
+        return a.isBefore(b) ? a : b;
+    }
+
+    /** Returns the senders of unsettled slots that did not acknowledge and are not gone. */
+    Set<MemberId> awaited(Iterable<Slot> slots) {
+        Set<MemberId> awaited = new HashSet<>();
+        for (Slot slot : slots) {
+            OrderSender sender = slot.order().sender();
+            if (slot.state().isUnsettled()
+                    && !mAcknowledged.containsKey(sender.member())
+                    && !mSenderGone.containsKey(sender)) {
+                awaited.add(sender.member());
+            }
+        }
+        return awaited;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/RoomFinder.java
@@ -0,0 +1,201 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.CheckpointLocation;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.fleet.LoadedCheckpoint;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.fleet.Vm;
+import org.oleanderspring.core.fleet.VmId;
+import org.oleanderspring.core.placement.Slot;
+import org.oleanderspring.core.placement.SlotKey;
+import org.oleanderspring.core.placement.SlotState;
+
+/**
+ * Finds runners with room for a load in one planning pass. Memory that a request waits for is
+ * claimed, so that a request of lower priority does not take it.
+ */
+final class RoomFinder {
+    /** A replica used this recently is not evicted, since reports of its use may be under way. */
+    private static final Duration EVICTION_IDLE = Duration.ofSeconds(3);
+
+    private final CellState mState;
+    private final PlacementPolicies mPolicies;
+    private final Map<VmId, Long> mClaims = new HashMap<>();
+
+    RoomFinder(CellState state, PlacementPolicies policies) {
+        mState = state;
+        mPolicies = policies;
+    }
+
+    /** Returns the preferred runner with free memory, among those that {@code filter} accepts. */
+    @Nullable RunnerCandidate find(
+            Checkpoint checkpoint, long megabytes, Predicate<RunnerCandidate> filter, Instant now) {
+        Comparator<RunnerCandidate> preference = mPolicies.runners().preference();
+        Map<FailureDomain, Integer> domains = replicasByDomain(checkpoint.name());
+        RunnerCandidate best = null;
+        for (Endpoint runner : mState.fleet().runners()) {
+            if (!isUsable(runner, checkpoint.name(), now)) {
+                continue;
+            }
+            RunnerCandidate candidate = candidate(runner, checkpoint.name(), domains);
+            boolean fits = candidate.freeMegabytes() >= megabytes && filter.test(candidate);
+            if (fits && (best == null || preference.compare(candidate, best) < 0)) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    /** Returns whether any runner takes loads of the name. */
+    boolean hasRunner(ModelName name, Predicate<Endpoint> filter, Instant now) {
+        for (Endpoint runner : mState.fleet().runners()) {
+            if (filter.test(runner) && isUsable(runner, name, now)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isUsable(Endpoint runner, ModelName name, Instant now) {
+        SlotKey key = new SlotKey(runner.id(), name);
+        RunnerReport report = mState.fleet().reportOf(runner.id());
+        return report != null
+                && mState.fleet().takesLoads(runner, now)
+                && mState.slots().get(key) == null
+                && FleetState.loaded(report, name) == null
+                && !mState.backOff().isPaused(key, now);
+    }
+
+    private RunnerCandidate candidate(
+            Endpoint runner, ModelName name, Map<FailureDomain, Integer> domains) {
+        RunnerReport report = mState.fleet().reportOf(runner.id());
+        Vm vm = mState.fleet().vm(runner.vm());
+        CheckpointLocation location =
+                report == null ? CheckpointLocation.REMOTE : report.locationOf(name);
+        int inDomain = vm == null ? 0 : domains.getOrDefault(vm.failureDomain(), 0);
+        return new RunnerCandidate(runner, location, freeMegabytes(runner), inDomain);
+    }
+
+    private Map<FailureDomain, Integer> replicasByDomain(ModelName name) {
+        Map<FailureDomain, Integer> domains = new HashMap<>();
+        for (Slot slot : mState.slots().named(name)) {
+            Vm vm = mState.fleet().vm(slot.vm());
+            if (vm != null) {
+                domains.merge(vm.failureDomain(), 1, Integer::sum);
+            }
+        }
+        return domains;
+    }
+
+    private long freeMegabytes(Endpoint runner) {
+        return mState.freeMegabytes(runner) - mClaims.getOrDefault(runner.vm(), 0L);
+    }
+
+    /** Reserves memory of a VM for a request that waits. */
+    void claim(Endpoint runner, long megabytes) {
+        mClaims.merge(runner.vm(), megabytes, Long::sum);
+    }
+
+    /**
+     * Claims memory that draining slots will free, or drains idle slots for it.
+     *
+     * @return whether memory will become free
+     */
+    boolean makeRoom(
+            ModelName name,
+            long megabytes,
+            Predicate<Endpoint> filter,
+            boolean mayEvict,
+            Instant now) {
+        List<IdleSlot> best = List.of();
+        Endpoint bestRunner = null;
+        for (Endpoint runner : mState.fleet().runners()) {
+            if (!filter.test(runner) || !isUsable(runner, name, now)) {
+                continue;
+            }
+            long missing = megabytes - freeMegabytes(runner) - pendingMegabytes(runner.vm());
+            if (missing <= 0) {
+                claim(runner, megabytes);
+                return true;
+            }
+            List<IdleSlot> idle = mayEvict ? idleOn(runner, name, now) : List.of();
+            List<IdleSlot> chosen = mPolicies.eviction().choose(idle, missing);
+            if (!chosen.isEmpty() && (best.isEmpty() || latestUse(chosen) < latestUse(best))) {
+                best = chosen;
+                bestRunner = runner;
+            }
+        }
+        if (bestRunner == null) {
+            return false;
+        }
+        best.forEach(idle -> mState.drain(idle.slot(), now));
+        claim(bestRunner, megabytes);
+        return true;
+    }
+
+    private static long latestUse(List<IdleSlot> slots) {
+        return slots.stream().mapToLong(idle -> idle.lastUse().getEpochSecond()).max().orElse(0);
+    }
+
+    private long pendingMegabytes(VmId vm) {
+        long pending = 0;
+        Vm listed = mState.fleet().vm(vm);
+        if (listed == null) {
+            return 0;
+        }
+        for (Endpoint runner : listed.endpoints()) {
+            for (Slot slot : mState.slots().on(runner.id())) {
+                if (slot.state() == SlotState.DRAINING || slot.state() == SlotState.UNLOADING) {
+                    pending += slot.memoryMegabytes();
+                }
+            }
+        }
+        return pending;
+    }
+
+    private List<IdleSlot> idleOn(Endpoint runner, ModelName wanted, Instant now) {
+        List<IdleSlot> idle = new ArrayList<>();
+        Checkpoint checkpoint = mState.checkpoint(wanted);
+        ModelName base = checkpoint == null ? null : checkpoint.base();
+        for (Slot slot : mState.slots().on(runner.id())) {
+            Instant lastUse = lastUse(slot);
+            boolean isOld = lastUse.plus(EVICTION_IDLE).isBefore(now);
+            if (isOld && !slot.key().name().equals(base) && isEvictable(slot)) {
+                idle.add(new IdleSlot(slot, lastUse));
+            }
+        }
+        return idle;
+    }
+
+    private Instant lastUse(Slot slot) {
+        ModelActivity activity = mState.use().of(slot.key().name());
+        Instant used = activity == null ? Instant.MIN : activity.lastUse();
+        return used.isAfter(slot.since()) ? used : slot.since();
+    }
+
+    private boolean isEvictable(Slot slot) {
+        ModelName name = slot.key().name();
+        RunnerReport report = mState.fleet().reportOf(slot.key().runner());
+        LoadedCheckpoint loaded = report == null ? null : FleetState.loaded(report, name);
+        int ready = mState.slots().countOf(name, ReplicaDemand.SERVING);
+        return slot.state() == SlotState.READY
+                && loaded != null
+                && loaded.activeCalls() == 0
+                && mState.use().demand(name) == 0
+                && !mState.wakes().contains(name)
+                && ready > mState.limits().of(name).minimumReplicas()
+                && !AdapterSlots.hasAny(mState.slots(), slot);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/SlotProgress.java
@@ -0,0 +1,159 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.CheckpointLocation;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.LoadState;
+import org.oleanderspring.core.fleet.LoadedCheckpoint;
+import org.oleanderspring.core.fleet.RunnerReport;
+import org.oleanderspring.core.placement.Slot;
+import org.oleanderspring.core.placement.SlotKey;
+import org.oleanderspring.core.placement.SlotReason;
+import org.oleanderspring.core.placement.SlotState;
+
+/**
+ * Moves slots on by what runners report.
+ *
+ * <p>Only a report made after the slot entered its state counts, since an earlier one may show the
+ * same runner and name from before. A slot is released only by a report that shows it absent and
+ * that is known to show the final effect of the slot's last order (see {@link OrderOutcomes}). A
+ * slot that was seen loaded needs no more than absence: nothing but its own unload can have removed
+ * it.
+ */
+final class SlotProgress {
+    private final CellState mState;
+
+    SlotProgress(CellState state) {
+        mState = state;
+    }
+
+    /** Takes in a report. */
+    void apply(RunnerReport report, Instant now) {
+        for (Slot slot : List.copyOf(mState.slots().on(report.runner()))) {
+            if (report.madeAt().isAfter(slot.since())) {
+                apply(report, slot, now);
+            }
+        }
+        report.loaded().forEach(loaded -> adoptUnknown(report, loaded, now));
+    }
+
+    private void apply(RunnerReport report, Slot slot, Instant now) {
+        LoadedCheckpoint loaded = FleetState.loaded(report, slot.key().name());
+        if (loaded == null) {
+            applyAbsent(report, slot, now);
+        } else {
+            applyLoaded(report, slot, loaded, now);
+        }
+    }
+
+    private void applyAbsent(RunnerReport report, Slot slot, Instant now) {
+        switch (slot.state()) {
+            case LOADING -> releaseFailedLoad(report, slot, now);
+            case UNSETTLED_LOAD -> {
+                if (isDecided(report, slot)) {
+                    mState.release(slot, now);
+                }
+            }
+            case READY, DRAINING, UNLOADING, UNSETTLED_UNLOAD -> mState.release(slot, now);
+            default -> {
+                // A reserved slot is absent until its load is ordered.
+            }
+        }
+    }
+
+    private void releaseFailedLoad(RunnerReport report, Slot slot, Instant now) {
+        if (isDecided(report, slot)) {
+            mState.backOff().failed(slot.key(), now);
+            mState.release(slot, now);
+        }
+    }
+
+    private void applyLoaded(RunnerReport report, Slot slot, LoadedCheckpoint loaded, Instant now) {
+        switch (slot.state()) {
+            case LOADING, UNSETTLED_LOAD -> applyLoading(report, slot, loaded, now);
+            case READY -> {
+                if (loaded.activeCalls() > 0) {
+                    mState.use().touch(slot.key().name(), now);
+                }
+            }
+            case UNLOADING, UNSETTLED_UNLOAD -> applyUnloading(report, slot, loaded, now);
+            default -> {
+                // Draining slots are unloaded by UnloadPlanner; reserved ones have no order yet.
+            }
+        }
+    }
+
+    private void applyLoading(
+            RunnerReport report, Slot slot, LoadedCheckpoint loaded, Instant now) {
+        mState.outcomes().exchangeEnded(slot.order().id(), report.madeAt());
+        if (loaded.state() == LoadState.READY) {
+            if (slot.state() == SlotState.LOADING) {
+                Duration time = Duration.between(slot.since(), report.madeAt());
+                mState.loadTimes().measured(slot.checkpoint(), slot.source(), time);
+            }
+            mState.backOff().succeeded(slot.key());
+            mState.put(slot.withState(SlotState.READY, now));
+        } else if (slot.state() == SlotState.UNSETTLED_LOAD) {
+            mState.put(slot.withState(SlotState.LOADING, now));
+        }
+    }
+
+    private void applyUnloading(
+            RunnerReport report, Slot slot, LoadedCheckpoint loaded, Instant now) {
+        boolean isUnchanged = loaded.state() != LoadState.UNLOADING;
+        if (isUnchanged && isDecided(report, slot)) {
+            mState.backOff().failed(slot.key(), now);
+            mState.put(slot.withState(SlotState.DRAINING, now));
+        }
+    }
+
+    private boolean isDecided(RunnerReport report, Slot slot) {
+        Endpoint runner = mState.fleet().runner(report.runner());
+        Duration settle = mState.limits().orderSettle();
+        return mState.outcomes().isDecidedBy(report, slot, runner, mState.term(), settle);
+    }
+
+    /** Charges a checkpoint that the plan does not know, and has it unloaded. */
+    private void adoptUnknown(RunnerReport report, LoadedCheckpoint loaded, Instant now) {
+        SlotKey key = new SlotKey(report.runner(), loaded.name());
+        Endpoint runner = mState.fleet().runner(report.runner());
+        Checkpoint listed = mState.checkpoint(loaded.name());
+        Instant released = mState.releasedAt(key).plus(mState.limits().orderSettle());
+        boolean isKnown = mState.slots().get(key) != null;
+        if (isKnown || runner == null || listed == null || !report.madeAt().isAfter(released)) {
+            return;
+        }
+        mState.put(found(key, listed, loaded, runner, now));
+    }
+
+    private Slot found(
+            SlotKey key, Checkpoint listed, LoadedCheckpoint loaded, Endpoint runner, Instant now) {
+        Checkpoint checkpoint =
+                new Checkpoint(
+                        listed.name(), listed.base(), loaded.version(), listed.memoryMegabytes());
+        return new Slot(
+                key,
+                checkpoint,
+                runner.vm(),
+                SlotState.DRAINING,
+                now,
+                mState.newOrder(),
+                CheckpointLocation.MEMORY,
+                SlotReason.FOUND);
+    }
+
+    /** Releases the slots of runners that are gone for good. */
+    void releaseGone(Instant now) {
+        Duration lag = mState.limits().vmListLag();
+        for (Slot slot : mState.slots().all()) {
+            if (mState.fleet().isRunnerGone(slot.key().runner(), lag)) {
+                mState.release(slot, now);
+            } else if (mState.fleet().isVmGone(slot.order().sender().vm(), lag)) {
+                mState.outcomes().senderGone(slot.order().sender(), now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/Takeover.java
@@ -0,0 +1,53 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.Slot;
+import org.oleanderspring.core.placement.SlotKey;
+import org.oleanderspring.core.placement.SlotState;
+
+/** Turns the slots of a former holder's plan into slots of a new term. */
+final class Takeover {
+    private Takeover() {}
+
+    /**
+     * Returns the slots that the first plan of a new term has.
+     *
+     * @param plan the plan found, or null if there is none
+     * @param own the slots that this daemon had written itself; not empty only when the store came
+     *     back with an older plan
+     * @param now the start of the new term
+     */
+    static List<Slot> adopt(@Nullable Plan plan, Collection<Slot> own, Instant now) {
+        TreeMap<SlotKey, Slot> slots = new TreeMap<>();
+        own.forEach(slot -> slots.put(slot.key(), slot));
+        if (plan != null) {
+            plan.slots().forEach(slot -> slots.merge(slot.key(), slot, Takeover::lessCertain));
+        }
+        List<Slot> adopted = new ArrayList<>();
+        for (Slot slot : slots.values()) {
+            // No load order of a reserved slot can have been sent, so its charge can go.
+            if (slot.state() != SlotState.RESERVED) {
+                adopted.add(adopt(slot, now));
+            }
+        }
+        return adopted;
+    }
+
+    private static Slot lessCertain(Slot a, Slot b) {
+        return a.state() == SlotState.READY ? b : a;
+    }
+
+    private static Slot adopt(Slot slot, Instant now) {
+        return switch (slot.state()) {
+            case LOADING -> slot.withState(SlotState.UNSETTLED_LOAD, now);
+            case UNLOADING -> slot.withState(SlotState.UNSETTLED_UNLOAD, now);
+            default -> slot.withState(slot.state(), now);
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/UseBook.java
@@ -0,0 +1,88 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.placement.ModelUse;
+
+/** The use of all models, from the reports of all daemons. */
+final class UseBook {
+    /** A daemon that did not report for this long has no calls any more. */
+    private static final Duration SILENCE_LIMIT = Duration.ofSeconds(15);
+
+    private final Map<MemberId, DaemonUse> mDaemons = new HashMap<>();
+    private final TreeMap<ModelName, ModelActivity> mModels = new TreeMap<>();
+    private final ArrivalHistory mPool = new ArrivalHistory();
+
+    /** Replaces what a daemon reported before. */
+    void report(MemberId daemon, List<ModelUse> uses, Instant now) {
+        forget(daemon);
+        mDaemons.put(daemon, new DaemonUse(now, uses));
+        for (ModelUse use : uses) {
+            ModelActivity activity = activity(use.name());
+            activity.add(use.inFlight(), use.queued());
+            if (use.inFlight() + use.queued() + use.arrived() > 0) {
+                activity.touch(now, mPool);
+            }
+        }
+    }
+
+    /** Notes that a model is wanted now. */
+    void touch(ModelName name, Instant now) {
+        activity(name).touch(now, mPool);
+    }
+
+    /** Forgets the calls of daemons that fell silent. */
+    void dropSilent(Instant now) {
+        List<MemberId> silent = new ArrayList<>();
+        mDaemons.forEach(
+                (daemon, use) -> {
+                    if (use.at().plus(SILENCE_LIMIT).isBefore(now)) {
+                        silent.add(daemon);
+                    }
+                });
+        silent.forEach(this::forget);
+    }
+
+    private void forget(MemberId daemon) {
+        DaemonUse old = mDaemons.remove(daemon);
+        if (old == null) {
+            return;
+        }
+        old.uses().forEach(use -> activity(use.name()).add(-use.inFlight(), -use.queued()));
+    }
+
+    private ModelActivity activity(ModelName name) {
+        return mModels.computeIfAbsent(name, key -> new ModelActivity());
+    }
+
+    /** Returns the activity of a model, or null if it was never used. */
+    @Nullable ModelActivity of(ModelName name) {
+        return mModels.get(name);
+    }
+
+    /** Returns the calls that run or wait for a model. */
+    int demand(ModelName name) {
+        ModelActivity activity = mModels.get(name);
+        return activity == null ? 0 : activity.demand();
+    }
+
+    /** Returns all models that were ever used. */
+    Map<ModelName, ModelActivity> models() {
+        return mModels;
+    }
+
+    /** Returns the gaps of all models together. */
+    ArrivalHistory pool() {
+        return mPool;
+    }
+
+    private record DaemonUse(Instant at, List<ModelUse> uses) {}
+}
