Add leases on one service lease per daemon

Cells need an owner that is replaced soon after it dies. The lease decider creates a key per lease by compare-and-swap, bound to one service lease that a daemon renews with one write per third of its time to live. It counts from when a request was sent, gives a lease up a safety margin before it ends, and settles lost replies by the mark in the value.

--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseCandidacy.java
@@ -0,0 +1,20 @@
+package org.oleanderspring.coordination.lease;
+
+import java.util.Objects;
+
+/**
+ * A lease that a daemon competes for.
+ *
+ * @param name the lease
+ * @param rank the daemon's place among the candidates, 0 for the preferred one; a higher rank waits
+ *     longer before it takes a free lease
+ */
+public record LeaseCandidacy(LeaseName name, int rank) {
+    /** Checks the range of the rank. */
+    public LeaseCandidacy {
+        Objects.requireNonNull(name, "name");
+        if (rank < 0) {
+            throw new IllegalArgumentException("rank is negative: " + rank);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseLossReason.java
@@ -0,0 +1,11 @@
+package org.oleanderspring.coordination.lease;
+
+/** Why a lease is no longer held. */
+public enum LeaseLossReason {
+    /** The time to live, less the safety margin, passed without a renewal. */
+    EXPIRED,
+    /** The key-value service no longer knows the service lease. */
+    LAPSED,
+    /** The daemon gave the lease up. */
+    RELEASED
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMark.java
@@ -0,0 +1,26 @@
+package org.oleanderspring.coordination.lease;
+
+import java.util.Objects;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+
+/**
+ * The content of a lease's key: who wrote it and whether the writer holds or frees the lease.
+ *
+ * @param writer the daemon run that wrote the key
+ * @param serviceLease the service lease that the key is bound to; {@link StoreLeaseId#NONE} if the
+ *     writer freed the lease
+ * @param writeNumber the writer's number of this write
+ */
+public record LeaseMark(MemberId writer, StoreLeaseId serviceLease, long writeNumber) {
+    /** Checks for missing parts. */
+    public LeaseMark {
+        Objects.requireNonNull(writer, "writer");
+        Objects.requireNonNull(serviceLease, "serviceLease");
+    }
+
+    /** Returns whether the writer gave the lease up. */
+    public boolean isFree() {
+        return serviceLease.equals(StoreLeaseId.NONE);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMarkCodec.java
@@ -0,0 +1,54 @@
+package org.oleanderspring.coordination.lease;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.Optional;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+
+/**
+ * The encoding of a lease's key: format version, service lease, write number and writer, separated
+ * by single spaces. The writer comes last because it may contain spaces.
+ */
+public final class LeaseMarkCodec {
+    private static final String FORMAT_VERSION = "1";
+    private static final int FIELDS = 4;
+
+    private LeaseMarkCodec() {}
+
+    /**
+     * Encodes a mark.
+     *
+     * @param mark the mark
+     */
+    public static byte[] encode(LeaseMark mark) {
+        String text =
+                String.join(
+                        " ",
+                        FORMAT_VERSION,
+                        Long.toString(mark.serviceLease().value()),
+                        Long.toString(mark.writeNumber()),
+                        mark.writer().value());
+        return text.getBytes(UTF_8);
+    }
+
+    /**
+     * Decodes a mark.
+     *
+     * @param bytes the content of the key
+     * @return the mark, or empty if the content has another format
+     */
+    public static Optional<LeaseMark> decode(byte[] bytes) {
+        String[] fields = new String(bytes, UTF_8).split(" ", FIELDS);
+        if (fields.length != FIELDS || !fields[0].equals(FORMAT_VERSION) || fields[3].isBlank()) {
+            return Optional.empty();
+        }
+        try {
+            StoreLeaseId serviceLease = new StoreLeaseId(Long.parseLong(fields[1]));
+            long writeNumber = Long.parseLong(fields[2]);
+            return Optional.of(new LeaseMark(new MemberId(fields[3]), serviceLease, writeNumber));
+        } catch (NumberFormatException malformed) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseName.java
@@ -0,0 +1,28 @@
+package org.oleanderspring.coordination.lease;
+
+import java.util.Objects;
+
+/**
+ * The name of what a lease gives ownership of, for example a cell.
+ *
+ * @param value the name
+ */
+public record LeaseName(String value) implements Comparable<LeaseName> {
+    /** Checks that the name is not blank. */
+    public LeaseName {
+        Objects.requireNonNull(value, "value");
+        if (value.isBlank()) {
+            throw new IllegalArgumentException("lease name is blank");
+        }
+    }
+
+    @Override
+    public int compareTo(LeaseName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
@@ -0,0 +1,54 @@
+package org.oleanderspring.coordination.lease.command;
+
+import java.util.List;
+import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.store.StoreOperationId;
+import org.oleanderspring.coordination.store.command.LeaseResult;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/** Something that the leases of a daemon have to react to. */
+public sealed interface LeaseEvent {
+    /**
+     * The leases to compete for changed. A held lease that is missing from the list is released.
+     *
+     * @param candidacies all leases to compete for
+     */
+    record CompetitionChanged(List<LeaseCandidacy> candidacies) implements LeaseEvent {
+        /** Copies the list. */
+        public CompetitionChanged {
+            candidacies = List.copyOf(candidacies);
+        }
+    }
+
+    /**
+     * A grant, renewal or revocation was replied to.
+     *
+     * @param operation the operation
+     * @param result its result
+     */
+    record ServiceLeaseReplied(StoreOperationId operation, LeaseResult result)
+            implements LeaseEvent {}
+
+    /**
+     * A write of a lease's key was replied to.
+     *
+     * @param operation the operation
+     * @param result its result
+     */
+    record KeyWriteReplied(StoreOperationId operation, WriteResult result) implements LeaseEvent {}
+
+    /**
+     * A read of a lease's key was replied to.
+     *
+     * @param operation the operation
+     * @param result its result
+     */
+    record KeyReadReplied(StoreOperationId operation, ReadResult result) implements LeaseEvent {}
+
+    /** The daemon stops; all leases are handed over. */
+    record StopRequested() implements LeaseEvent {}
+
+    /** Time has passed. */
+    record TimerFired() implements LeaseEvent {}
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseQueries.java
@@ -0,0 +1,24 @@
+package org.oleanderspring.coordination.lease.query;
+
+import java.time.Instant;
+import java.util.List;
+import org.oleanderspring.coordination.lease.LeaseName;
+
+/** Reads the leases of one daemon; to be called on the thread that owns them. */
+public interface LeaseQueries {
+    /**
+     * Returns whether a lease is held now. A lease whose time has passed is not held, even if no
+     * event was handled since.
+     *
+     * @param name the lease
+     * @param now the current time
+     */
+    boolean holds(LeaseName name, Instant now);
+
+    /**
+     * Returns all leases that the daemon competes for, ordered by name.
+     *
+     * @param now the current time
+     */
+    List<LeaseStatus> leases(Instant now);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseStatus.java
@@ -0,0 +1,18 @@
+package org.oleanderspring.coordination.lease.query;
+
+import java.util.Objects;
+import org.oleanderspring.coordination.lease.LeaseName;
+
+/**
+ * The state of one lease as its daemon sees it.
+ *
+ * @param name the lease
+ * @param rank the daemon's rank among the candidates
+ * @param held whether the daemon holds the lease
+ */
+public record LeaseStatus(LeaseName name, int rank, boolean held) {
+    /** Checks for missing parts. */
+    public LeaseStatus {
+        Objects.requireNonNull(name, "name");
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/StoreOperationId.java
@@ -0,0 +1,13 @@
+package org.oleanderspring.coordination.store;
+
+/**
+ * Connects an operation on the key-value service with its reply.
+ *
+ * @param value the number, unique within one decider
+ */
+public record StoreOperationId(long value) {
+    @Override
+    public String toString() {
+        return Long.toString(value);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/fake/FaultyLink.java
@@ -0,0 +1,79 @@
+package org.oleanderspring.coordination.fake;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * The way to the key-value service: it can be down, slow, lose requests, lose replies after the
+ * request took effect, and deliver requests long after the sender gave up on them.
+ */
+public final class FaultyLink {
+    private static final Duration GIVE_UP = Duration.ofMillis(400);
+    private static final int LATEST_DELIVERY_MILLIS = 3_000;
+    private static final int SLOW_MILLIS = 900;
+
+    private final VirtualTime mTime;
+    private final Random mRandom;
+    private boolean mDown;
+    private boolean mFaulty;
+
+    public FaultyLink(VirtualTime time, long seed) {
+        mTime = time;
+        mRandom = new Random(seed);
+    }
+
+    public void setDown(boolean down) {
+        mDown = down;
+    }
+
+    public void setFaulty(boolean faulty) {
+        mFaulty = faulty;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param effect what the service does
+     * @param unavailable the result if the request certainly had no effect
+     * @param unknown the result if it may have had one
+     * @param reply takes the result, if any
+     */
+    public <R> void send(Supplier<R> effect, R unavailable, R unknown, Consumer<R> reply) {
+        if (mDown) {
+            mTime.after(millis(1, 20), () -> reply.accept(unavailable));
+            return;
+        }
+        int fault = mFaulty ? mRandom.nextInt(100) : 100;
+        if (fault < 10) {
+            mTime.after(GIVE_UP, () -> reply.accept(unknown));
+        } else if (fault < 20) {
+            mTime.after(millis(1, 50), effect::get);
+            mTime.after(GIVE_UP, () -> reply.accept(unknown));
+        } else if (fault < 30) {
+            mTime.after(millis(1, LATEST_DELIVERY_MILLIS), effect::get);
+            mTime.after(GIVE_UP, () -> reply.accept(unknown));
+        } else if (fault < 35) {
+            mTime.after(millis(1, LATEST_DELIVERY_MILLIS), effect::get);
+        } else if (fault < 45) {
+            deliver(effect, reply, SLOW_MILLIS);
+        } else {
+            deliver(effect, reply, 2);
+        }
+    }
+
+    private <R> void deliver(Supplier<R> effect, Consumer<R> reply, int highestMillis) {
+        Duration back = millis(1, highestMillis);
+        mTime.after(
+                millis(1, highestMillis),
+                () -> {
+                    R result = effect.get();
+                    mTime.after(back, () -> reply.accept(result));
+                });
+    }
+
+    private Duration millis(int lowest, int highest) {
+        return Duration.ofMillis(mRandom.nextInt(lowest, highest + 1));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
@@ -0,0 +1,250 @@
+package org.oleanderspring.coordination.lease;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tuple;
+import org.oleanderspring.coordination.fake.FakeKeyValueService;
+import org.oleanderspring.coordination.fake.FaultyLink;
+import org.oleanderspring.coordination.fake.PausableInbox;
+import org.oleanderspring.coordination.fake.VirtualTime;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoreOperationId;
+import org.oleanderspring.coordination.store.command.LeaseResult;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/** Several daemons compete for leases through a key-value service with faults. */
+class LeaseFuzz {
+    enum StepKind {
+        ADVANCE,
+        PAUSE,
+        RESUME,
+        CRASH,
+        STOP,
+        WITHDRAW,
+        COMPETE,
+        FAULTS,
+        OUTAGE,
+        CALM
+    }
+
+    record Step(StepKind kind, int first, int second) {}
+
+    private static final int DAEMONS = 3;
+    private static final List<LeaseName> NAMES = List.of(new LeaseName("a"), new LeaseName("b"));
+    private static final LeaseSettings SETTINGS = LeaseSettings.DEFAULT;
+    private static final Duration TICK = Duration.ofMillis(50);
+
+    /**
+     * After the faults: one time to live until keys of lost daemons are gone, the longest time
+     * between two reads (1.25 times to live), all rank delays, and three operations that time out.
+     */
+    private static final Duration TAKEOVER_BOUND =
+            SETTINGS.timeToLive()
+                    .plus(SETTINGS.timeToLive().multipliedBy(5).dividedBy(4))
+                    .plus(SETTINGS.rankDelay().multipliedBy(DAEMONS))
+                    .plus(SETTINGS.operationTimeout().multipliedBy(3));
+
+    /** Guards against two holders at a time, and against a lease that nobody takes over. */
+    @Property(seed = "8320", tries = 400, shrinking = ShrinkingMode.BOUNDED)
+    void oneHolderAtATimeAndOneInTheEnd(@ForAll("steps") List<Step> steps, @ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        steps.forEach(simulation::run);
+        simulation.healAndCheck();
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<StepKind> kind =
+                Arbitraries.frequency(
+                        Tuple.of(30, StepKind.ADVANCE),
+                        Tuple.of(6, StepKind.PAUSE),
+                        Tuple.of(6, StepKind.RESUME),
+                        Tuple.of(2, StepKind.CRASH),
+                        Tuple.of(2, StepKind.STOP),
+                        Tuple.of(4, StepKind.WITHDRAW),
+                        Tuple.of(6, StepKind.COMPETE),
+                        Tuple.of(4, StepKind.FAULTS),
+                        Tuple.of(2, StepKind.OUTAGE),
+                        Tuple.of(4, StepKind.CALM));
+        Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
+        return Combinators.combine(kind, number, number)
+                .as(Step::new)
+                .list()
+                .ofMinSize(10)
+                .ofMaxSize(80);
+    }
+
+    private static final class Simulation {
+        private final VirtualTime mTime = new VirtualTime();
+        private final FakeKeyValueService mService = new FakeKeyValueService(mTime);
+        private final FaultyLink mLink;
+        private final long mSeed;
+        private final List<Daemon> mDaemons = new ArrayList<>();
+        private int mNextDaemon;
+
+        Simulation(long seed) {
+            mSeed = seed;
+            mLink = new FaultyLink(mTime, seed);
+            for (int index = 0; index < DAEMONS; index++) {
+                mDaemons.add(new Daemon(index));
+            }
+            mTime.every(TICK, this::tick);
+        }
+
+        private void run(Step step) {
+            int index = step.first() % DAEMONS;
+            Daemon daemon = mDaemons.get(index);
+            LeaseName name = NAMES.get(step.second() % NAMES.size());
+            switch (step.kind()) {
+                case ADVANCE -> mTime.advance(Duration.ofMillis(step.second() * 5L));
+                case PAUSE -> daemon.mInbox.pause();
+                case RESUME -> daemon.mInbox.resume();
+                case CRASH -> {
+                    daemon.mInbox.crash();
+                    mDaemons.set(index, new Daemon(index));
+                }
+                case STOP -> {
+                    daemon.mInbox.offer(new LeaseEvent.StopRequested());
+                    mDaemons.set(index, new Daemon(index));
+                }
+                case WITHDRAW -> daemon.compete(name, false);
+                case COMPETE -> daemon.compete(name, true);
+                case FAULTS -> mLink.setFaulty(true);
+                case OUTAGE -> mLink.setDown(true);
+                case CALM -> calm();
+                default -> throw new IllegalStateException("unknown step " + step);
+            }
+        }
+
+        private void calm() {
+            mLink.setDown(false);
+            mLink.setFaulty(false);
+        }
+
+        private void healAndCheck() {
+            calm();
+            for (Daemon daemon : mDaemons) {
+                daemon.mInbox.resume();
+                NAMES.forEach(name -> daemon.compete(name, true));
+            }
+            mTime.advance(TAKEOVER_BOUND);
+            for (LeaseName name : NAMES) {
+                check(holders(name) == 1, "nobody holds " + name + " after the faults ended");
+            }
+        }
+
+        private void tick() {
+            mDaemons.forEach(daemon -> daemon.mInbox.offer(new LeaseEvent.TimerFired()));
+            for (LeaseName name : NAMES) {
+                check(holders(name) <= 1, "two daemons hold " + name);
+            }
+        }
+
+        /** Counts the running daemons whose last word about the lease was that they hold it. */
+        private long holders(LeaseName name) {
+            return mDaemons.stream()
+                    .filter(daemon -> daemon.mInbox.isRunning() && daemon.mHeld.contains(name))
+                    .count();
+        }
+
+        private static void check(boolean holds, String message) {
+            if (!holds) {
+                throw new AssertionError(message);
+            }
+        }
+
+        /** One daemon run. */
+        private final class Daemon {
+            private final int mRank;
+            private final DefaultLeaseDecider mDecider;
+            private final PausableInbox<LeaseEvent> mInbox = new PausableInbox<>(this::handle);
+            private final Set<LeaseName> mWanted = new TreeSet<>();
+            private final Set<LeaseName> mHeld = new TreeSet<>();
+
+            Daemon(int rank) {
+                mRank = rank;
+                int number = mNextDaemon++;
+                mDecider =
+                        new DefaultLeaseDecider(
+                                new MemberId("d" + number),
+                                name -> new StoreKey("/cells/" + name + "/lease"),
+                                SETTINGS,
+                                new Random(mSeed + number));
+            }
+
+            private void compete(LeaseName name, boolean wanted) {
+                if (wanted ? mWanted.add(name) : mWanted.remove(name)) {
+                    mInbox.offer(
+                            new LeaseEvent.CompetitionChanged(
+                                    mWanted.stream()
+                                            .map(each -> new LeaseCandidacy(each, mRank))
+                                            .toList()));
+                }
+            }
+
+            private void handle(LeaseEvent event) {
+                mDecider.decide(event, mTime.now()).forEach(this::execute);
+            }
+
+            private void execute(LeaseDecision decision) {
+                if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
+                    check(mHeld.add(acquired.name()), "acquired twice: " + acquired.name());
+                } else if (decision instanceof LeaseDecision.LeaseLost lost) {
+                    check(mHeld.remove(lost.name()), "lost without holding: " + lost.name());
+                } else if (decision instanceof LeaseDecision.WriteKey write) {
+                    mLink.<WriteResult>send(
+                            () -> mService.write(write.command()),
+                            new WriteResult.Unavailable("down"),
+                            new WriteResult.Unknown("no reply"),
+                            result ->
+                                    mInbox.offer(
+                                            new LeaseEvent.KeyWriteReplied(
+                                                    write.operation(), result)));
+                } else if (decision instanceof LeaseDecision.ReadKey read) {
+                    mLink.<ReadResult>send(
+                            () -> mService.read(read.key()),
+                            new ReadResult.Unavailable("down"),
+                            new ReadResult.Unavailable("no reply"),
+                            result ->
+                                    mInbox.offer(
+                                            new LeaseEvent.KeyReadReplied(
+                                                    read.operation(), result)));
+                } else if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+                    send(grant.operation(), () -> mService.grant(grant.timeToLive()));
+                } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+                    send(renew.operation(), () -> mService.renew(renew.lease()));
+                } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
+                    send(revoke.operation(), () -> mService.revoke(revoke.lease()));
+                }
+            }
+
+            private void send(
+                    StoreOperationId operation, java.util.function.Supplier<LeaseResult> effect) {
+                LeaseResult unavailable = new LeaseResult.Unavailable("no reply");
+                mLink.send(
+                        effect,
+                        unavailable,
+                        unavailable,
+                        result ->
+                                mInbox.offer(
+                                        new LeaseEvent.ServiceLeaseReplied(operation, result)));
+            }
+        }
+    }
+}
