--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
@@ -11,7 +11,6 @@
 import org.oleanderspring.coordination.document.command.DefaultDocumentDecider;
 import org.oleanderspring.coordination.document.command.DocumentDecision;
 import org.oleanderspring.coordination.document.command.DocumentEvent;
-import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
@@ -24,6 +23,7 @@
 import org.oleanderspring.daemon.codec.PlanCodec;
 import org.oleanderspring.daemon.codec.SettingsCodec;
 import org.oleanderspring.daemon.codec.SettingsDocument;
+import org.oleanderspring.daemon.document.query.DocumentStatus;
 import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.StoreKeys;
@@ -42,6 +42,7 @@
     private final MonotonicClock mClock;
     private final EventSink<DocumentInput> mOwnRing;
     private final SettingsDesk mDesk = new SettingsDesk();
+    private final PeerNumbers mPeerNumbers = new PeerNumbers();
     private final Set<DocumentName> mTracked = new HashSet<>();
 
     /**
@@ -75,6 +76,7 @@
     @Override
     public void handle(DocumentInput input) {
         if (input instanceof DocumentInput.Event event) {
+            mPeerNumbers.learn(event.event());
             decide(event.event());
         } else if (input instanceof DocumentInput.CellsListed listed) {
             listed.cells().forEach(this::track);
@@ -88,9 +90,18 @@
             mDesk.take(sent).ifPresent(this::decide);
         } else if (input instanceof DocumentInput.SettingsAsked asked) {
             asked.reply().complete(mDesk.inForce());
+        } else if (input instanceof DocumentInput.StatusAsked asked) {
+            asked.reply().complete(status());
         }
     }
 
+    private DocumentStatus status() {
+        return new DocumentStatus(
+                mDesk.inForce().settings().number(),
+                mDecider.authorityEnd(mClock.now()),
+                mPeerNumbers.numbers());
+    }
+
     private void track(CellName cell) {
         DocumentName name = StoreKeys.plan(cell);
         if (mTracked.add(name)) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentInput.java
@@ -9,6 +9,7 @@
 import org.oleanderspring.core.placement.Plan;
 import org.oleanderspring.core.settings.command.SettingsDraft;
 import org.oleanderspring.daemon.codec.SettingsDocument;
+import org.oleanderspring.daemon.document.query.DocumentStatus;
 import org.oleanderspring.daemon.operator.SettingsReply;
 
 /** What the ring of the document duty holds. */
@@ -64,4 +65,11 @@
      * @param reply receives them
      */
     record SettingsAsked(CompletableFuture<SettingsDocument> reply) implements DocumentInput {}
+
+    /**
+     * Somebody asks which settings are in force here and at other daemons.
+     *
+     * @param reply receives the status
+     */
+    record StatusAsked(CompletableFuture<DocumentStatus> reply) implements DocumentInput {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/PeerNumbers.java
@@ -0,0 +1,45 @@
+package org.oleanderspring.daemon.document.command;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.oleanderspring.coordination.document.DocumentDigest;
+import org.oleanderspring.coordination.document.DocumentVersion;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.daemon.process.StoreKeys;
+
+/** The settings numbers that other daemons reported last, for the status. */
+final class PeerNumbers {
+    /** Bounds the memory; the status of a larger fleet shows the members heard of last. */
+    private static final int LIMIT = 2_048;
+
+    private final Map<Address, Long> mNumbers =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Address, Long> eldest) {
+                    return size() > LIMIT;
+                }
+            };
+
+    void learn(DocumentEvent event) {
+        if (event instanceof DocumentEvent.PeerContacted contacted) {
+            learn(contacted.peer(), contacted.digest());
+        } else if (event instanceof DocumentEvent.DigestReceived received) {
+            learn(received.peer(), received.digest());
+        }
+    }
+
+    Map<Address, Long> numbers() {
+        return Map.copyOf(mNumbers);
+    }
+
+    private void learn(Address peer, DocumentDigest digest) {
+        for (DocumentVersion version : digest.versions()) {
+            if (version.name().equals(StoreKeys.SETTINGS)) {
+                mNumbers.put(peer, version.number());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/Daemon.java
@@ -0,0 +1,182 @@
+package org.oleanderspring.daemon.process.command;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberState;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.daemon.front.command.CallHandler;
+import org.oleanderspring.daemon.front.command.HttpListener;
+import org.oleanderspring.daemon.front.query.EntriesHandler;
+import org.oleanderspring.daemon.front.query.ModelsHandler;
+import org.oleanderspring.daemon.front.query.UnknownPathHandler;
+import org.oleanderspring.daemon.operator.command.SettingsApplyHandler;
+import org.oleanderspring.daemon.operator.query.MetricsHandler;
+import org.oleanderspring.daemon.operator.query.SettingsCheckHandler;
+import org.oleanderspring.daemon.operator.query.SettingsShowHandler;
+import org.oleanderspring.daemon.operator.query.StatusHandler;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.ProcessSettings;
+import org.oleanderspring.daemon.routing.command.RoutingIntake;
+import org.oleanderspring.daemon.wiring.command.RingSettings;
+import org.oleanderspring.daemon.wiring.command.Rings;
+import org.oleanderspring.daemon.wiring.query.RingQueries;
+import org.oleanderspring.daemon.wiring.query.StatusCollector;
+import org.oleanderspring.duty.query.RingUsage;
+
+/** One daemon: its duties, ports and adapters. */
+public final class Daemon {
+    private static final Logger LOGGER = System.getLogger(Daemon.class.getName());
+
+    private final ProcessSettings mSettings;
+    private final MonotonicClock mClock;
+    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final Rings mRings = new Rings();
+    private final RingQueries mQueries = new RingQueries(mRings);
+    private final HttpListener mCallers;
+    private final HttpListener mOperators;
+    private @Nullable Connections mConnections;
+
+    /**
+     * Creates a daemon; nothing is opened yet.
+     *
+     * @param settings the checked settings
+     * @param clock the clock
+     */
+    public Daemon(ProcessSettings settings, MonotonicClock clock) {
+        mSettings = settings;
+        mClock = clock;
+        mCallers = callerListener();
+        mOperators = operatorListener();
+        registerGauges();
+    }
+
+    /**
+     * Opens the ports and starts the duties.
+     *
+     * @return null, or why the daemon could not be started
+     */
+    public @Nullable String start() {
+        try {
+            mConnections = Connections.open(mSettings, mRings, mMetrics, mClock);
+        } catch (Exception unavailable) {
+            return unavailable(mSettings.peerAddress(), unavailable);
+        }
+        String failure = open(mOperators, mSettings.operatorAddress());
+        if (failure == null) {
+            failure = open(mCallers, mSettings.callerAddress());
+        }
+        if (failure == null) {
+            LOGGER.log(
+                    Level.INFO,
+                    "[daemon] {0} serves callers at {1} and operators at {2}.",
+                    mSettings.id(),
+                    mSettings.callerAddress(),
+                    mSettings.operatorAddress());
+        }
+        return failure;
+    }
+
+    /** Closes everything at once; for a start that failed. */
+    public void abort() {
+        close();
+    }
+
+    /** Stops the daemon without cutting off a request in progress. */
+    public void stop() {
+        new GracefulStop(mRings, mQueries, mSettings.stopLimit()).run();
+        close();
+        LOGGER.log(Level.INFO, "[daemon] {0} has stopped.", mSettings.id());
+    }
+
+    private void close() {
+        closeQuietly(mCallers);
+        closeQuietly(mOperators);
+        mRings.close();
+        if (mConnections != null) {
+            closeQuietly(mConnections);
+        }
+    }
+
+    private static void closeQuietly(AutoCloseable part) {
+        try {
+            part.close();
+        } catch (Exception failure) {
+            LOGGER.log(Level.WARNING, "[daemon] A part could not be closed.", failure);
+        }
+    }
+
+    private HttpListener callerListener() {
+        return new HttpListener(
+                "callers",
+                mSettings.callerAddress(),
+                List.of(
+                        new CallHandler(
+                                mSettings.id(),
+                                new RoutingIntake(mRings),
+                                mSettings.bodyLimitBytes(),
+                                mClock),
+                        new EntriesHandler(mQueries::directory),
+                        new ModelsHandler(mQueries::models),
+                        new UnknownPathHandler()));
+    }
+
+    private HttpListener operatorListener() {
+        StatusCollector status = new StatusCollector(mSettings.id(), mRings, mClock);
+        return new HttpListener(
+                "operators",
+                mSettings.operatorAddress(),
+                List.of(
+                        new SettingsApplyHandler(new RingSettings(mRings)),
+                        new SettingsCheckHandler(mQueries),
+                        new SettingsShowHandler(mQueries),
+                        new StatusHandler(status::collect),
+                        new MetricsHandler(mMetrics),
+                        new UnknownPathHandler()));
+    }
+
+    private static @Nullable String open(HttpListener listener, Address address) {
+        try {
+            listener.start();
+            return null;
+        } catch (Exception unavailable) {
+            return unavailable(address, unavailable);
+        }
+    }
+
+    private static String unavailable(Address address, Exception cause) {
+        return ErrorMessage.PORT_UNAVAILABLE.format(
+                address.toString(), String.valueOf(cause.getMessage()));
+    }
+
+    private void registerGauges() {
+        register("routing", mRings.routingThread());
+        register("placement", mRings.placementThread());
+        register("lease", mRings.leaseThread());
+        register("document", mRings.documentThread());
+        register("membership", mRings.membershipThread());
+        register("dispatch", mRings.dispatchThread());
+        register("report", mRings.reportThread());
+    }
+
+    private void register(String duty, RingUsage ring) {
+        mMetrics.registerGauge("ring." + duty + ".used", (Gauge<Long>) ring::used);
+        mMetrics.registerGauge("ring." + duty + ".rejected", (Gauge<Long>) ring::rejectedOffers);
+    }
+
+    /** Returns this daemon as others see it. */
+    static Member describe(ProcessSettings settings) {
+        return new Member(
+                settings.id(),
+                settings.peerAddress(),
+                settings.callerAddress(),
+                settings.failureDomain().name(),
+                0,
+                MemberState.ALIVE);
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingIntake.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingIntake.java
@@ -4,7 +4,9 @@
 import org.oleanderspring.core.routing.command.RoutingEvent;
 import org.oleanderspring.daemon.front.IncomingCall;
 import org.oleanderspring.daemon.front.command.CallIntake;
+import org.oleanderspring.daemon.wiring.command.Rings;
 import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.duty.command.OfferResult;
 
 /**
@@ -15,14 +17,16 @@
  */
 public final class RoutingIntake implements CallIntake {
     private final DutyThread<RoutingInput> mRing;
+    private final EventSink<RoutingInput> mReliableRing;
 
     /**
      * Creates the intake.
      *
-     * @param ring the ring of the routing duty
+     * @param rings the rings of the duties
      */
-    public RoutingIntake(DutyThread<RoutingInput> ring) {
-        mRing = ring;
+    public RoutingIntake(Rings rings) {
+        mRing = rings.routingThread();
+        mReliableRing = rings.routing();
     }
 
     @Override
@@ -35,6 +39,6 @@
 
     @Override
     public void callerLeft(CallId call) {
-        mRing.offer(new RoutingInput.Event(new RoutingEvent.CallerLeft(call)));
+        mReliableRing.offer(new RoutingInput.Event(new RoutingEvent.CallerLeft(call)));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DocumentFanOut.java
@@ -0,0 +1,53 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.oleanderspring.coordination.document.query.DigestSnapshot;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.settings.FleetSettings;
+import org.oleanderspring.core.settings.SettingName;
+import org.oleanderspring.daemon.dispatch.command.DispatchInput;
+import org.oleanderspring.daemon.document.command.DocumentListener;
+import org.oleanderspring.daemon.membership.command.MembershipInput;
+import org.oleanderspring.daemon.placement.command.PlacementInput;
+import org.oleanderspring.daemon.routing.command.RoutingInput;
+
+/** Tells the other duties which documents are in force. */
+public final class DocumentFanOut implements DocumentListener {
+    private final Rings mRings;
+
+    /**
+     * Creates the fan-out.
+     *
+     * @param rings the rings of the duties
+     */
+    public DocumentFanOut(Rings rings) {
+        mRings = rings;
+    }
+
+    @Override
+    public void settingsInForce(FleetSettings settings) {
+        mRings.routing().offer(new RoutingInput.SettingsInForce(settings));
+        mRings.placement().offer(new PlacementInput.SettingsInForce(settings));
+        mRings.dispatch().offer(new DispatchInput.SettingsInForce(settings));
+        Duration keep = Duration.ofSeconds(settings.value(SettingName.DIRECTORY_KEEP));
+        mRings.membership().offer(new MembershipInput.DirectoryKeepChanged(keep));
+    }
+
+    @Override
+    public void planInForce(Plan plan) {
+        mRings.routing().offer(new RoutingInput.PlanInForce(plan));
+        mRings.placement().offer(new PlacementInput.PlanInForce(plan));
+    }
+
+    @Override
+    public void authorityUntil(Instant until) {
+        mRings.routing().offer(new RoutingInput.AuthorityUntil(until));
+        mRings.placement().offer(new PlacementInput.AuthorityUntil(until));
+    }
+
+    @Override
+    public void digestPublished(DigestSnapshot snapshot) {
+        mRings.membership().offer(new MembershipInput.DigestPublished(snapshot));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
@@ -0,0 +1,250 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.SplittableRandom;
+import org.oleanderspring.coordination.dispatch.DispatchKeyLayout;
+import org.oleanderspring.coordination.dispatch.DispatchLimits;
+import org.oleanderspring.coordination.dispatch.DispatchSettings;
+import org.oleanderspring.coordination.dispatch.command.DefaultDispatchDecider;
+import org.oleanderspring.coordination.document.DocumentDigest;
+import org.oleanderspring.coordination.document.DocumentOptions;
+import org.oleanderspring.coordination.document.command.DefaultDocumentDecider;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.lease.LeaseSettings;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MembershipOptions;
+import org.oleanderspring.coordination.membership.command.DefaultMembershipDecider;
+import org.oleanderspring.coordination.membership.command.MembershipEvent;
+import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
+import org.oleanderspring.core.routing.command.LeastLoadedSelector;
+import org.oleanderspring.core.routing.command.RefuseByEstimatePolicy;
+import org.oleanderspring.core.routing.command.SafeRetryPolicy;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.dispatch.command.DispatchDuty;
+import org.oleanderspring.daemon.dispatch.command.DispatchInput;
+import org.oleanderspring.daemon.document.command.DocumentDuty;
+import org.oleanderspring.daemon.document.command.DocumentInput;
+import org.oleanderspring.daemon.lease.command.LeaseDuty;
+import org.oleanderspring.daemon.lease.command.LeaseInput;
+import org.oleanderspring.daemon.membership.command.DigestHolder;
+import org.oleanderspring.daemon.membership.command.MembershipDuty;
+import org.oleanderspring.daemon.membership.command.MembershipInput;
+import org.oleanderspring.daemon.peering.command.PeerCommands;
+import org.oleanderspring.daemon.placement.command.PlacementDuty;
+import org.oleanderspring.daemon.placement.command.PlacementInput;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.PlatformPorts;
+import org.oleanderspring.daemon.process.StoreKeys;
+import org.oleanderspring.daemon.report.command.ReportDuty;
+import org.oleanderspring.daemon.report.command.ReportInput;
+import org.oleanderspring.daemon.routing.command.RoutingDuty;
+import org.oleanderspring.daemon.routing.command.RoutingInput;
+import org.oleanderspring.daemon.routing.command.RoutingMeters;
+
+/** Starts the duties of a daemon on their rings, and their ticks. */
+public final class DutyStarter {
+    private static final Duration ROUTING_TICK = Duration.ofMillis(20);
+    private static final Duration COORDINATION_TICK = Duration.ofMillis(50);
+    private static final Duration PLACEMENT_TICK = Duration.ofMillis(100);
+    private static final Duration REPORT_TICK = Duration.ofMillis(250);
+    private static final Duration USE_PERIOD = Duration.ofSeconds(1);
+
+    private final Member mSelf;
+    private final Rings mRings;
+    private final PlatformPorts mPorts;
+    private final PeerCommands mPeers;
+    private final MetricRegistry mMetrics;
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates the starter.
+     *
+     * @param self this daemon
+     * @param rings the rings
+     * @param ports the platform
+     * @param peers sends messages to other daemons
+     * @param metrics the metrics
+     * @param clock the clock
+     */
+    public DutyStarter(
+            Member self,
+            Rings rings,
+            PlatformPorts ports,
+            PeerCommands peers,
+            MetricRegistry metrics,
+            MonotonicClock clock) {
+        mSelf = self;
+        mRings = rings;
+        mPorts = ports;
+        mPeers = peers;
+        mMetrics = metrics;
+        mClock = clock;
+    }
+
+    /**
+     * Starts all duties.
+     *
+     * @param encoder encodes digests
+     * @param decoder decodes digests
+     * @param random seeds the generators of the deciders
+     */
+    public void start(
+            DigestHolder.DigestEncoder encoder,
+            Function<byte[], Optional<DocumentDigest>> decoder,
+            SplittableRandom random) {
+        startRouting();
+        startDispatch();
+        startPlacement();
+        startDocument(random);
+        startLease(random);
+        startMembership(encoder, decoder, random);
+        startReport();
+    }
+
+    private void startRouting() {
+        RoutingDuty duty =
+                new RoutingDuty(
+                        mSelf.id(),
+                        new DefaultRoutingDecider(
+                                new LeastLoadedSelector(),
+                                new RefuseByEstimatePolicy(),
+                                new SafeRetryPolicy()),
+                        mPorts.endpoints(),
+                        new RingClaims(mRings),
+                        (model, deadline, waiting) ->
+                                mRings.placement()
+                                        .offer(
+                                                new PlacementInput.WakeHere(
+                                                        model, deadline, waiting)),
+                        uses -> mRings.placement().offer(new PlacementInput.UseHere(uses)),
+                        new RoutingMeters(mMetrics),
+                        mClock,
+                        mRings.routing());
+        mRings.routingThread().start(duty);
+        mRings.timer()
+                .every(
+                        ROUTING_TICK,
+                        mRings.routingThread(),
+                        () -> new RoutingInput.Event(new RoutingEvent.TimerFired()));
+        mRings.timer().every(USE_PERIOD, mRings.routingThread(), RoutingInput.UseDue::new);
+    }
+
+    private void startDispatch() {
+        DispatchLimits limits = DispatchLimits.DEFAULT;
+        DispatchDuty duty =
+                new DispatchDuty(
+                        mSelf.id(),
+                        new DefaultDispatchDecider(
+                                mSelf.id(),
+                                new DispatchKeyLayout(StoreKeys.dispatch()),
+                                limits,
+                                DispatchSettings.DEFAULT),
+                        limits,
+                        mPorts.storeCommands(),
+                        mPorts.storeQueries(),
+                        mPeers,
+                        (call, result) ->
+                                mRings.routing()
+                                        .offer(
+                                                new RoutingInput.Event(
+                                                        new RoutingEvent.DispatchRecorded(
+                                                                call, result))),
+                        mClock,
+                        mRings.dispatch());
+        mRings.dispatchThread().start(duty);
+        mRings.timer().every(ROUTING_TICK, mRings.dispatchThread(), DispatchInput.Tick::new);
+    }
+
+    private void startPlacement() {
+        PlacementDuty duty =
+                new PlacementDuty(
+                        mSelf.id(),
+                        mSelf.peerAddress(),
+                        mPorts.storeCommands(),
+                        mPorts.storeQueries(),
+                        mPorts.runnerCommands(),
+                        mPeers,
+                        new PlacementFanOut(mRings),
+                        mClock,
+                        mRings.placement());
+        mRings.placementThread().start(duty);
+        mRings.timer().every(PLACEMENT_TICK, mRings.placementThread(), PlacementInput.Tick::new);
+    }
+
+    private void startDocument(SplittableRandom random) {
+        DocumentDuty duty =
+                new DocumentDuty(
+                        new DefaultDocumentDecider(
+                                mSelf, DocumentOptions.usual(StoreKeys.SETTINGS), random.split()),
+                        mPorts.storeCommands(),
+                        mPorts.storeQueries(),
+                        mPeers,
+                        new DocumentFanOut(mRings),
+                        mClock,
+                        mRings.document());
+        mRings.documentThread().start(duty);
+        mRings.timer()
+                .every(
+                        COORDINATION_TICK,
+                        mRings.documentThread(),
+                        () -> new DocumentInput.Event(new DocumentEvent.TimerFired()));
+    }
+
+    private void startLease(SplittableRandom random) {
+        LeaseDuty duty =
+                new LeaseDuty(
+                        mSelf.id(),
+                        new DefaultLeaseDecider(
+                                mSelf.id(), StoreKeys::lease, LeaseSettings.DEFAULT, random.split()),
+                        mPorts.storeCommands(),
+                        mPorts.storeQueries(),
+                        new LeaseFanOut(mRings),
+                        mClock,
+                        mRings.lease());
+        mRings.leaseThread().start(duty);
+        mRings.timer()
+                .every(
+                        COORDINATION_TICK,
+                        mRings.leaseThread(),
+                        () -> new LeaseInput.Event(new LeaseEvent.TimerFired()));
+    }
+
+    private void startMembership(
+            DigestHolder.DigestEncoder encoder,
+            Function<byte[], Optional<DocumentDigest>> decoder,
+            SplittableRandom random) {
+        DigestHolder digests = new DigestHolder(encoder);
+        MembershipDuty duty =
+                new MembershipDuty(
+                        new DefaultMembershipDecider(
+                                mSelf, MembershipOptions.usual(), digests, random.split(), mClock.now()),
+                        digests,
+                        mPeers,
+                        new MembershipFanOut(mRings, decoder),
+                        mClock);
+        mRings.membershipThread().start(duty);
+        mRings.timer()
+                .every(
+                        COORDINATION_TICK,
+                        mRings.membershipThread(),
+                        () -> new MembershipInput.Event(new MembershipEvent.TimerFired()));
+    }
+
+    private void startReport() {
+        ReportDuty duty =
+                new ReportDuty(
+                        mPorts.vmList(),
+                        mPorts.weightStore(),
+                        mPorts.runnerQueries(),
+                        new ReportFanOut(mRings),
+                        mClock,
+                        mRings.report());
+        mRings.reportThread().start(duty);
+        mRings.timer().every(REPORT_TICK, mRings.reportThread(), ReportInput.Tick::new);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/LeaseFanOut.java
@@ -0,0 +1,37 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import java.util.Set;
+import java.util.TreeSet;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.daemon.lease.command.LeaseListener;
+import org.oleanderspring.daemon.placement.command.PlacementInput;
+import org.oleanderspring.daemon.report.command.ReportInput;
+
+/** Tells the other duties which cells this daemon holds. */
+public final class LeaseFanOut implements LeaseListener {
+    private final Rings mRings;
+    private final Set<CellName> mHeld = new TreeSet<>();
+
+    /**
+     * Creates the fan-out.
+     *
+     * @param rings the rings of the duties
+     */
+    public LeaseFanOut(Rings rings) {
+        mRings = rings;
+    }
+
+    @Override
+    public void acquired(CellName cell) {
+        mHeld.add(cell);
+        mRings.placement().offer(new PlacementInput.LeaseAcquired(cell));
+        mRings.report().offer(new ReportInput.CellsHeld(mHeld));
+    }
+
+    @Override
+    public void lost(CellName cell) {
+        mHeld.remove(cell);
+        mRings.placement().offer(new PlacementInput.LeaseLost(cell));
+        mRings.report().offer(new ReportInput.CellsHeld(mHeld));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/RingClaims.java
@@ -0,0 +1,45 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import java.time.Instant;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.RecordState;
+import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.dispatch.command.DispatchInput;
+import org.oleanderspring.daemon.routing.command.ClaimCommands;
+import org.oleanderspring.daemon.routing.command.RoutingInput;
+import org.oleanderspring.duty.command.OfferResult;
+
+/** Hands claims of the routing duty to the dispatch duty. */
+public final class RingClaims implements ClaimCommands {
+    private final Rings mRings;
+
+    /**
+     * Creates the hand-over.
+     *
+     * @param rings the rings of the duties
+     */
+    public RingClaims(Rings rings) {
+        mRings = rings;
+    }
+
+    @Override
+    public void claim(CallId call, IdempotencyKey key, Instant deadline) {
+        OfferResult result =
+                mRings.dispatchThread().offer(new DispatchInput.ClaimHere(call, key, deadline));
+        if (result != OfferResult.ACCEPTED) {
+            mRings.routing()
+                    .offer(
+                            new RoutingInput.Event(
+                                    new RoutingEvent.DispatchRecorded(
+                                            call,
+                                            new ClaimResult.Unavailable("too many claims wait"))));
+        }
+    }
+
+    @Override
+    public void recordOutcome(IdempotencyKey key, RecordState state) {
+        mRings.dispatch().offer(new DispatchInput.OutcomeKnown(key, state));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/RingSettings.java
@@ -0,0 +1,33 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.settings.command.SettingsDraft;
+import org.oleanderspring.daemon.document.command.DocumentInput;
+import org.oleanderspring.daemon.operator.SettingsReply;
+import org.oleanderspring.daemon.operator.command.SettingsCommands;
+import org.oleanderspring.duty.command.OfferResult;
+
+/** Hands settings of operators to the document duty. */
+public final class RingSettings implements SettingsCommands {
+    private final Rings mRings;
+
+    /**
+     * Creates the hand-over.
+     *
+     * @param rings the rings of the duties
+     */
+    public RingSettings(Rings rings) {
+        mRings = rings;
+    }
+
+    @Override
+    public CompletableFuture<SettingsReply> apply(SettingsDraft draft) {
+        CompletableFuture<SettingsReply> reply = new CompletableFuture<>();
+        OfferResult result =
+                mRings.documentThread().offer(new DocumentInput.DraftSent(draft, true, reply));
+        if (result != OfferResult.ACCEPTED) {
+            reply.completeExceptionally(new IllegalStateException("the ring is full"));
+        }
+        return reply;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/Rings.java
@@ -0,0 +1,123 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import org.oleanderspring.daemon.dispatch.command.DispatchInput;
+import org.oleanderspring.daemon.document.command.DocumentInput;
+import org.oleanderspring.daemon.lease.command.LeaseInput;
+import org.oleanderspring.daemon.membership.command.MembershipInput;
+import org.oleanderspring.daemon.placement.command.PlacementInput;
+import org.oleanderspring.daemon.report.command.ReportInput;
+import org.oleanderspring.daemon.routing.command.RoutingInput;
+import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.DutyTimer;
+import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.duty.command.RetryingSink;
+
+/** The bounded rings of all duties of one daemon. */
+public final class Rings implements AutoCloseable {
+    private static final int ROUTING_PLACES = 16_384;
+    private static final int DISPATCH_PLACES = 8_192;
+    private static final int OTHER_PLACES = 4_096;
+
+    private final DutyTimer mTimer = new DutyTimer();
+    private final DutyThread<RoutingInput> mRouting = new DutyThread<>("routing", ROUTING_PLACES);
+    private final DutyThread<PlacementInput> mPlacement =
+            new DutyThread<>("placement", OTHER_PLACES);
+    private final DutyThread<LeaseInput> mLease = new DutyThread<>("lease", OTHER_PLACES);
+    private final DutyThread<DocumentInput> mDocument =
+            new DutyThread<>("document", OTHER_PLACES);
+    private final DutyThread<MembershipInput> mMembership =
+            new DutyThread<>("membership", OTHER_PLACES);
+    private final DutyThread<DispatchInput> mDispatch =
+            new DutyThread<>("dispatch", DISPATCH_PLACES);
+    private final DutyThread<ReportInput> mReport = new DutyThread<>("report", OTHER_PLACES);
+
+    /** Creates the rings; the duties are started by {@link DutyStarter}. */
+    public Rings() {}
+
+    /** Returns the timer duty. */
+    public DutyTimer timer() {
+        return mTimer;
+    }
+
+    /** Returns the thread of the routing duty. */
+    public DutyThread<RoutingInput> routingThread() {
+        return mRouting;
+    }
+
+    /** Returns the thread of the placement duty. */
+    public DutyThread<PlacementInput> placementThread() {
+        return mPlacement;
+    }
+
+    /** Returns the thread of the lease duty. */
+    public DutyThread<LeaseInput> leaseThread() {
+        return mLease;
+    }
+
+    /** Returns the thread of the document duty. */
+    public DutyThread<DocumentInput> documentThread() {
+        return mDocument;
+    }
+
+    /** Returns the thread of the membership duty. */
+    public DutyThread<MembershipInput> membershipThread() {
+        return mMembership;
+    }
+
+    /** Returns the thread of the dispatch duty. */
+    public DutyThread<DispatchInput> dispatchThread() {
+        return mDispatch;
+    }
+
+    /** Returns the thread of the report duty. */
+    public DutyThread<ReportInput> reportThread() {
+        return mReport;
+    }
+
+    /** Returns a sink for events of routing that must not be lost. */
+    public EventSink<RoutingInput> routing() {
+        return new RetryingSink<>(mRouting, mTimer);
+    }
+
+    /** Returns a sink for events of placement that must not be lost. */
+    public EventSink<PlacementInput> placement() {
+        return new RetryingSink<>(mPlacement, mTimer);
+    }
+
+    /** Returns a sink for events of leases that must not be lost. */
+    public EventSink<LeaseInput> lease() {
+        return new RetryingSink<>(mLease, mTimer);
+    }
+
+    /** Returns a sink for events of documents that must not be lost. */
+    public EventSink<DocumentInput> document() {
+        return new RetryingSink<>(mDocument, mTimer);
+    }
+
+    /** Returns a sink for events of membership that must not be lost. */
+    public EventSink<MembershipInput> membership() {
+        return new RetryingSink<>(mMembership, mTimer);
+    }
+
+    /** Returns a sink for events of dispatch records that must not be lost. */
+    public EventSink<DispatchInput> dispatch() {
+        return new RetryingSink<>(mDispatch, mTimer);
+    }
+
+    /** Returns a sink for events of reports that must not be lost. */
+    public EventSink<ReportInput> report() {
+        return new RetryingSink<>(mReport, mTimer);
+    }
+
+    @Override
+    public void close() {
+        mTimer.close();
+        mReport.close();
+        mMembership.close();
+        mLease.close();
+        mPlacement.close();
+        mDocument.close();
+        mDispatch.close();
+        mRouting.close();
+    }
+}
