--- a/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/FaultResource.java
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/FaultResource.java
@@ -8,7 +8,7 @@
 import org.oleanderspring.standin.keyvalue.KeyValueStore;
 import org.oleanderspring.standin.keyvalue.Watches;
 
-/** Sets faults, lapses a lease, and saves or restores a snapshot. */
+/** Sets faults, breaks watches, lapses a lease, and saves or restores a snapshot. */
 public final class FaultResource implements Resource {
     private final KeyValueFaults mFaults;
     private final KeyValueStore mStore;
@@ -31,7 +31,7 @@
     public void handle(Exchange exchange) {
         JsonNode request = exchange.json();
         mFaults.update(request);
-        if (mFaults.isDown()) {
+        if (mFaults.isDown() || request.path("breakWatches").asBoolean(false)) {
             mWatches.abort();
         }
         if (request.has("lapseLease")) {
