--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/DaemonFlags.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/DaemonFlags.java
@@ -109,7 +109,9 @@
         public static URI parse(CommandSpec spec, String flag, String value) {
             try {
                 URI address = URI.create(value);
-                if ("http".equals(address.getScheme()) && address.getHost() != null) {
+                if ("http".equals(address.getScheme())
+                        && address.getHost() != null
+                        && address.getPort() > 0) {
                     return address;
                 }
             } catch (IllegalArgumentException malformed) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
@@ -9,10 +9,10 @@
 import java.util.concurrent.CountDownLatch;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.daemon.cli.DaemonFlags.HttpAddress;
+import org.oleanderspring.daemon.process.DaemonIdentity;
 import org.oleanderspring.daemon.process.ExitCode;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.ProcessSettings;
@@ -148,7 +148,7 @@
         URI vmList = HttpAddress.parse(mSpec, "--vm-list", mVmList);
         URI weightStore = HttpAddress.parse(mSpec, "--weight-store", mWeightStore);
         return new ProcessSettings(
-                newIdentity(peer),
+                DaemonIdentity.of(peer, System.currentTimeMillis()),
                 new FailureDomain(mFailureDomain),
                 caller,
                 operator,
@@ -160,11 +160,6 @@
                 Duration.ofSeconds(mStopLimitSeconds));
     }
 
-    /** A restarted daemon must not be taken for its earlier run, so the start time is included. */
-    private static MemberId newIdentity(Address peer) {
-        return new MemberId(peer + "-" + Long.toString(System.currentTimeMillis(), 36));
-    }
-
     private void checkIp() {
         boolean numeric = mIp.matches("[0-9.]+|[0-9a-fA-F:]+");
         if (!numeric || !isAddress(mIp)) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
@@ -195,9 +195,7 @@
             mQueries.read(read.key())
                     .thenAccept(
                             result ->
-                                    offer(
-                                            new DispatchEvent.ReadReplied(
-                                                    read.operation(), result)));
+                                    offer(new DispatchEvent.ReadReplied(read.operation(), result)));
         } else if (decision instanceof DispatchDecision.ClaimSettled settled) {
             settle(settled);
         } else if (decision instanceof DispatchDecision.PhaseChanged changed) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
@@ -140,8 +140,7 @@
         } else if (decision instanceof DocumentDecision.FetchDocument fetch) {
             mPeers.fetchDocument(fetch.peer(), fetch.requestId(), fetch.name());
         } else if (decision instanceof DocumentDecision.ReplyToFetch reply) {
-            mPeers.replyToFetch(
-                    reply.peer(), reply.requestId(), reply.document(), reply.digest());
+            mPeers.replyToFetch(reply.peer(), reply.requestId(), reply.document(), reply.digest());
         } else {
             inform(decision);
         }
@@ -208,10 +207,7 @@
 
     private static CompareAndSwap swapOf(VersionedDocument document, Revision expected) {
         return new CompareAndSwap(
-                StoreKeys.document(document.name()),
-                expected,
-                document.bytes(),
-                StoreLeaseId.NONE);
+                StoreKeys.document(document.name()), expected, document.bytes(), StoreLeaseId.NONE);
     }
 
     private static WriteOutcome outcomeOf(WriteResult result) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentInput.java
@@ -55,8 +55,7 @@
      * @param apply whether to apply them, or only to check them
      * @param reply receives what became of them
      */
-    record DraftSent(
-            SettingsDraft draft, boolean apply, CompletableFuture<SettingsReply> reply)
+    record DraftSent(SettingsDraft draft, boolean apply, CompletableFuture<SettingsReply> reply)
             implements DocumentInput {}
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/SettingsDesk.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/SettingsDesk.java
@@ -48,9 +48,7 @@
                             .map(SettingsCheck.SettingsProblem::text)
                             .collect(Collectors.joining("; "));
             sent.reply()
-                    .complete(
-                            new SettingsReply.Refused(
-                                    invalid.problems().get(0).message(), text));
+                    .complete(new SettingsReply.Refused(invalid.problems().get(0).message(), text));
             return Optional.empty();
         }
         FleetSettings next = ((SettingsCheck.Valid) check).settings();
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/query/DocumentStatus.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/query/DocumentStatus.java
@@ -13,9 +13,7 @@
  * @param numbersOfPeers the numbers that other daemons reported last, by peer address
  */
 public record DocumentStatus(
-        long settingsNumber,
-        @Nullable Instant authorityEnd,
-        Map<Address, Long> numbersOfPeers) {
+        long settingsNumber, @Nullable Instant authorityEnd, Map<Address, Long> numbersOfPeers) {
     /** Copies the map. */
     public DocumentStatus {
         numbersOfPeers = Map.copyOf(numbersOfPeers);
--- a/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseDuty.java
@@ -87,8 +87,7 @@
         List<LeaseCandidacy> candidacies = new ArrayList<>();
         for (CellName cell : mCells.stream().sorted().toList()) {
             List<MemberId> ranking =
-                    RendezvousRanking.top(
-                            cell.value(), mMembers, MemberId::value, mMembers.size());
+                    RendezvousRanking.top(cell.value(), mMembers, MemberId::value, mMembers.size());
             int rank = ranking.indexOf(mSelf);
             if (rank >= 0) {
                 candidacies.add(new LeaseCandidacy(new LeaseName(cell.value()), rank));
@@ -143,9 +142,7 @@
             mQueries.read(read.key())
                     .thenAccept(
                             result ->
-                                    reply(
-                                            new LeaseEvent.KeyReadReplied(
-                                                    read.operation(), result)));
+                                    reply(new LeaseEvent.KeyReadReplied(read.operation(), result)));
         } else {
             inform(decision);
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/operator/DraftHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/DraftHandler.java
@@ -55,8 +55,7 @@
         return true;
     }
 
-    private void take(
-            byte @Nullable [] body, @Nullable Throwable failure, JsonAnswer answer) {
+    private void take(byte @Nullable [] body, @Nullable Throwable failure, JsonAnswer answer) {
         if (failure != null || body == null) {
             answer.refuse(
                     Refusal.notRun(
--- a/daemon/src/main/java/org/oleanderspring/daemon/peering/command/PeerCommands.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/peering/command/PeerCommands.java
@@ -72,8 +72,7 @@
      * @param remaining the time to the earliest deadline among the waiting calls
      * @param waiting how many calls wait
      */
-    void wake(
-            Address receiver, CellName cell, ModelName model, Duration remaining, int waiting);
+    void wake(Address receiver, CellName cell, ModelName model, Duration remaining, int waiting);
 
     /**
      * Tells a daemon whose calls wait when a model becomes ready.
@@ -121,8 +120,7 @@
      * @param key the idempotency key
      * @param remaining the time after which the result is of no use
      */
-    void requestClaim(
-            Address receiver, ClaimId claim, IdempotencyKey key, Duration remaining);
+    void requestClaim(Address receiver, ClaimId claim, IdempotencyKey key, Duration remaining);
 
     /**
      * Replies to a claim.
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/OrderExchanges.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/OrderExchanges.java
@@ -16,9 +16,9 @@
  * The orders whose exchange with a runner has not ended, and the acknowledgements that wait for
  * them.
  *
- * <p>An acknowledgement of a term promises that no order of an earlier term is sent any more. Orders
- * are sent on the placement thread alone and a term that has ended sends none, so it is enough to
- * wait for the end of the exchanges that have begun.
+ * <p>An acknowledgement of a term promises that no order of an earlier term is sent any more.
+ * Orders are sent on the placement thread alone and a term that has ended sends none, so it is
+ * enough to wait for the end of the exchanges that have begun.
  */
 final class OrderExchanges {
     private final Map<OrderId, Exchange> mOpen = new HashMap<>();
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -14,17 +14,12 @@
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.membership.query.RendezvousRanking;
-import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
 import org.oleanderspring.coordination.store.command.KeyValueCommands;
 import org.oleanderspring.coordination.store.query.KeyValueQueries;
-import org.oleanderspring.coordination.store.query.ReadResult;
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.Checkpoint;
-import org.oleanderspring.core.fleet.Endpoint;
-import org.oleanderspring.core.fleet.EndpointId;
-import org.oleanderspring.core.fleet.EndpointKind;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.RunnerReport;
 import org.oleanderspring.core.fleet.VmId;
@@ -41,7 +36,6 @@
 import org.oleanderspring.core.placement.command.PlacementDecision;
 import org.oleanderspring.core.placement.command.PlacementEvent;
 import org.oleanderspring.core.port.command.RunnerCommands;
-import org.oleanderspring.daemon.codec.Decoded;
 import org.oleanderspring.daemon.codec.PlanCodec;
 import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.DaemonIdentity;
@@ -462,9 +456,7 @@
     private void sendDueAcknowledgements() {
         for (OrderExchanges.WaitingAcknowledgement due : mExchanges.takeDue()) {
             if (due.receiver().equals(mSelfAddress)) {
-                decide(
-                        due.cell(),
-                        new PlacementEvent.TermAcknowledged(due.member(), due.term()));
+                decide(due.cell(), new PlacementEvent.TermAcknowledged(due.member(), due.term()));
                 continue;
             }
             mPeers.acknowledgeTerm(due.receiver(), due.cell(), due.term(), due.member());
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementInput.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.MemberId;
@@ -18,7 +19,6 @@
 import org.oleanderspring.core.placement.Plan;
 import org.oleanderspring.core.placement.command.PlacementEvent;
 import org.oleanderspring.core.settings.FleetSettings;
-import org.jspecify.annotations.Nullable;
 
 /** What the ring of the placement duty holds. */
 public sealed interface PlacementInput {
@@ -92,11 +92,7 @@
      * @param waiting how many calls wait
      */
     record WakeThere(
-            CellName cell,
-            MemberId daemon,
-            ModelName model,
-            Instant earliestDeadline,
-            int waiting)
+            CellName cell, MemberId daemon, ModelName model, Instant earliestDeadline, int waiting)
             implements PlacementInput {}
 
     /**
@@ -119,8 +115,7 @@
      * @param term the new term
      * @param awaited the daemon runs whose acknowledgement it awaits
      */
-    record TermAnnounced(
-            Address from, CellName cell, FencingToken term, Set<MemberId> awaited)
+    record TermAnnounced(Address from, CellName cell, FencingToken term, Set<MemberId> awaited)
             implements PlacementInput {
         /** Copies the set. */
         public TermAnnounced {
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/command/GracefulStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/GracefulStop.java
@@ -54,8 +54,7 @@
 
     void run() {
         LOGGER.log(Level.INFO, "[daemon] Stopping: leaving the entry directory.");
-        mRings.membership()
-                .offer(new MembershipInput.Event(new MembershipEvent.DrainRequested()));
+        mRings.membership().offer(new MembershipInput.Event(new MembershipEvent.DrainRequested()));
         pause(directoryKeep().plus(NEWS_MARGIN));
         LOGGER.log(Level.INFO, "[daemon] Stopping: waiting for running calls.");
         mRings.routing().offer(new RoutingInput.Event(new RoutingEvent.DrainStarted()));
@@ -69,8 +68,7 @@
         if (await(handedOver, HAND_OVER_LIMIT) == null) {
             LOGGER.log(Level.WARNING, "[daemon] Leases were not handed over; they will lapse.");
         }
-        mRings.membership()
-                .offer(new MembershipInput.Event(new MembershipEvent.LeaveRequested()));
+        mRings.membership().offer(new MembershipInput.Event(new MembershipEvent.LeaveRequested()));
         pause(LEAVE_NEWS);
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingTableAssembler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingTableAssembler.java
@@ -55,8 +55,7 @@
     }
 
     void setPlan(Plan plan) {
-        mPlans.merge(
-                plan.cell(), plan, (old, next) -> next.number() > old.number() ? next : old);
+        mPlans.merge(plan.cell(), plan, (old, next) -> next.number() > old.number() ? next : old);
     }
 
     void setRunnerConcurrency(int concurrency) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
@@ -3,8 +3,8 @@
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.SplittableRandom;
+import java.util.function.Function;
 import org.oleanderspring.coordination.dispatch.DispatchKeyLayout;
 import org.oleanderspring.coordination.dispatch.DispatchLimits;
 import org.oleanderspring.coordination.dispatch.DispatchSettings;
@@ -23,8 +23,8 @@
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.LeastLoadedSelector;
 import org.oleanderspring.core.routing.command.RefuseByEstimatePolicy;
-import org.oleanderspring.core.routing.command.SafeRetryPolicy;
 import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.core.routing.command.SafeRetryPolicy;
 import org.oleanderspring.daemon.dispatch.command.DispatchDuty;
 import org.oleanderspring.daemon.dispatch.command.DispatchInput;
 import org.oleanderspring.daemon.document.command.DocumentDuty;
@@ -200,7 +200,10 @@
                 new LeaseDuty(
                         mSelf.id(),
                         new DefaultLeaseDecider(
-                                mSelf.id(), StoreKeys::lease, LeaseSettings.DEFAULT, random.split()),
+                                mSelf.id(),
+                                StoreKeys::lease,
+                                LeaseSettings.DEFAULT,
+                                random.split()),
                         mPorts.storeCommands(),
                         mPorts.storeQueries(),
                         new LeaseFanOut(mRings),
@@ -222,7 +225,11 @@
         MembershipDuty duty =
                 new MembershipDuty(
                         new DefaultMembershipDecider(
-                                mSelf, MembershipOptions.usual(), digests, random.split(), mClock.now()),
+                                mSelf,
+                                MembershipOptions.usual(),
+                                digests,
+                                random.split(),
+                                mClock.now()),
                         digests,
                         mPeers,
                         new MembershipFanOut(mRings, decoder),
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/MembershipFanOut.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/MembershipFanOut.java
@@ -32,8 +32,7 @@
      * @param rings the rings of the duties
      * @param digestDecoder decodes digests; empty for a broken one
      */
-    public MembershipFanOut(
-            Rings rings, Function<byte[], Optional<DocumentDigest>> digestDecoder) {
+    public MembershipFanOut(Rings rings, Function<byte[], Optional<DocumentDigest>> digestDecoder) {
         mRings = rings;
         mDigestDecoder = digestDecoder;
     }
@@ -51,9 +50,7 @@
 
     @Override
     public void peerContacted(Address peer, Instant requestSentAt, byte[] digest) {
-        offer(
-                digest,
-                decoded -> new DocumentEvent.PeerContacted(peer, requestSentAt, decoded));
+        offer(digest, decoded -> new DocumentEvent.PeerContacted(peer, requestSentAt, decoded));
     }
 
     @Override
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/Rings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/Rings.java
@@ -23,8 +23,7 @@
     private final DutyThread<PlacementInput> mPlacement =
             new DutyThread<>("placement", OTHER_PLACES);
     private final DutyThread<LeaseInput> mLease = new DutyThread<>("lease", OTHER_PLACES);
-    private final DutyThread<DocumentInput> mDocument =
-            new DutyThread<>("document", OTHER_PLACES);
+    private final DutyThread<DocumentInput> mDocument = new DutyThread<>("document", OTHER_PLACES);
     private final DutyThread<MembershipInput> mMembership =
             new DutyThread<>("membership", OTHER_PLACES);
     private final DutyThread<DispatchInput> mDispatch =
--- a/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
+++ b/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
@@ -17,8 +17,7 @@
     void fullRingRefusesTheOffer() throws InterruptedException {
         CountDownLatch entered = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
-        DutyThread<Integer> duty =
-                new DutyThread<>("full", 2);
+        DutyThread<Integer> duty = new DutyThread<>("full", 2);
         duty.start(
                 event -> {
                     entered.countDown();
@@ -51,8 +50,7 @@
     @Test
     void faultInHandlerDoesNotEndTheDuty() {
         List<Integer> seen = new CopyOnWriteArrayList<>();
-        DutyThread<Integer> duty =
-                new DutyThread<>("fault", 8);
+        DutyThread<Integer> duty = new DutyThread<>("fault", 8);
         duty.start(
                 event -> {
                     if (event == 1) {
--- a/standin/src/main/java/org/oleanderspring/standin/http/StateDuty.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/StateDuty.java
@@ -19,8 +19,8 @@
      * @param name the name of the thread
      */
     public StateDuty(String name) {
-        mThread = new DutyThread<>(name, RING_CAPACITY, Runnable::run);
-        mThread.start();
+        mThread = new DutyThread<>(name, RING_CAPACITY);
+        mThread.start(Runnable::run);
     }
 
     /**
