Add at-most-once dispatch records with group commit

Cause: a non-idempotent call may start only after a durable record exists, and one write per call exceeds the write budget of the key-value service. Change: the dispatch decider appends the records of all waiting claims of a partition by one compare-and-swap of its active value, seals full values under slots of their own, and takes a partition over by raising the owner term before it reads the sealed values. Lost replies are settled by the mark in the value; broken content refuses claims. A budget bounds the writes of a daemon, and every claim is settled by its deadline.

--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/PartitionId.java
@@ -0,0 +1,35 @@
+package org.oleanderspring.coordination.dispatch;
+
+/**
+ * The number of a group of dispatch records that has one owner at a time.
+ *
+ * @param value the number, at least 0
+ */
+public record PartitionId(int value) implements Comparable<PartitionId> {
+    /** Checks the range. */
+    public PartitionId {
+        if (value < 0) {
+            throw new IllegalArgumentException("partition number is negative: " + value);
+        }
+    }
+
+    /**
+     * Returns the partition of a key.
+     *
+     * @param key the hash of the idempotency key
+     * @param partitionCount the number of partitions
+     */
+    public static PartitionId of(KeyHash key, int partitionCount) {
+        return new PartitionId((int) Long.remainderUnsigned(key.high(), partitionCount));
+    }
+
+    @Override
+    public int compareTo(PartitionId other) {
+        return Integer.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Integer.toString(value);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/SealedValue.java
@@ -0,0 +1,30 @@
+package org.oleanderspring.coordination.dispatch;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * The value of a sealed segment.
+ *
+ * @param partition the partition
+ * @param term the owner term in which the segment was written
+ * @param number the owner's number of the write
+ * @param records the records, oldest first
+ */
+public record SealedValue(
+        PartitionId partition, long term, long number, List<DispatchRecord> records) {
+    /** Copies the list. */
+    public SealedValue {
+        Objects.requireNonNull(partition, "partition");
+        records = List.copyOf(records);
+    }
+
+    /**
+     * Returns whether this is the content that an active value lists.
+     *
+     * @param segment the entry of the active value
+     */
+    public boolean isContentOf(SealedSegment segment) {
+        return term == segment.term() && number == segment.number();
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/DispatchContext.java
@@ -0,0 +1,99 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.oleanderspring.coordination.dispatch.DispatchKeyLayout;
+import org.oleanderspring.coordination.dispatch.DispatchLimits;
+import org.oleanderspring.coordination.dispatch.DispatchSettings;
+import org.oleanderspring.coordination.dispatch.PartitionId;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.StoreOperationId;
+
+/** What the partitions of one daemon share. */
+final class DispatchContext {
+    final MemberId mSelf;
+    final DispatchKeyLayout mKeys;
+    final DispatchLimits mLimits;
+    final Map<StoreOperationId, OwnedPartition> mOperations = new HashMap<>();
+
+    /** Partitions whose stored records went back to an older state; never trusted again. */
+    final Set<PartitionId> mLostRecords = new HashSet<>();
+
+    private final TreeSet<WaitingClaim> mWaiting = new TreeSet<>(WaitingClaim.BY_DEADLINE);
+    private DispatchSettings mSettings;
+    private List<DispatchDecision> mDecisions = new ArrayList<>();
+    private long mNextOperation = 1;
+    private long mNextWrite = 1;
+
+    DispatchContext(
+            MemberId self,
+            DispatchKeyLayout keys,
+            DispatchLimits limits,
+            DispatchSettings settings) {
+        mSelf = self;
+        mKeys = keys;
+        mLimits = limits;
+        mSettings = settings;
+    }
+
+    DispatchSettings settings() {
+        return mSettings;
+    }
+
+    void setSettings(DispatchSettings settings) {
+        mSettings = settings;
+    }
+
+    StoreOperationId nextOperation(OwnedPartition partition) {
+        StoreOperationId operation = new StoreOperationId(mNextOperation++);
+        mOperations.put(operation, partition);
+        return operation;
+    }
+
+    /** Returns a number that no other write of this daemon run has. */
+    long nextWrite() {
+        return mNextWrite++;
+    }
+
+    void add(DispatchDecision decision) {
+        mDecisions.add(decision);
+    }
+
+    List<DispatchDecision> takeDecisions() {
+        List<DispatchDecision> decisions = mDecisions;
+        mDecisions = new ArrayList<>();
+        return decisions;
+    }
+
+    void enqueue(WaitingClaim claim) {
+        mWaiting.add(claim);
+    }
+
+    int waitingClaims() {
+        return mWaiting.size();
+    }
+
+    /** Returns the waiting claims whose deadline has passed. */
+    List<WaitingClaim> overdueClaims(Instant now) {
+        List<WaitingClaim> overdue = new ArrayList<>();
+        for (WaitingClaim claim : mWaiting) {
+            if (now.isBefore(claim.mDeadline)) {
+                break;
+            }
+            overdue.add(claim);
+        }
+        return overdue;
+    }
+
+    void settle(WaitingClaim claim, ClaimResult result) {
+        claim.mSettled = true;
+        mWaiting.remove(claim);
+        add(new DispatchDecision.ClaimSettled(claim.mId, result));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/OwnedPartition.java
@@ -0,0 +1,579 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.dispatch.ActiveValue;
+import org.oleanderspring.coordination.dispatch.ClaimId;
+import org.oleanderspring.coordination.dispatch.DecodeResult;
+import org.oleanderspring.coordination.dispatch.DispatchRecord;
+import org.oleanderspring.coordination.dispatch.KeyHash;
+import org.oleanderspring.coordination.dispatch.PartitionId;
+import org.oleanderspring.coordination.dispatch.PartitionPhase;
+import org.oleanderspring.coordination.dispatch.RecordCodec;
+import org.oleanderspring.coordination.dispatch.RecordState;
+import org.oleanderspring.coordination.dispatch.SealedSegment;
+import org.oleanderspring.coordination.dispatch.SealedValue;
+import org.oleanderspring.coordination.dispatch.query.PartitionStatus;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+import org.oleanderspring.coordination.store.StoreOperationId;
+import org.oleanderspring.coordination.store.StoredValue;
+import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/**
+ * One partition that this daemon should own. Has at most one operation under way.
+ *
+ * <p>A claim is answered with {@link ClaimResult.Claimed} only after a write of the active value
+ * that contains its record was seen in the service, either by its reply or by its mark. Each write
+ * is a compare-and-swap on the revision of the value that it was built from, so the stored values
+ * form one chain. A daemon first appends a value with a higher term to the chain, and then reads
+ * every sealed segment that this value lists; from then on no other daemon can extend the chain
+ * without this daemon's next write failing. So the index contains every record of the chain, and a
+ * key that is not in it has no record.
+ *
+ * <p>After a lost reply several writes built from the same value may still be under way. At most
+ * one of them takes effect. All of them are kept until the chain moves on, and the mark found then
+ * tells which claims have a record.
+ */
+final class OwnedPartition {
+    /** Outcomes beyond this number are dropped; their records keep the state DISPATCHED. */
+    private static final int OUTCOME_LIMIT = 4_096;
+
+    /** Keeps the list of segments well below the size limit of a value; 192 KB. */
+    private static final int SEGMENT_LIMIT = 8_192;
+
+    /** Each sweep looks at the whole index, so it is rare. */
+    private static final int SWEEPS_PER_RETENTION = 16;
+
+    private enum Kind {
+        READ_ACTIVE,
+        WRITE_ACTIVE,
+        READ_SEALED,
+        WRITE_SEALED
+    }
+
+    private record Pending(
+            StoreOperationId operation, Kind kind, Instant sentAt, long writeNumber) {}
+
+    private final PartitionId mId;
+    private final DispatchContext mContext;
+    private final PartitionRecords mRecords;
+    private final Map<ClaimId, WaitingClaim> mWaiting = new LinkedHashMap<>();
+    private final Map<KeyHash, RecordState> mOutcomes = new LinkedHashMap<>();
+    private final Map<Long, WriteAttempt> mAttempts = new HashMap<>();
+    private final ArrayDeque<SealedSegment> mToLoad = new ArrayDeque<>();
+    private final SegmentSealer mSealer;
+    private PartitionPhase mPhase = PartitionPhase.READING;
+    private String mRefusal = "";
+    private @Nullable Pending mPending;
+
+    /** Why a listed segment cannot be used, until the active value was read again. */
+    private @Nullable String mBrokenSegment;
+
+    private boolean mReadBack;
+    private Instant mNextStep;
+    private Instant mNextSweep;
+    private Instant mOutcomesDue = Instant.MAX;
+
+    OwnedPartition(PartitionId id, DispatchContext context, Instant now) {
+        mId = id;
+        mContext = context;
+        mRecords = new PartitionRecords(id, context.mLimits.partitionCount(), context.mSelf);
+        mSealer = new SegmentSealer(id);
+        mNextStep = now;
+        mNextSweep = now;
+        if (context.mLostRecords.contains(id)) {
+            refuseForGood(now);
+        }
+    }
+
+    PartitionStatus status() {
+        return new PartitionStatus(
+                mId,
+                mPhase,
+                mRecords.stored().term(),
+                mRecords.size(),
+                mRecords.stored().sealed().size(),
+                mWaiting.size());
+    }
+
+    boolean isWaiting(ClaimId claim) {
+        return mWaiting.containsKey(claim);
+    }
+
+    void claim(WaitingClaim claim, Instant now) {
+        mContext.enqueue(claim);
+        if (mPhase == PartitionPhase.REFUSING) {
+            mContext.settle(claim, new ClaimResult.Unavailable(mRefusal));
+            return;
+        }
+        if (mPhase == PartitionPhase.READY && answerIfRecorded(claim, now)) {
+            return;
+        }
+        boolean full =
+                mRecords.size() + mWaiting.size() >= mContext.mLimits.recordLimit()
+                        || mRecords.stored().sealed().size() >= SEGMENT_LIMIT;
+        if (full) {
+            mContext.settle(
+                    claim, new ClaimResult.Unavailable("partition " + mId + " has no room"));
+            return;
+        }
+        mWaiting.put(claim.mId, claim);
+    }
+
+    /** Settles a claim whose deadline has passed; see {@link DefaultDispatchDecider}. */
+    void expire(WaitingClaim claim) {
+        mWaiting.remove(claim.mId);
+        mContext.settle(
+                claim,
+                new ClaimResult.Unavailable(
+                        "no record was confirmed in time; partition " + mId + " is " + mPhase));
+    }
+
+    void outcome(KeyHash key, RecordState state, Instant now) {
+        if (mPhase == PartitionPhase.READY && !mRecords.setOutcome(key, state)) {
+            return;
+        }
+        if (mOutcomes.size() >= OUTCOME_LIMIT) {
+            return;
+        }
+        if (mOutcomes.isEmpty()) {
+            mOutcomesDue = now.plus(mContext.mLimits.outcomeDelay());
+        }
+        mOutcomes.putIfAbsent(key, state);
+    }
+
+    /** Gives the partition up; unconfirmed claims never start. */
+    void release() {
+        Pending pending = mPending;
+        if (pending != null) {
+            mContext.mOperations.remove(pending.operation());
+            mPending = null;
+        }
+        settleAll("partition " + mId + " is owned by another daemon");
+    }
+
+    /** Sends the next read, if one is due. */
+    void step(Instant now) {
+        dropOverduePending(now);
+        removeExpired(now);
+        if (mPending != null || now.isBefore(mNextStep)) {
+            return;
+        }
+        if (mPhase == PartitionPhase.REFUSING) {
+            if (mContext.mLostRecords.contains(mId)) {
+                return;
+            }
+            enter(PartitionPhase.READING, "the stored values are read again");
+        }
+        if (mPhase == PartitionPhase.READING || mReadBack) {
+            read(Kind.READ_ACTIVE, mContext.mKeys.active(mId), now);
+            return;
+        }
+        if (mPhase == PartitionPhase.LOADING) {
+            SealedSegment next = mToLoad.peek();
+            if (next == null) {
+                becomeReady(now);
+                return;
+            }
+            read(Kind.READ_SEALED, mContext.mKeys.sealed(mId, next.slot()), now);
+        }
+    }
+
+    boolean wantsWrite(Instant now) {
+        if (mPending != null || mReadBack || now.isBefore(mNextStep)) {
+            return false;
+        }
+        if (mPhase == PartitionPhase.TAKING_OVER) {
+            return true;
+        }
+        return mPhase == PartitionPhase.READY
+                && (!mWaiting.isEmpty()
+                        || mSealer.segment() != null
+                        || needsSealing()
+                        || !now.isBefore(mOutcomesDue)
+                        || hasExpiredSegment(now));
+    }
+
+    /** Returns since when a write is wanted; earlier ones go first. */
+    Instant waitingSince() {
+        if (mPhase == PartitionPhase.TAKING_OVER) {
+            return Instant.MIN;
+        }
+        if (mWaiting.isEmpty()) {
+            return Instant.MAX;
+        }
+        return mWaiting.values().iterator().next().mArrival;
+    }
+
+    /** Sends the next write; only called if one is wanted. */
+    void write(Instant now) {
+        if (mPhase == PartitionPhase.TAKING_OVER) {
+            ActiveValue value = mRecords.takeover(mContext.mSelf, mContext.nextWrite());
+            writeActive(new WriteAttempt(value, List.of(), Map.of()), now);
+            return;
+        }
+        if (mSealer.segment() == null && needsSealing()) {
+            mSealer.start(mRecords, mContext.nextWrite());
+        }
+        SealingSegment sealing = mSealer.segment();
+        if (sealing != null && !sealing.isWritten()) {
+            writeSealed(sealing, now);
+            return;
+        }
+        WriteAttempt attempt =
+                mRecords.next(
+                        mContext.nextWrite(),
+                        mWaiting.values(),
+                        mOutcomes,
+                        sealing,
+                        mContext.settings().retention(),
+                        now);
+        writeActive(attempt, now);
+    }
+
+    void readReplied(StoreOperationId operation, ReadResult result, Instant now) {
+        Pending pending = takePending(operation);
+        if (pending == null) {
+            return;
+        }
+        if (!(result instanceof ReadResult.Found found)) {
+            mNextStep = now.plus(mContext.mLimits.retryDelay());
+            return;
+        }
+        StoredValue value = found.values().isEmpty() ? null : found.values().get(0);
+        if (pending.kind() == Kind.READ_ACTIVE) {
+            observeActive(value, now);
+        } else {
+            observeSealed(value);
+        }
+    }
+
+    void writeReplied(StoreOperationId operation, WriteResult result, Instant now) {
+        Pending pending = takePending(operation);
+        if (pending == null) {
+            return;
+        }
+        if (pending.kind() == Kind.WRITE_SEALED) {
+            sealedWriteReplied(result, now);
+        } else {
+            activeWriteReplied(pending.writeNumber(), result, now);
+        }
+    }
+
+    private void activeWriteReplied(long writeNumber, WriteResult result, Instant now) {
+        if (result instanceof WriteResult.Written written) {
+            landed(writeNumber, written.revision(), now);
+        } else if (result instanceof WriteResult.Conflict conflict) {
+            observeActive(conflict.current(), now);
+        } else if (result instanceof WriteResult.Unavailable) {
+            mAttempts.remove(writeNumber);
+            mNextStep = now.plus(mContext.mLimits.retryDelay());
+        } else {
+            mReadBack = true;
+        }
+    }
+
+    /** Compares the stored active value with the chain that this daemon knows. */
+    private void observeActive(@Nullable StoredValue value, Instant now) {
+        mReadBack = false;
+        ActiveValue found = null;
+        if (value != null) {
+            DecodeResult<ActiveValue> decoded = RecordCodec.decodeActive(value.bytes());
+            if (decoded instanceof DecodeResult.Broken<ActiveValue> broken) {
+                refuse("the active value is broken: " + broken.reason(), now);
+                return;
+            }
+            found = ((DecodeResult.Decoded<ActiveValue>) decoded).value();
+            if (!isOfThisPartition(found)) {
+                refuse("the active value is of another partition or partition count", now);
+                return;
+            }
+        }
+        Revision revision = value == null ? Revision.ABSENT : value.revision();
+        if (found != null && isOwnAttempt(found)) {
+            landed(found.writeNumber(), revision, now);
+        } else if (mPhase == PartitionPhase.READING) {
+            mAttempts.clear();
+            mRecords.rebase(found, revision, mContext.mSelf);
+            enter(PartitionPhase.TAKING_OVER, "term " + mRecords.stored().term() + " was read");
+        } else if (revision.equals(mRecords.revision())) {
+            unchanged(now);
+        } else {
+            chainMovedOn(found, revision, now);
+        }
+    }
+
+    private void unchanged(Instant now) {
+        if (mBrokenSegment != null) {
+            refuse(mBrokenSegment, now);
+        }
+    }
+
+    private void chainMovedOn(@Nullable ActiveValue found, Revision revision, Instant now) {
+        long knownTerm = mRecords.stored().term().value();
+        if (found == null || found.term().value() < knownTerm) {
+            refuseForGood(now);
+            return;
+        }
+        boolean sameTerm = found.term().value() == knownTerm;
+        boolean ownWrite = found.owner().equals(mContext.mSelf);
+        if (mPhase == PartitionPhase.TAKING_OVER && (sameTerm || ownWrite)) {
+            // The former owner extended the chain, or a write of an earlier ownership of this
+            // daemon arrived; the takeover starts from there.
+            mAttempts.clear();
+            mRecords.rebase(found, revision, mContext.mSelf);
+            return;
+        }
+        if (sameTerm) {
+            refuseForGood(now);
+            return;
+        }
+        takenOverBy(found, now);
+    }
+
+    private void takenOverBy(ActiveValue found, Instant now) {
+        settleAll("partition " + mId + " was taken over by " + found.owner());
+        forgetState();
+        mNextStep = now.plus(mContext.mLimits.takeoverDelay());
+        enter(PartitionPhase.READING, "taken over by " + found.owner());
+    }
+
+    /** A write of this daemon is known to be the stored value. */
+    private void landed(long writeNumber, Revision revision, Instant now) {
+        WriteAttempt attempt = mAttempts.get(writeNumber);
+        mAttempts.clear();
+        if (attempt == null) {
+            return;
+        }
+        mRecords.rebase(attempt.value(), revision, mContext.mSelf);
+        if (mPhase == PartitionPhase.TAKING_OVER) {
+            startLoading(now);
+            return;
+        }
+        mSealer.listed(attempt.value().sealed());
+        List<DispatchRecord> records = attempt.value().records();
+        mRecords.index(records.subList(records.size() - attempt.claims().size(), records.size()));
+        settleLanded(attempt, now);
+    }
+
+    private void settleLanded(WriteAttempt attempt, Instant now) {
+        mOutcomes.entrySet().removeAll(attempt.outcomes().entrySet());
+        mOutcomesDue =
+                mOutcomes.isEmpty() ? Instant.MAX : now.plus(mContext.mLimits.outcomeDelay());
+        for (WaitingClaim claim : attempt.claims()) {
+            if (claim.mSettled) {
+                // It was answered Unavailable, so its call never starts.
+                outcome(claim.mKey, RecordState.NOT_RUN, now);
+                continue;
+            }
+            mWaiting.remove(claim.mId);
+            mContext.settle(claim, new ClaimResult.Claimed());
+        }
+        answerRecordedClaims(now);
+    }
+
+    private void startLoading(Instant now) {
+        mRecords.clearIndex();
+        mToLoad.clear();
+        for (SealedSegment segment : mRecords.stored().sealed()) {
+            if (!segment.isExpired(mContext.settings().retention(), now)) {
+                mToLoad.add(segment);
+            }
+        }
+        enter(PartitionPhase.LOADING, mToLoad.size() + " sealed segments are read");
+        step(now);
+    }
+
+    private void observeSealed(@Nullable StoredValue value) {
+        SealedSegment segment = mToLoad.element();
+        String name = "sealed segment " + segment.slot();
+        if (value == null) {
+            suspect(name + " is missing");
+            return;
+        }
+        DecodeResult<SealedValue> decoded = RecordCodec.decodeSealed(value.bytes());
+        if (decoded instanceof DecodeResult.Broken<SealedValue> broken) {
+            suspect(name + " is broken: " + broken.reason());
+            return;
+        }
+        SealedValue sealed = ((DecodeResult.Decoded<SealedValue>) decoded).value();
+        if (!sealed.isContentOf(segment) || !sealed.partition().equals(mId)) {
+            suspect(name + " has other content than listed");
+            return;
+        }
+        mRecords.index(sealed.records());
+        mSealer.slotRead(segment.slot(), value.revision());
+        mToLoad.remove();
+    }
+
+    /** A later owner may have used the slot again, so the active value is read before refusing. */
+    private void suspect(String reason) {
+        mBrokenSegment = reason;
+        mReadBack = true;
+    }
+
+    private void becomeReady(Instant now) {
+        mRecords.index(mRecords.stored().records());
+        enter(
+                PartitionPhase.READY,
+                "term " + mRecords.stored().term() + ", " + mRecords.size() + " records");
+        mOutcomes.entrySet().removeIf(entry -> !applyOutcome(entry));
+        answerRecordedClaims(now);
+    }
+
+    private boolean applyOutcome(Map.Entry<KeyHash, RecordState> entry) {
+        return mRecords.setOutcome(entry.getKey(), entry.getValue());
+    }
+
+    private void answerRecordedClaims(Instant now) {
+        for (WaitingClaim claim : new ArrayList<>(mWaiting.values())) {
+            if (answerIfRecorded(claim, now)) {
+                mWaiting.remove(claim.mId);
+            }
+        }
+    }
+
+    private boolean answerIfRecorded(WaitingClaim claim, Instant now) {
+        Optional<RecordState> state =
+                mRecords.find(claim.mKey, mContext.settings().retention(), now);
+        if (state.isEmpty()) {
+            return false;
+        }
+        mContext.settle(claim, new ClaimResult.AlreadyClaimed(state.get()));
+        return true;
+    }
+
+    private boolean needsSealing() {
+        return mRecords.needsSealing(mContext.mLimits.sealBytes());
+    }
+
+    private boolean hasExpiredSegment(Instant now) {
+        List<SealedSegment> sealed = mRecords.stored().sealed();
+        return !sealed.isEmpty() && sealed.get(0).isExpired(mContext.settings().retention(), now);
+    }
+
+    private void writeSealed(SealingSegment sealing, Instant now) {
+        int slot = sealing.segment().slot();
+        Revision expected = mSealer.slotRevision();
+        StoreKey key = mContext.mKeys.sealed(mId, slot);
+        write(Kind.WRITE_SEALED, sealing.segment().number(), key, expected, sealing.bytes(), now);
+    }
+
+    private void sealedWriteReplied(WriteResult result, Instant now) {
+        SegmentSealer.Progress progress = mSealer.replied(result);
+        if (progress == SegmentSealer.Progress.RETRY_LATER) {
+            mNextStep = now.plus(mContext.mLimits.retryDelay());
+        } else if (progress == SegmentSealer.Progress.LATER_OWNER) {
+            mReadBack = true;
+        }
+    }
+
+    private void writeActive(WriteAttempt attempt, Instant now) {
+        long number = attempt.value().writeNumber();
+        mAttempts.put(number, attempt);
+        byte[] bytes = RecordCodec.encode(attempt.value());
+        StoreKey key = mContext.mKeys.active(mId);
+        write(Kind.WRITE_ACTIVE, number, key, mRecords.revision(), bytes, now);
+    }
+
+    private void write(
+            Kind kind, long number, StoreKey key, Revision expected, byte[] bytes, Instant now) {
+        StoreOperationId operation = mContext.nextOperation(this);
+        mPending = new Pending(operation, kind, now, number);
+        CompareAndSwap command = new CompareAndSwap(key, expected, bytes, StoreLeaseId.NONE);
+        mContext.add(new DispatchDecision.WriteValue(operation, command));
+    }
+
+    private void read(Kind kind, StoreKey key, Instant now) {
+        StoreOperationId operation = mContext.nextOperation(this);
+        mPending = new Pending(operation, kind, now, 0);
+        mContext.add(new DispatchDecision.ReadValue(operation, key));
+    }
+
+    private @Nullable Pending takePending(StoreOperationId operation) {
+        Pending pending = mPending;
+        if (pending == null || !pending.operation().equals(operation)) {
+            return null;
+        }
+        mPending = null;
+        return pending;
+    }
+
+    private void dropOverduePending(Instant now) {
+        Pending pending = mPending;
+        if (pending == null
+                || now.isBefore(pending.sentAt().plus(mContext.mLimits.operationTimeout()))) {
+            return;
+        }
+        mContext.mOperations.remove(pending.operation());
+        mPending = null;
+        if (pending.kind() == Kind.WRITE_ACTIVE) {
+            mReadBack = true;
+        }
+    }
+
+    private void removeExpired(Instant now) {
+        if (now.isBefore(mNextSweep)) {
+            return;
+        }
+        Duration retention = mContext.settings().retention();
+        mRecords.removeExpired(retention, now);
+        mNextSweep = now.plus(retention.dividedBy(SWEEPS_PER_RETENTION));
+    }
+
+    private boolean isOfThisPartition(ActiveValue found) {
+        return found.partition().equals(mId)
+                && found.partitionCount() == mContext.mLimits.partitionCount();
+    }
+
+    private boolean isOwnAttempt(ActiveValue found) {
+        return found.owner().equals(mContext.mSelf) && mAttempts.containsKey(found.writeNumber());
+    }
+
+    private void refuse(String reason, Instant now) {
+        settleAll(reason);
+        forgetState();
+        mRefusal = "partition " + mId + " refuses claims: " + reason;
+        mNextStep = now.plus(mContext.mLimits.takeoverDelay());
+        enter(PartitionPhase.REFUSING, reason);
+    }
+
+    /** Records were lost in the service, so a key without a record may have been claimed. */
+    private void refuseForGood(Instant now) {
+        mContext.mLostRecords.add(mId);
+        refuse("the key-value service went back to older records", now);
+    }
+
+    private void forgetState() {
+        mAttempts.clear();
+        mRecords.clearIndex();
+        mSealer.clear();
+        mToLoad.clear();
+        mBrokenSegment = null;
+        mReadBack = false;
+    }
+
+    private void settleAll(String reason) {
+        for (WaitingClaim claim : mWaiting.values()) {
+            mContext.settle(claim, new ClaimResult.Unavailable(reason));
+        }
+        mWaiting.clear();
+    }
+
+    private void enter(PartitionPhase phase, String reason) {
+        mPhase = phase;
+        mContext.add(new DispatchDecision.PhaseChanged(mId, phase, reason));
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/SealingSegment.java
@@ -0,0 +1,39 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.util.List;
+import java.util.Set;
+import org.oleanderspring.coordination.dispatch.DispatchRecord;
+import org.oleanderspring.coordination.dispatch.PartitionId;
+import org.oleanderspring.coordination.dispatch.RecordCodec;
+import org.oleanderspring.coordination.dispatch.SealedSegment;
+import org.oleanderspring.coordination.dispatch.SealedValue;
+
+/**
+ * A segment on its way from the active value to a key of its own.
+ *
+ * @param segment its entry for the active value
+ * @param records its records
+ * @param bytes its encoded value
+ * @param isWritten whether the key is known to hold the value
+ */
+record SealingSegment(
+        SealedSegment segment, Set<DispatchRecord> records, byte[] bytes, boolean isWritten) {
+
+    static SealingSegment of(
+            PartitionId partition, int slot, long term, long number, List<DispatchRecord> records) {
+        long latestSeconds = 0;
+        for (DispatchRecord record : records) {
+            latestSeconds = Math.max(latestSeconds, record.recordedAtSeconds());
+        }
+        SealedValue value = new SealedValue(partition, term, number, records);
+        return new SealingSegment(
+                new SealedSegment(slot, term, number, latestSeconds),
+                Set.copyOf(records),
+                RecordCodec.encode(value),
+                false);
+    }
+
+    SealingSegment written() {
+        return new SealingSegment(segment, records, bytes, true);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/WaitingClaim.java
@@ -0,0 +1,28 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.time.Instant;
+import java.util.Comparator;
+import org.oleanderspring.coordination.dispatch.ClaimId;
+import org.oleanderspring.coordination.dispatch.KeyHash;
+
+/** A claim that is not settled yet. */
+final class WaitingClaim {
+    static final Comparator<WaitingClaim> BY_DEADLINE =
+            Comparator.comparing((WaitingClaim claim) -> claim.mDeadline)
+                    .thenComparingLong(claim -> claim.mSequence);
+
+    private final long mSequence;
+    final ClaimId mId;
+    final KeyHash mKey;
+    final Instant mArrival;
+    final Instant mDeadline;
+    boolean mSettled;
+
+    WaitingClaim(long sequence, ClaimId id, KeyHash key, Instant arrival, Instant deadline) {
+        mSequence = sequence;
+        mId = id;
+        mKey = key;
+        mArrival = arrival;
+        mDeadline = deadline;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/WriteAttempt.java
@@ -0,0 +1,17 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.util.List;
+import java.util.Map;
+import org.oleanderspring.coordination.dispatch.ActiveValue;
+import org.oleanderspring.coordination.dispatch.KeyHash;
+import org.oleanderspring.coordination.dispatch.RecordState;
+
+/**
+ * One write of an active value whose effect is not known yet.
+ *
+ * @param value what is written
+ * @param claims the claims for which the value has new records, at most one for each key
+ * @param outcomes the outcomes that the value contains
+ */
+record WriteAttempt(
+        ActiveValue value, List<WaitingClaim> claims, Map<KeyHash, RecordState> outcomes) {}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/WriteBudget.java
@@ -0,0 +1,44 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** Limits the writes of all partitions of a daemon to a rate, with short bursts. */
+final class WriteBudget {
+    /** A burst is at most the writes of this time, in seconds. */
+    private static final double BURST_SECONDS = 0.05;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private double mWritesPerSecond;
+    private double mAvailable = 1;
+    private Instant mRefilledAt = Instant.MIN;
+
+    WriteBudget(int writesPerSecond) {
+        mWritesPerSecond = writesPerSecond;
+    }
+
+    void setRate(int writesPerSecond) {
+        mWritesPerSecond = writesPerSecond;
+    }
+
+    boolean isAvailable(Instant now) {
+        refill(now);
+        return mAvailable >= 1;
+    }
+
+    void take() {
+        mAvailable -= 1;
+    }
+
+    private void refill(Instant now) {
+        double burst = Math.max(1, mWritesPerSecond * BURST_SECONDS);
+        if (mRefilledAt.equals(Instant.MIN)) {
+            mAvailable = burst;
+        } else if (now.isAfter(mRefilledAt)) {
+            double seconds = Duration.between(mRefilledAt, now).toNanos() / NANOS_PER_SECOND;
+            mAvailable = Math.min(burst, mAvailable + seconds * mWritesPerSecond);
+        }
+        mRefilledAt = now;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/query/PartitionMap.java
@@ -0,0 +1,34 @@
+package org.oleanderspring.coordination.dispatch.query;
+
+import java.util.Optional;
+import java.util.Set;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.PartitionId;
+import org.oleanderspring.coordination.membership.MemberId;
+
+/**
+ * Tells which daemon should own a partition. The answer is a hint: daemons may disagree, and the
+ * owner term in the active value decides.
+ */
+public interface PartitionMap {
+    /**
+     * Returns the partition of a key.
+     *
+     * @param key the idempotency key
+     */
+    PartitionId partitionOf(IdempotencyKey key);
+
+    /**
+     * Returns the member that should own a partition; empty if there are no members.
+     *
+     * @param partition the partition
+     */
+    Optional<MemberId> ownerOf(PartitionId partition);
+
+    /**
+     * Returns the partitions that a member should own.
+     *
+     * @param member the member
+     */
+    Set<PartitionId> ownedBy(MemberId member);
+}
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/query/RendezvousPartitionMap.java
@@ -0,0 +1,68 @@
+package org.oleanderspring.coordination.dispatch.query;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.KeyHash;
+import org.oleanderspring.coordination.dispatch.PartitionId;
+import org.oleanderspring.coordination.membership.MemberId;
+
+/**
+ * Assigns partitions by rendezvous hashing: each member has a score per partition, and the highest
+ * score owns it. A member that joins or leaves moves only the partitions that it gains or loses.
+ */
+public final class RendezvousPartitionMap implements PartitionMap {
+    private final List<MemberId> mMembers;
+    private final int mPartitionCount;
+
+    /**
+     * Creates a map for one set of members.
+     *
+     * @param members the members
+     * @param partitionCount the number of partitions
+     */
+    public RendezvousPartitionMap(Collection<MemberId> members, int partitionCount) {
+        if (partitionCount < 1) {
+            throw new IllegalArgumentException("no partitions: " + partitionCount);
+        }
+        mMembers = members.stream().distinct().sorted().toList();
+        mPartitionCount = partitionCount;
+    }
+
+    @Override
+    public PartitionId partitionOf(IdempotencyKey key) {
+        return PartitionId.of(KeyHash.of(key), mPartitionCount);
+    }
+
+    @Override
+    public Optional<MemberId> ownerOf(PartitionId partition) {
+        return mMembers.stream().max(Comparator.comparingLong(member -> score(member, partition)));
+    }
+
+    @Override
+    public Set<PartitionId> ownedBy(MemberId member) {
+        Set<PartitionId> owned = new TreeSet<>();
+        for (int number = 0; number < mPartitionCount; number++) {
+            PartitionId partition = new PartitionId(number);
+            if (ownerOf(partition).filter(member::equals).isPresent()) {
+                owned.add(partition);
+            }
+        }
+        return owned;
+    }
+
+    /** FNV-1a over the member's name and the partition, followed by a mixing step. */
+    private static long score(MemberId member, PartitionId partition) {
+        long hash = 0xcbf29ce484222325L;
+        String text = member.value() + "/" + partition.value();
+        for (int index = 0; index < text.length(); index++) {
+            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
+        }
+        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+        return hash ^ (hash >>> 33);
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/DispatchFuzz.java
@@ -0,0 +1,79 @@
+package org.oleanderspring.coordination.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tuple;
+import org.oleanderspring.coordination.dispatch.SimulatedDispatch.Step;
+import org.oleanderspring.coordination.dispatch.SimulatedDispatch.StepKind;
+import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+
+/**
+ * Several daemons record claims through a key-value service with faults; {@link SimulatedDispatch}
+ * holds the oracle. The seeds are fixed, and a failure prints the seed and the shrunk steps.
+ */
+class DispatchFuzz {
+    private static final Duration LONG_RETENTION = Duration.ofDays(1);
+    private static final Duration SHORT_RETENTION = Duration.ofSeconds(12);
+
+    /** Guards against a call that starts twice, and against a claim that is never settled. */
+    @Property(seed = "8301", tries = 400, shrinking = ShrinkingMode.BOUNDED)
+    void callStartsAtMostOnce(@ForAll("steps") List<Step> steps, @ForAll long linkSeed) {
+        SimulatedDispatch simulation = new SimulatedDispatch(LONG_RETENTION, linkSeed);
+        steps.forEach(simulation::run);
+        simulation.healAndSettle();
+        for (int key = 0; key < SimulatedDispatch.KEYS; key++) {
+            boolean startedBefore = simulation.starts(key) > 0;
+            ClaimResult result = simulation.claimAfterHealing(key);
+            if (startedBefore) {
+                assertThat("key " + key, result, instanceOf(ClaimResult.AlreadyClaimed.class));
+            }
+        }
+        ClaimResult fresh = simulation.claimAfterHealing(SimulatedDispatch.KEYS);
+        assertThat("a new key after all faults ended", fresh, is(new ClaimResult.Claimed()));
+    }
+
+    /** Guards against forgetting records too early when sealed segments expire. */
+    @Property(seed = "8302", tries = 200, shrinking = ShrinkingMode.BOUNDED)
+    void callStartsAtMostOnceWithinRetention(
+            @ForAll("steps") List<Step> steps, @ForAll long linkSeed) {
+        SimulatedDispatch simulation = new SimulatedDispatch(SHORT_RETENTION, linkSeed);
+        steps.forEach(simulation::run);
+        simulation.healAndSettle();
+        ClaimResult fresh = simulation.claimAfterHealing(SimulatedDispatch.KEYS);
+        assertThat("a new key after all faults ended", fresh, is(new ClaimResult.Claimed()));
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        Arbitrary<StepKind> kind =
+                Arbitraries.frequency(
+                        Tuple.of(40, StepKind.CLAIM),
+                        Tuple.of(20, StepKind.ADVANCE),
+                        Tuple.of(6, StepKind.OUTCOME),
+                        Tuple.of(6, StepKind.OWN),
+                        Tuple.of(5, StepKind.DISOWN),
+                        Tuple.of(5, StepKind.PAUSE),
+                        Tuple.of(5, StepKind.RESUME),
+                        Tuple.of(2, StepKind.CRASH),
+                        Tuple.of(4, StepKind.FAULTS),
+                        Tuple.of(2, StepKind.OUTAGE),
+                        Tuple.of(3, StepKind.CALM));
+        Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
+        return Combinators.combine(kind, number, number)
+                .as(Step::new)
+                .list()
+                .ofMinSize(20)
+                .ofMaxSize(150);
+    }
+}
