Fuzz documents against an oracle of what members can know

Loses, repeats and reorders messages, takes the service down, restores it with older content, pauses, restarts and isolates members, and lets two operators change a document at once.

--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/ChangeQueue.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/ChangeQueue.java
@@ -88,13 +88,19 @@
         return change.mDocument;
     }
 
-    /** Settles a change that was written. */
+    /**
+     * Settles a change that was written. A later version may be in force already; another version
+     * with the same number is, if the service lost one of the two.
+     */
     List<DocumentDecision> written(ChangeId id, VersionedDocument inForce) {
         Change change = find(id);
         if (change == null) {
             return List.of();
         }
-        return List.of(settle(change, overtaken(change, inForce)));
+        boolean lost =
+                inForce.number() == change.mDocument.number() && !inForce.equals(change.mDocument);
+        ChangeResult result = lost ? new ChangeResult.Uncertain() : new ChangeResult.Accepted();
+        return List.of(settle(change, result));
     }
 
     /** Settles the first change of a document because it cannot go on. */
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentNode.java
@@ -0,0 +1,256 @@
+package org.oleanderspring.coordination.document;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.document.command.DefaultDocumentDecider;
+import org.oleanderspring.coordination.document.command.DocumentDecision;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.document.query.DigestSnapshot;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.MemberState;
+
+/** One member of a {@link DocumentWorld}, with the oracle's knowledge of what it can know. */
+final class DocumentNode {
+    private static final Duration CLOCK_DISTANCE = Duration.ofHours(1);
+    private static final int FIRST_PORT = 7_000;
+
+    private final int mIndex;
+    private final String mDomain;
+    private final DocumentWorld mWorld;
+    private final Deque<Runnable> mInbox = new ArrayDeque<>();
+    private final Set<DocumentName> mWatches = new HashSet<>();
+    private final Map<DocumentName, VersionedDocument> mApplied = new HashMap<>();
+    private final Map<Integer, Instant> mContacts = new HashMap<>();
+    private DefaultDocumentDecider mDecider;
+    private DigestSnapshot mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+    private @Nullable Instant mKnownAt;
+    private @Nullable Instant mGrantedUntil;
+    private boolean mPaused;
+    private int mRun;
+
+    DocumentNode(int index, String domain, DocumentWorld world) {
+        mIndex = index;
+        mDomain = domain;
+        mWorld = world;
+        mDecider = newDecider();
+    }
+
+    private DefaultDocumentDecider newDecider() {
+        SplittableRandom random = new SplittableRandom(31L * mIndex + mRun);
+        return new DefaultDocumentDecider(member(), DocumentWorld.OPTIONS, random);
+    }
+
+    int index() {
+        return mIndex;
+    }
+
+    int run() {
+        return mRun;
+    }
+
+    DefaultDocumentDecider decider() {
+        return mDecider;
+    }
+
+    Member member() {
+        Address peer = new Address("10.0.0.1", FIRST_PORT + mIndex);
+        Address caller = new Address("10.0.0.2", FIRST_PORT + mIndex);
+        MemberId id = new MemberId("member-" + mIndex + "-" + mRun);
+        return new Member(id, peer, caller, mDomain, 0, MemberState.ALIVE);
+    }
+
+    /** Each member's clock differs from the others'. */
+    Instant localNow() {
+        return mWorld.now().plus(CLOCK_DISTANCE.multipliedBy(mIndex));
+    }
+
+    /** Returns the true time up to which this member can know what the service accepted. */
+    @Nullable Instant knownAt() {
+        return mKnownAt;
+    }
+
+    DocumentDigest digest() {
+        return mSnapshot.at(localNow());
+    }
+
+    boolean isPaused() {
+        return mPaused;
+    }
+
+    void pause() {
+        mPaused = true;
+    }
+
+    void resume() {
+        mPaused = false;
+        while (!mInbox.isEmpty() && !mPaused) {
+            mInbox.remove().run();
+        }
+    }
+
+    void restart() {
+        mRun++;
+        mInbox.clear();
+        mWatches.clear();
+        mApplied.clear();
+        mContacts.clear();
+        mKnownAt = null;
+        mGrantedUntil = null;
+        mPaused = false;
+        mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+        mDecider = newDecider();
+    }
+
+    boolean watches(DocumentName name) {
+        return mWatches.contains(name);
+    }
+
+    Set<DocumentName> takeWatches() {
+        Set<DocumentName> watches = Set.copyOf(mWatches);
+        mWatches.clear();
+        return watches;
+    }
+
+    void receive(DocumentEvent event) {
+        receiveThen(event, () -> {});
+    }
+
+    void receiveThen(DocumentEvent event, Runnable followUp) {
+        whenRunning(
+                () -> {
+                    tell(event);
+                    followUp.run();
+                });
+    }
+
+    /** Delivers an event to the run that it belongs to. */
+    void receiveIn(int run, DocumentEvent event) {
+        if (run == mRun) {
+            receive(event);
+        }
+    }
+
+    void receiveRead(int run, Instant executedAt, DocumentEvent event) {
+        if (run == mRun) {
+            whenRunning(
+                    () -> {
+                        knowUpTo(executedAt);
+                        tell(event);
+                    });
+        }
+    }
+
+    void receiveFrom(int sender, @Nullable Instant tag, DocumentEvent event) {
+        whenRunning(
+                () -> {
+                    knowUpTo(tag);
+                    tell(event);
+                });
+    }
+
+    void noteContact(int sender, Instant sentAt) {
+        mContacts.merge(sender, sentAt, (a, b) -> a.isAfter(b) ? a : b);
+    }
+
+    private void knowUpTo(@Nullable Instant time) {
+        if (time != null && (mKnownAt == null || time.isAfter(mKnownAt))) {
+            mKnownAt = time;
+        }
+    }
+
+    private void whenRunning(Runnable action) {
+        if (mPaused) {
+            mInbox.add(action);
+        } else {
+            action.run();
+        }
+    }
+
+    void tell(DocumentEvent event) {
+        for (DocumentDecision decision : mDecider.decide(event, localNow())) {
+            if (decision instanceof DocumentDecision.PutInForce put) {
+                apply(put.document());
+            } else if (decision instanceof DocumentDecision.StartWatch start) {
+                startWatch(start.name());
+            } else if (decision instanceof DocumentDecision.StopWatch stop) {
+                mWatches.remove(stop.name());
+            } else if (decision instanceof DocumentDecision.GrantAuthority grant) {
+                mGrantedUntil = grant.until();
+            } else if (decision instanceof DocumentDecision.WithdrawAuthority) {
+                mGrantedUntil = null;
+            } else if (decision instanceof DocumentDecision.PublishDigest publish) {
+                mSnapshot = publish.snapshot();
+            } else if (decision instanceof DocumentDecision.SettleChange settle) {
+                mWorld.settled(settle.change(), settle.result());
+            } else {
+                mWorld.execute(this, decision);
+            }
+        }
+    }
+
+    private void startWatch(DocumentName name) {
+        if (mWorld.reaches(this)) {
+            mWatches.add(name);
+        } else {
+            int run = mRun;
+            DocumentEvent failure = new DocumentEvent.WatchFailed(name, "no connection");
+            mWorld.after(Duration.ofSeconds(1), () -> receiveIn(run, failure));
+        }
+    }
+
+    private void apply(VersionedDocument document) {
+        VersionedDocument earlier = mApplied.put(document.name(), document);
+        if (earlier != null && document.number() < earlier.number()) {
+            throw new AssertionError(
+                    "member " + mIndex + " went back from " + earlier + " to " + document);
+        }
+        if (!mWorld.service().wasWritten(document)) {
+            throw new AssertionError("member " + mIndex + " applied unaccepted " + document);
+        }
+    }
+
+    boolean claimsAuthority() {
+        return mGrantedUntil != null && !localNow().isAfter(mGrantedUntil);
+    }
+
+    /** Checks that a claim of authority has a reason in what really reached this member. */
+    void checkClaim() {
+        if (!claimsAuthority()) {
+            return;
+        }
+        if (!mApplied.containsKey(DocumentWorld.SETTINGS)) {
+            throw new AssertionError("member " + mIndex + " decides without settings");
+        }
+        Instant now = mWorld.now();
+        Duration bound = DocumentWorld.OPTIONS.freshnessBound();
+        if (mKnownAt != null && !now.isAfter(mKnownAt.plus(bound))) {
+            return;
+        }
+        Duration contactBound = DocumentWorld.OPTIONS.contactBound();
+        long inContact =
+                mContacts.values().stream()
+                        .filter(sentAt -> !now.isAfter(sentAt.plus(contactBound)))
+                        .count();
+        if (2 * (inContact + 1) <= mWorld.nodes().size()) {
+            throw new AssertionError(
+                    "member "
+                            + mIndex
+                            + " claims authority; it knows the service up to "
+                            + mKnownAt
+                            + " and is in contact with "
+                            + inContact
+                            + " members at "
+                            + now);
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/FakeService.java
@@ -0,0 +1,75 @@
+package org.oleanderspring.coordination.document;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.Revision;
+
+/** A key-value service that can lose its latest writes; records every version ever written. */
+final class FakeService {
+    private final List<Map<DocumentName, Entry>> mHistory = new ArrayList<>();
+    private final Set<VersionedDocument> mEverWritten = new HashSet<>();
+    private Map<DocumentName, Entry> mEntries = new HashMap<>();
+    private long mLastRevision;
+    private boolean mUp = true;
+    private int mReads;
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    void setUp(boolean up) {
+        mUp = up;
+    }
+
+    Entry read(DocumentName name) {
+        mReads++;
+        return find(name);
+    }
+
+    Entry find(DocumentName name) {
+        return mEntries.getOrDefault(name, new Entry(null, Revision.ABSENT));
+    }
+
+    boolean compareAndSwap(VersionedDocument document, Revision expected) {
+        if (!find(document.name()).revision().equals(expected)) {
+            return false;
+        }
+        mHistory.add(Map.copyOf(mEntries));
+        mLastRevision++;
+        mEntries.put(document.name(), new Entry(document, new Revision(mLastRevision)));
+        mEverWritten.add(document);
+        return true;
+    }
+
+    /** Goes back by a number of writes; with or without reuse of the revisions. */
+    void restore(int writes, boolean reusesRevisions) {
+        if (mHistory.isEmpty()) {
+            return;
+        }
+        int index = Math.max(0, mHistory.size() - writes);
+        mEntries = new HashMap<>(mHistory.get(index));
+        mHistory.subList(index, mHistory.size()).clear();
+        if (reusesRevisions) {
+            mLastRevision =
+                    mEntries.values().stream().mapToLong(e -> e.revision().value()).max().orElse(0);
+        }
+    }
+
+    boolean wasWritten(VersionedDocument document) {
+        return mEverWritten.contains(document);
+    }
+
+    int takeReadCount() {
+        int reads = mReads;
+        mReads = 0;
+        return reads;
+    }
+
+    /** The content of a key. */
+    record Entry(@Nullable VersionedDocument document, Revision revision) {}
+}
