--- /dev/null
+++ b/bench/src/main/java/org/oleanderspring/bench/command/OverloadStrategy.java
@@ -0,0 +1,12 @@
+package org.oleanderspring.bench.command;
+
+import org.oleanderspring.core.routing.command.OverloadPolicy;
+
+/**
+ * What the daemon and the callers do under overload.
+ *
+ * @param name the name in the table
+ * @param policy the daemon's policy
+ * @param callerSends how often a caller sends a call at most
+ */
+record OverloadStrategy(String name, OverloadPolicy policy, int callerSends) {}
--- /dev/null
+++ b/bench/src/main/java/org/oleanderspring/bench/command/OverloadSubcommand.java
@@ -0,0 +1,112 @@
+package org.oleanderspring.bench.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.bench.query.OverloadResult;
+import org.oleanderspring.bench.query.TextTable;
+import org.oleanderspring.core.routing.command.QueueUntilDeadlinePolicy;
+import org.oleanderspring.core.routing.command.RefuseByEstimatePolicy;
+import org.oleanderspring.core.routing.command.RefuseForCallerRetryPolicy;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Compares the overload policies under the same offered calls. */
+@Command(
+        name = "overload",
+        mixinStandardHelpOptions = true,
+        description = "Compares waiting, refusing and retrying under overload.")
+public final class OverloadSubcommand implements Callable<Integer> {
+    private static final int CALLER_SENDS = 5;
+    private static final List<OverloadStrategy> STRATEGIES =
+            List.of(
+                    new OverloadStrategy("wait", new QueueUntilDeadlinePolicy(), 1),
+                    new OverloadStrategy("refuse", new RefuseByEstimatePolicy(), 1),
+                    new OverloadStrategy("retry", new RefuseForCallerRetryPolicy(), CALLER_SENDS));
+
+    @Option(names = "--seeds", description = "Number of seeds, from 1 on (${DEFAULT-VALUE}).")
+    private int mSeeds = 5;
+
+    @Option(
+            names = "--loads",
+            split = ",",
+            description = "Offered calls as multiples of the capacity (${DEFAULT-VALUE}).")
+    private List<Double> mLoads = List.of(0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0);
+
+    @Option(
+            names = "--cold",
+            description = "Milliseconds that the model takes to load; 0 if it is loaded.")
+    private long mColdMillis;
+
+    @Option(names = "--csv", description = "File for the table as CSV.")
+    private @Nullable Path mCsv;
+
+    @Override
+    public Integer call() throws IOException {
+        TextTable table =
+                new TextTable(
+                        "load",
+                        "policy",
+                        "useful%",
+                        "lowest",
+                        "highest",
+                        "extra/100",
+                        "wasted%",
+                        "refusal ms",
+                        "too_short%",
+                        "passed%",
+                        "overloaded%",
+                        "queue_full%");
+        for (double load : mLoads) {
+            for (OverloadStrategy strategy : STRATEGIES) {
+                addRow(table, load, strategy);
+            }
+        }
+        System.out.print(table.text());
+        if (mCsv != null) {
+            Files.writeString(mCsv, table.csv());
+        }
+        return 0;
+    }
+
+    private void addRow(TextTable table, double load, OverloadStrategy strategy) {
+        List<OverloadResult> results = new ArrayList<>();
+        for (int seed = 1; seed <= mSeeds; seed++) {
+            Duration coldFor = Duration.ofMillis(mColdMillis);
+            OverloadScenario scenario = new OverloadScenario(load, coldFor, seed);
+            results.add(new OverloadSimulation(scenario, strategy).run());
+        }
+        double lowest = results.stream().mapToDouble(OverloadResult::usefulPercent).min().orElse(0);
+        double highest =
+                results.stream().mapToDouble(OverloadResult::usefulPercent).max().orElse(0);
+        table.add(
+                String.format(Locale.ROOT, "%.1f", load),
+                strategy.name(),
+                mean(results, OverloadResult::usefulPercent),
+                format(lowest),
+                format(highest),
+                mean(results, OverloadResult::extraPercent),
+                mean(results, OverloadResult::wastedPercent),
+                mean(results, OverloadResult::refusalMillis),
+                mean(results, result -> result.refusedPercent("deadline_too_short")),
+                mean(results, result -> result.refusedPercent("deadline_passed")),
+                mean(results, result -> result.refusedPercent("overloaded")),
+                mean(results, result -> result.refusedPercent("queue_full")));
+    }
+
+    private static String mean(
+            List<OverloadResult> results, ToDoubleFunction<OverloadResult> value) {
+        return format(results.stream().mapToDouble(value).average().orElse(0));
+    }
+
+    private static String format(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+}
