--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/placement/command/FakeDaemon.java
@@ -0,0 +1,116 @@
+package org.oleanderspring.core.placement.command;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.placement.OrderId;
+import org.oleanderspring.core.placement.OrderSender;
+
+/**
+ * A daemon with the real decider, a ring of events and a ring of orders. While it is paused, both
+ * rings keep their content; afterwards the orders in the ring go out without another check.
+ */
+final class FakeDaemon {
+    private final OrderSender mSelf;
+    private final DefaultPlacementDecider mDecider;
+    private final ArrayDeque<PlacementEvent> mEvents = new ArrayDeque<>();
+    private final ArrayDeque<PlacementDecision.SendOrder> mOrders = new ArrayDeque<>();
+    private final Map<OrderId, FencingToken> mExchanges = new HashMap<>();
+    private final List<MemberId> mMembers = new ArrayList<>();
+    private final List<FakeDaemon> mEarlier = new ArrayList<>();
+    private FencingToken mHeardTerm = FencingToken.NONE;
+    private FencingToken mAcknowledgedTerm = FencingToken.NONE;
+    private boolean mPaused;
+    private boolean mHolding;
+
+    FakeDaemon(CellName cell, OrderSender self, PlacementPolicies policies) {
+        mSelf = self;
+        mMembers.add(self.member());
+        mDecider = new DefaultPlacementDecider(cell, self, policies);
+    }
+
+    OrderSender self() {
+        return mSelf;
+    }
+
+    /** Acknowledges for an earlier run at the same address as well. */
+    void actFor(FakeDaemon earlier) {
+        mMembers.addAll(earlier.mMembers);
+        mEarlier.add(earlier);
+    }
+
+    List<MemberId> members() {
+        return mMembers;
+    }
+
+    void setPaused(boolean paused) {
+        mPaused = paused;
+    }
+
+    boolean isPaused() {
+        return mPaused;
+    }
+
+    boolean isHolding() {
+        return mHolding;
+    }
+
+    void offer(PlacementEvent event) {
+        mEvents.add(event);
+    }
+
+    ArrayDeque<PlacementEvent> events() {
+        return mEvents;
+    }
+
+    ArrayDeque<PlacementDecision.SendOrder> orders() {
+        return mOrders;
+    }
+
+    Map<OrderId, FencingToken> exchanges() {
+        return mExchanges;
+    }
+
+    List<PlacementDecision> decide(PlacementEvent event, Instant now) {
+        if (event instanceof PlacementEvent.TermStarted) {
+            mHolding = true;
+        } else if (event instanceof PlacementEvent.TermEnded) {
+            mHolding = false;
+        }
+        return mDecider.decide(event, now);
+    }
+
+    /** Takes in an announcement: orders of earlier terms that were not sent are dropped. */
+    void heardTerm(FencingToken term, boolean isOwn) {
+        if (term.compareTo(mHeardTerm) <= 0) {
+            return;
+        }
+        mHeardTerm = term;
+        mOrders.removeIf(send -> send.order().token().compareTo(term) < 0);
+        if (!isOwn) {
+            mEvents.addFirst(new PlacementEvent.TermEnded());
+        }
+    }
+
+    /** Returns whether a new term can be acknowledged: no order of an earlier one is under way. */
+    boolean mayAcknowledge() {
+        boolean isDue = mHeardTerm.compareTo(mAcknowledgedTerm) > 0;
+        return isDue && !isBusy(mHeardTerm);
+    }
+
+    private boolean isBusy(FencingToken term) {
+        return mExchanges.values().stream().anyMatch(token -> token.compareTo(term) < 0)
+                || mEarlier.stream().anyMatch(earlier -> earlier.isBusy(term));
+    }
+
+    FencingToken acknowledge() {
+        mAcknowledgedTerm = mHeardTerm;
+        return mHeardTerm;
+    }
+}
