--- a/standin/src/main/java/org/oleanderspring/standin/http/ChunkWriter.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/ChunkWriter.java
@@ -1,8 +1,8 @@
 package org.oleanderspring.standin.http;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -48,7 +48,7 @@
         }
         mClosed = true;
         mAbort.run();
-        mCallback.failed(new IOException("aborted by the stand-in"));
+        mCallback.failed(new EofException("aborted by the stand-in"));
     }
 
     /** Returns whether the reader went away or the answer is complete. */
--- a/standin/src/main/java/org/oleanderspring/standin/http/Exchange.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/Exchange.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -133,7 +133,7 @@
     /** Breaks the connection without an answer. */
     public void drop() {
         breakConnection();
-        mCallback.failed(new IOException("dropped by the stand-in"));
+        mCallback.failed(new EofException("dropped by the stand-in"));
     }
 
     /**
