--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
@@ -186,7 +185,7 @@
         }
     }
 
-    private ParameterException invalid(String flag, @Nullable String value, String allowed) {
+    private ParameterException invalid(String flag, String value, String allowed) {
         return new ParameterException(
                 mSpec.commandLine(), ErrorMessage.BAD_FLAG.format(flag, value, allowed));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
@@ -22,6 +22,7 @@
 import org.oleanderspring.coordination.membership.command.MembershipEvent;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.LeastLoadedSelector;
+import org.oleanderspring.core.routing.command.PrefixAffinitySelector;
 import org.oleanderspring.core.routing.command.RefuseByEstimatePolicy;
 import org.oleanderspring.core.routing.command.RoutingEvent;
 import org.oleanderspring.core.routing.command.SafeRetryPolicy;
@@ -111,7 +112,8 @@
                 new RoutingDuty(
                         mSelf.id(),
                         new DefaultRoutingDecider(
-                                new LeastLoadedSelector(),
+                                new PrefixAffinitySelector(
+                                        new LeastLoadedSelector(mSelf.id().hashCode())),
                                 new RefuseByEstimatePolicy(),
                                 new SafeRetryPolicy()),
                         mPorts.endpoints(),
--- a/standin/src/main/java/org/oleanderspring/standin/StandinTool.java
+++ b/standin/src/main/java/org/oleanderspring/standin/StandinTool.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.util.concurrent.CountDownLatch;
+import org.oleanderspring.standin.load.command.LoadCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -9,7 +10,12 @@
 @Command(
         name = "standin",
         mixinStandardHelpOptions = true,
-        subcommands = {EngineCommand.class, ServiceCommand.class, PlatformCommand.class})
+        subcommands = {
+            EngineCommand.class,
+            ServiceCommand.class,
+            PlatformCommand.class,
+            LoadCommand.class
+        })
 public final class StandinTool {
     private static final PrintStream OUT = System.out;
 
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/load/command/CallerClient.java
@@ -0,0 +1,177 @@
+package org.oleanderspring.standin.load.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.StreamSupport;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpMethod;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.load.CallResult;
+import org.oleanderspring.standin.load.CallResult.Ending;
+
+/** Calls daemons as a caller does, and judges the answers. */
+public final class CallerClient implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int CONNECTIONS = 512;
+
+    /** Time beyond the deadline after which a call without an answer counts as lost. */
+    private static final Duration LOST_AFTER = Duration.ofSeconds(30);
+
+    private final HttpClient mClient = new HttpClient();
+    private final Duration mDeadline;
+    private final Set<String> mWarm = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates a client.
+     *
+     * @param deadline the deadline of each call
+     * @throws Exception if the client cannot be started
+     */
+    public CallerClient(Duration deadline) throws Exception {
+        mDeadline = deadline;
+        mClient.setMaxConnectionsPerDestination(CONNECTIONS);
+        mClient.start();
+    }
+
+    /**
+     * Reads the addresses that a daemon's directory gives.
+     *
+     * @param entry the address of the daemon
+     * @return the addresses; empty if the daemon does not answer
+     */
+    public List<String> directory(String entry) {
+        JsonNode body = read(entry, "/v1/entries");
+        return StreamSupport.stream(body.path("entries").spliterator(), false)
+                .map(node -> node.path("address").asText())
+                .toList();
+    }
+
+    /**
+     * Returns how many models a daemon knows.
+     *
+     * @param entry the address of the daemon
+     */
+    public int models(String entry) {
+        return read(entry, "/v1/models").path("data").size();
+    }
+
+    /**
+     * Sends a completion call.
+     *
+     * @param entry the address of the daemon
+     * @param model the model or adapter
+     * @param word a word that only this call contains
+     */
+    public CompletableFuture<CallResult> complete(String entry, String model, String word) {
+        String body =
+                MAPPER.createObjectNode()
+                        .put("model", model)
+                        .put("prompt", word + " who holds the headgate next?")
+                        .put("stream", true)
+                        .toString();
+        Request request = newRequest(entry, "/v1/completions", body);
+        return send(request, model, word);
+    }
+
+    /**
+     * Sends a non-idempotent call to a plain service.
+     *
+     * @param entry the address of the daemon
+     * @param service the service
+     * @param key the idempotency key, which is also in the body
+     */
+    public CompletableFuture<CallResult> order(String entry, String service, String key) {
+        Request request = newRequest(entry, "/v1/services/" + service + "/orders", "order " + key);
+        request.headers(headers -> headers.put("Idempotency-Key", key));
+        return send(request, service, key);
+    }
+
+    private Request newRequest(String entry, String path, String body) {
+        return mClient.newRequest("http://" + entry + path)
+                .method(HttpMethod.POST)
+                .headers(
+                        headers ->
+                                headers.put("X-Deadline-Ms", Long.toString(mDeadline.toMillis())))
+                .timeout(mDeadline.plus(LOST_AFTER).toMillis(), TimeUnit.MILLISECONDS)
+                .body(new StringRequestContent("application/json", body));
+    }
+
+    private CompletableFuture<CallResult> send(Request request, String target, String word) {
+        boolean cold = !mWarm.contains(target);
+        long start = System.nanoTime();
+        CompletableFuture<CallResult> future = new CompletableFuture<>();
+        request.send(
+                new BufferingResponseListener() {
+                    @Override
+                    public void onComplete(Result result) {
+                        Duration duration = Duration.ofNanos(System.nanoTime() - start);
+                        byte[] content = getContent();
+                        CallResult judged =
+                                judge(result, content == null ? new byte[0] : content, word);
+                        if (judged.ending() == Ending.SERVED) {
+                            mWarm.add(target);
+                        }
+                        future.complete(
+                                new CallResult(judged.ending(), cold, duration, judged.detail()));
+                    }
+                });
+        return future;
+    }
+
+    private static CallResult judge(Result result, byte[] content, String word) {
+        if (result.isFailed()) {
+            return ending(Ending.LOST, String.valueOf(result.getFailure()));
+        }
+        String text = new String(content, StandardCharsets.UTF_8);
+        if (result.getResponse().getStatus() == OK) {
+            boolean own = text.contains(word);
+            return ending(own ? Ending.SERVED : Ending.WRONG, own ? "" : "another call's answer");
+        }
+        JsonNode error = parse(content).path("error");
+        boolean notRun = error.path("work").asText().equals("not_run");
+        return ending(
+                notRun ? Ending.REFUSED_NOT_RUN : Ending.REFUSED_OTHER,
+                error.path("type").asText("status " + result.getResponse().getStatus()));
+    }
+
+    private static CallResult ending(Ending ending, String detail) {
+        return new CallResult(ending, false, Duration.ZERO, detail);
+    }
+
+    private JsonNode read(String entry, String path) {
+        try {
+            return parse(mClient.GET("http://" + entry + path).getContent());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (Exception unreachable) {
+            // The caller asks again; a daemon that starts does not answer yet.
+        }
+        return MAPPER.createObjectNode();
+    }
+
+    private static JsonNode parse(byte @Nullable [] content) {
+        try {
+            return MAPPER.readTree(content == null ? new byte[0] : content);
+        } catch (IOException malformed) {
+            return MAPPER.createObjectNode();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        mClient.stop();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/load/command/LoadCommand.java
@@ -0,0 +1,123 @@
+package org.oleanderspring.standin.load.command;
+
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.standin.load.CallResult;
+import org.oleanderspring.standin.load.CallResult.Ending;
+import org.oleanderspring.standin.load.query.LoadSummary;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Sends bursts of cold and warm calls through the entry directory and prints a summary. */
+@Command(
+        name = "load",
+        mixinStandardHelpOptions = true,
+        description = "Sends bursts of calls through the entry directory.")
+public final class LoadCommand implements Callable<Integer> {
+    private static final long READY_PAUSE_MILLIS = 200;
+
+    @Spec private CommandSpec mSpec;
+
+    @Option(names = "--entry", required = true, description = "caller port of a daemon, ip:port")
+    private String mEntry;
+
+    @Option(names = "--daemons", defaultValue = "1", description = "daemons to wait for")
+    private int mDaemons;
+
+    @Option(names = "--ready-seconds", defaultValue = "30", description = "how long to wait")
+    private int mReadySeconds;
+
+    @Option(names = "--models", split = ",", defaultValue = "", description = "models to call")
+    private List<String> mModels;
+
+    @Option(names = "--services", split = ",", defaultValue = "", description = "services to call")
+    private List<String> mServices;
+
+    @Option(names = "--calls", defaultValue = "8", description = "calls of each burst")
+    private int mCalls;
+
+    @Option(names = "--rounds", defaultValue = "2", description = "bursts to each model")
+    private int mRounds;
+
+    @Option(names = "--deadline-ms", defaultValue = "20000", description = "deadline of a call")
+    private long mDeadlineMillis;
+
+    @Option(names = "--run", defaultValue = "1", description = "part of each idempotency key")
+    private String mRun;
+
+    /** Created by the command line parser, which sets the flags. */
+    @SuppressWarnings("NullAway.Init")
+    public LoadCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = mSpec.commandLine().getOut();
+        try (CallerClient client = new CallerClient(Duration.ofMillis(mDeadlineMillis))) {
+            List<String> entries = awaitReady(client);
+            if (entries.isEmpty()) {
+                out.println("the daemons were not ready in time");
+                return 1;
+            }
+            out.println("entries " + String.join(", ", entries));
+            List<CallResult> results = new ArrayList<>();
+            for (int round = 1; round <= mRounds; round++) {
+                out.println("round " + round + (round == 1 ? ": cold starts" : ": warm"));
+                out.flush();
+                results.addAll(models(client, entries, round));
+                results.addAll(orders(client, entries, round));
+            }
+            LoadSummary summary = new LoadSummary(results);
+            out.println(summary.describe());
+            boolean failed = summary.count(Ending.LOST) + summary.count(Ending.WRONG) > 0;
+            return failed || summary.count(Ending.SERVED) == 0 ? 1 : 0;
+        }
+    }
+
+    private List<String> awaitReady(CallerClient client) throws InterruptedException {
+        long end = System.nanoTime() + Duration.ofSeconds(mReadySeconds).toNanos();
+        while (System.nanoTime() < end) {
+            List<String> entries = client.directory(mEntry);
+            boolean ready =
+                    entries.size() >= mDaemons
+                            && entries.stream().allMatch(entry -> client.models(entry) > 0);
+            if (ready) {
+                return entries;
+            }
+            Thread.sleep(READY_PAUSE_MILLIS);
+        }
+        return List.of();
+    }
+
+    private List<CallResult> models(CallerClient client, List<String> entries, int round) {
+        List<CompletableFuture<CallResult>> calls = new ArrayList<>();
+        int number = 0;
+        for (String model : mModels) {
+            for (int call = 0; call < mCalls && !model.isBlank(); call++) {
+                String entry = entries.get(number % entries.size());
+                String word = "word-" + mRun + "-" + round + "-" + number++ + "-end";
+                calls.add(client.complete(entry, model, word));
+            }
+        }
+        return calls.stream().map(CompletableFuture::join).toList();
+    }
+
+    /** Sends each order twice, at two daemons at once; at most one of the two may run. */
+    private List<CallResult> orders(CallerClient client, List<String> entries, int round) {
+        List<CompletableFuture<CallResult>> calls = new ArrayList<>();
+        int number = 0;
+        for (String service : mServices) {
+            for (int call = 0; call < mCalls && !service.isBlank(); call++) {
+                String key = "order-" + mRun + "-" + round + "-" + number++ + "-end";
+                calls.add(client.order(entries.get(number % entries.size()), service, key));
+                calls.add(client.order(entries.get((number + 1) % entries.size()), service, key));
+            }
+        }
+        return calls.stream().map(CompletableFuture::join).toList();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/load/query/package-info.java
@@ -0,0 +1,5 @@
+/** Summarizes what callers saw. */
+@NullMarked
+package org.oleanderspring.standin.load.query;
+
+import org.jspecify.annotations.NullMarked;
