--- a/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
@@ -25,11 +25,12 @@
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.settings.FleetSettings;
 import org.oleanderspring.core.settings.SettingName;
-import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.DaemonIdentity;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.command.PeerSender;
 
 /**
  * Sends claims to the owners of their partitions and carries out the decisions about the partitions
@@ -46,7 +47,7 @@
     private final DispatchLimits mLimits;
     private final KeyValueCommands mCommands;
     private final KeyValueQueries mQueries;
-    private final PeerCommands mPeers;
+    private final PeerSender mPeers;
     private final ClaimListener mListener;
     private final MonotonicClock mClock;
     private final EventSink<DispatchInput> mOwnRing;
@@ -74,7 +75,7 @@
             DispatchLimits limits,
             KeyValueCommands commands,
             KeyValueQueries queries,
-            PeerCommands peers,
+            PeerSender peers,
             ClaimListener listener,
             MonotonicClock clock,
             EventSink<DispatchInput> ownRing) {
@@ -131,16 +132,17 @@
         Duration remaining = Duration.between(mClock.now(), claim.deadline());
         owner.flatMap(DaemonIdentity::addressOf)
                 .ifPresentOrElse(
-                        address -> mPeers.requestClaim(address, id, claim.key(), remaining),
+                        address -> mPeers.send(address, new PeerMessage.ClaimRequest(id, claim.key(), remaining)),
                         () -> settleHere(id, new ClaimResult.Unavailable("no owner is known")));
     }
 
     private void claimThere(DispatchInput.ClaimThere claim) {
         if (ownerOf(claim.key()).filter(mSelf::equals).isEmpty()) {
-            mPeers.replyToClaim(
+            mPeers.send(
                     claim.from(),
-                    claim.claim(),
-                    new ClaimResult.Unavailable("another daemon owns the partition"));
+                    new PeerMessage.ClaimReply(
+                            claim.claim(),
+                            new ClaimResult.Unavailable("another daemon owns the partition")));
             return;
         }
         mPeerClaims.put(claim.claim(), claim.from());
@@ -156,7 +158,7 @@
         }
         owner.flatMap(DaemonIdentity::addressOf)
                 .ifPresent(
-                        address -> mPeers.reportOutcome(address, outcome.key(), outcome.state()));
+                        address -> mPeers.send(address, new PeerMessage.OutcomeReport(outcome.key(), outcome.state())));
     }
 
     private void changeMembers(List<MemberId> members) {
@@ -215,7 +217,7 @@
         }
         Address from = mPeerClaims.remove(settled.claim());
         if (from != null) {
-            mPeers.replyToClaim(from, settled.claim(), settled.result());
+            mPeers.send(from, new PeerMessage.ClaimReply(settled.claim(), settled.result()));
         }
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
@@ -24,11 +24,12 @@
 import org.oleanderspring.daemon.codec.SettingsCodec;
 import org.oleanderspring.daemon.codec.SettingsDocument;
 import org.oleanderspring.daemon.document.query.DocumentStatus;
-import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.StoreKeys;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.command.PeerSender;
 
 /** Carries out the decisions about documents. All of its state belongs to the document thread. */
 public final class DocumentDuty implements EventHandler<DocumentInput> {
@@ -37,7 +38,7 @@
     private final DefaultDocumentDecider mDecider;
     private final KeyValueCommands mCommands;
     private final ServiceReader mReader;
-    private final PeerCommands mPeers;
+    private final PeerSender mPeers;
     private final DocumentListener mListener;
     private final MonotonicClock mClock;
     private final EventSink<DocumentInput> mOwnRing;
@@ -60,7 +61,7 @@
             DefaultDocumentDecider decider,
             KeyValueCommands commands,
             KeyValueQueries queries,
-            PeerCommands peers,
+            PeerSender peers,
             DocumentListener listener,
             MonotonicClock clock,
             EventSink<DocumentInput> ownRing) {
@@ -136,11 +137,12 @@
         } else if (decision instanceof DocumentDecision.SettleChange settle) {
             mDesk.settle(settle);
         } else if (decision instanceof DocumentDecision.PushDocument push) {
-            push.peers().forEach(peer -> mPeers.pushDocument(peer, push.document()));
+            push.peers()
+.forEach(peer -> mPeers.send(peer, new PeerMessage.DocumentPush(push.document())));
         } else if (decision instanceof DocumentDecision.FetchDocument fetch) {
-            mPeers.fetchDocument(fetch.peer(), fetch.requestId(), fetch.name());
+            mPeers.send(fetch.peer(), new PeerMessage.DocumentFetch(fetch.requestId(), fetch.name()));
         } else if (decision instanceof DocumentDecision.ReplyToFetch reply) {
-            mPeers.replyToFetch(reply.peer(), reply.requestId(), reply.document(), reply.digest());
+            mPeers.send(reply.peer(), new PeerMessage.DocumentReply(reply.requestId(), reply.document(), reply.digest()));
         } else {
             inform(decision);
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/membership/command/MembershipDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/membership/command/MembershipDuty.java
@@ -13,9 +13,10 @@
 import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.settings.SettingName;
 import org.oleanderspring.daemon.front.query.EntryDirectory;
-import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.command.PeerSender;
 
 /** Carries out the decisions about members. All of its state belongs to the membership thread. */
 public final class MembershipDuty implements EventHandler<MembershipInput> {
@@ -23,7 +24,7 @@
 
     private final DefaultMembershipDecider mDecider;
     private final DigestHolder mDigests;
-    private final PeerCommands mPeers;
+    private final PeerSender mPeers;
     private final MembershipListener mListener;
     private final MonotonicClock mClock;
     private MemberList mMembers;
@@ -41,7 +42,7 @@
     public MembershipDuty(
             DefaultMembershipDecider decider,
             DigestHolder digests,
-            PeerCommands peers,
+            PeerSender peers,
             MembershipListener listener,
             MonotonicClock clock) {
         mDecider = decider;
@@ -75,7 +76,7 @@
 
     private void carryOut(MembershipDecision decision) {
         if (decision instanceof MembershipDecision.SendMessage send) {
-            mPeers.sendMembership(send.receiver(), send.message());
+            mPeers.send(send.receiver(), new PeerMessage.Membership(send.message()));
         } else if (decision instanceof MembershipDecision.MemberChanged changed) {
             LOGGER.log(
                     Level.INFO,
--- a/daemon/src/main/java/org/oleanderspring/daemon/peering/command/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** Sends messages to other daemons. */
-@NullMarked
-package org.oleanderspring.daemon.peering.command;
-
-import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/OrderExchanges.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/OrderExchanges.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.placement.OrderId;
 import org.oleanderspring.core.placement.RunnerOrder;
@@ -32,10 +31,8 @@
      * @param receiver the peer address of the daemon that awaits it
      * @param cell the cell
      * @param term the term
-     * @param member the daemon run for which it holds
      */
-    record WaitingAcknowledgement(
-            Address receiver, CellName cell, FencingToken term, MemberId member) {}
+    record WaitingAcknowledgement(Address receiver, CellName cell, FencingToken term) {}
 
     void began(CellName cell, RunnerOrder order) {
         mOpen.put(order.id(), new Exchange(cell, order.token()));
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -37,12 +37,13 @@
 import org.oleanderspring.core.placement.command.PlacementEvent;
 import org.oleanderspring.core.port.command.RunnerCommands;
 import org.oleanderspring.daemon.codec.PlanCodec;
-import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.process.DaemonIdentity;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.StoreKeys;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.command.PeerSender;
 
 /**
  * Carries out the decisions of placement for the cells whose leases this daemon holds, and passes
@@ -57,7 +58,7 @@
     private final KeyValueCommands mStoreCommands;
     private final KeyValueQueries mStoreQueries;
     private final RunnerCommands mRunners;
-    private final PeerCommands mPeers;
+    private final PeerSender mPeers;
     private final PlacementListener mListener;
     private final MonotonicClock mClock;
     private final EventSink<PlacementInput> mOwnRing;
@@ -65,6 +66,7 @@
     private final Set<CellName> mLeased = new TreeSet<>();
     private final Map<CellName, Instant> mPlanReads = new TreeMap<>();
     private final Map<CellName, Plan> mPlans = new TreeMap<>();
+        private final Map<CellName, Set<MemberId>> mAwaited = new TreeMap<>();
     private final OrderExchanges mExchanges = new OrderExchanges();
     private final RunnerDirectory mDirectory = new RunnerDirectory();
     private @Nullable VmId mVm;
@@ -93,7 +95,7 @@
             KeyValueCommands storeCommands,
             KeyValueQueries storeQueries,
             RunnerCommands runners,
-            PeerCommands peers,
+            PeerSender peers,
             PlacementListener listener,
             MonotonicClock clock,
             EventSink<PlacementInput> ownRing) {
@@ -127,6 +129,8 @@
             use(use.uses());
         } else if (input instanceof PlacementInput.TermAnnounced announced) {
             acknowledge(announced);
+                } else if (input instanceof PlacementInput.TermAcknowledged acknowledged) {
+            takeAcknowledgement(acknowledged);
         } else if (input instanceof PlacementInput.PlansAsked asked) {
             asked.reply().complete(List.copyOf(mPlans.values()));
         } else {
@@ -286,8 +290,10 @@
         DaemonIdentity.addressOf(holder)
                 .ifPresent(
                         address ->
-                                mPeers.wake(
-                                        address, cell, wake.model(), remaining, wake.waiting()));
+                                mPeers.send(
+                                        address,
+                                        new PeerMessage.WakeRequest(
+                                                mSelf, cell, wake.model(), remaining, wake.waiting())));
     }
 
     private void use(List<ModelUse> uses) {
@@ -301,7 +307,7 @@
                 continue;
             }
             DaemonIdentity.addressOf(holder)
-                    .ifPresent(address -> mPeers.reportUse(address, cell, uses));
+                    .ifPresent(address -> mPeers.send(address, new PeerMessage.UseReport(mSelf, cell, uses)));
         }
     }
 
@@ -347,7 +353,7 @@
             } else if (decision instanceof PlacementDecision.AnnounceTerm announce) {
                 announce(announce);
             } else if (decision instanceof PlacementDecision.EstimateReadiness estimate) {
-                estimate(estimate);
+                estimate(cell, estimate);
             }
         }
     }
@@ -408,6 +414,7 @@
     }
 
     private void announce(PlacementDecision.AnnounceTerm announce) {
+        mAwaited.put(announce.cell(), announce.awaited());
         for (MemberId awaited : announce.awaited()) {
             DaemonIdentity.addressOf(awaited).ifPresent(address -> announce(announce, address));
         }
@@ -416,27 +423,36 @@
     private void announce(PlacementDecision.AnnounceTerm announce, Address receiver) {
         if (receiver.equals(mSelfAddress)) {
             acknowledge(
-                    new PlacementInput.TermAnnounced(
-                            receiver, announce.cell(), announce.term(), announce.awaited()));
+                    new PlacementInput.TermAnnounced(receiver, announce.cell(), announce.term()));
             return;
         }
-        mPeers.announceTerm(receiver, announce.cell(), announce.term(), announce.awaited());
+        mPeers.send(
+                receiver,
+                new PeerMessage.TermAnnouncement(announce.cell(), announce.term(), mSelf));
     }
 
-    /** Acknowledges for this run and for earlier runs at the same address, which are dead. */
     private void acknowledge(PlacementInput.TermAnnounced announced) {
         Plan known = mPlans.get(announced.cell());
         boolean later = known == null || announced.term().compareTo(known.term()) > 0;
         if (later && !announced.from().equals(mSelfAddress)) {
             yieldTerm(announced.cell());
         }
-        for (MemberId awaited : announced.awaited()) {
-            boolean mine =
-                    DaemonIdentity.addressOf(awaited).filter(mSelfAddress::equals).isPresent();
-            if (mine) {
-                mExchanges.await(
-                        new OrderExchanges.WaitingAcknowledgement(
-                                announced.from(), announced.cell(), announced.term(), awaited));
+        mExchanges.await(
+                new OrderExchanges.WaitingAcknowledgement(
+                        announced.from(), announced.cell(), announced.term()));
+    }
+
+    /**
+     * Takes an acknowledgement for all awaited runs at the address of the daemon that sent it. Two
+     * runs cannot share an address, so the earlier runs there are dead and send nothing either.
+     */
+    private void takeAcknowledgement(PlacementInput.TermAcknowledged acknowledged) {
+        Address from = acknowledged.from();
+        for (MemberId awaited : mAwaited.getOrDefault(acknowledged.cell(), Set.of())) {
+            if (DaemonIdentity.addressOf(awaited).filter(from::equals).isPresent()) {
+                decide(
+                        acknowledged.cell(),
+                        new PlacementEvent.TermAcknowledged(awaited, acknowledged.term()));
             }
         }
     }
@@ -456,14 +472,17 @@
     private void sendDueAcknowledgements() {
         for (OrderExchanges.WaitingAcknowledgement due : mExchanges.takeDue()) {
             if (due.receiver().equals(mSelfAddress)) {
-                decide(due.cell(), new PlacementEvent.TermAcknowledged(due.member(), due.term()));
+                takeAcknowledgement(
+                        new PlacementInput.TermAcknowledged(mSelfAddress, due.cell(), due.term()));
                 continue;
             }
-            mPeers.acknowledgeTerm(due.receiver(), due.cell(), due.term(), due.member());
+            mPeers.send(
+                    due.receiver(),
+                    new PeerMessage.TermAcknowledgement(due.cell(), due.term(), mSelf));
         }
     }
 
-    private void estimate(PlacementDecision.EstimateReadiness estimate) {
+    private void estimate(CellName cell, PlacementDecision.EstimateReadiness estimate) {
         if (!(estimate.readiness() instanceof Readiness.ReadyAt ready)) {
             LOGGER.log(
                     Level.WARNING,
@@ -475,7 +494,7 @@
         mListener.readinessEstimated(estimate.model(), ready.at());
         Duration remaining = Duration.between(mClock.now(), ready.at());
         for (Address other : mDirectory.otherDaemons(mSelfAddress)) {
-            mPeers.estimateReadiness(other, estimate.model(), remaining);
+            mPeers.send(other, new PeerMessage.ReadyNotice(cell, estimate.model(), remaining));
         }
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementInput.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
@@ -108,20 +107,24 @@
     }
 
     /**
-     * Another daemon announced a new term.
+     * A daemon announced a new term.
      *
      * @param from its peer address
      * @param cell the cell
      * @param term the new term
-     * @param awaited the daemon runs whose acknowledgement it awaits
      */
-    record TermAnnounced(Address from, CellName cell, FencingToken term, Set<MemberId> awaited)
-            implements PlacementInput {
-        /** Copies the set. */
-        public TermAnnounced {
-            awaited = Set.copyOf(awaited);
-        }
-    }
+    record TermAnnounced(Address from, CellName cell, FencingToken term)
+            implements PlacementInput {}
+
+    /**
+     * A daemon acknowledged a term.
+     *
+     * @param from its peer address
+     * @param cell the cell
+     * @param term the term
+     */
+    record TermAcknowledged(Address from, CellName cell, FencingToken term)
+            implements PlacementInput {}
 
     /**
      * The member list changed.
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/command/Connections.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/Connections.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.daemon.peering.command.DetachedPeers;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.PlatformPorts;
 import org.oleanderspring.daemon.process.ProcessSettings;
@@ -50,7 +49,7 @@
                         Daemon.describe(settings),
                         rings,
                         ports(settings, client, clock),
-                        new DetachedPeers(),
+                        peers,
                         metrics,
                         clock);
         starter.start(
@@ -69,7 +68,7 @@
                 new HttpKeyValueQueries(calls, client, store, STORE_LIMIT, WATCH_SILENCE),
                 new HttpEndpointCommands(client, ANSWER_SILENCE),
                 new HttpRunnerCommands(calls, RUNNER_LIMIT, clock),
-                new HttpRunnerQueries(calls, RUNNER_LIMIT),
+                new HttpRunnerQueries(calls, RUNNER_LIMIT, clock),
                 new HttpVmListQueries(calls, addressOf(settings.vmList()), LIST_LIMIT, clock),
                 new HttpWeightStoreQueries(calls, addressOf(settings.weightStore()), LIST_LIMIT));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
@@ -35,7 +35,6 @@
 import org.oleanderspring.daemon.membership.command.DigestHolder;
 import org.oleanderspring.daemon.membership.command.MembershipDuty;
 import org.oleanderspring.daemon.membership.command.MembershipInput;
-import org.oleanderspring.daemon.peering.command.PeerCommands;
 import org.oleanderspring.daemon.placement.command.PlacementDuty;
 import org.oleanderspring.daemon.placement.command.PlacementInput;
 import org.oleanderspring.daemon.process.MonotonicClock;
@@ -46,6 +45,7 @@
 import org.oleanderspring.daemon.routing.command.RoutingDuty;
 import org.oleanderspring.daemon.routing.command.RoutingInput;
 import org.oleanderspring.daemon.routing.command.RoutingMeters;
+import org.oleanderspring.peer.command.PeerSender;
 
 /** Starts the duties of a daemon on their rings, and their ticks. */
 public final class DutyStarter {
@@ -58,7 +58,7 @@
     private final Member mSelf;
     private final Rings mRings;
     private final PlatformPorts mPorts;
-    private final PeerCommands mPeers;
+    private final PeerSender mPeers;
     private final MetricRegistry mMetrics;
     private final MonotonicClock mClock;
 
@@ -76,7 +76,7 @@
             Member self,
             Rings rings,
             PlatformPorts ports,
-            PeerCommands peers,
+            PeerSender peers,
             MetricRegistry metrics,
             MonotonicClock clock) {
         mSelf = self;
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/PeerFanOut.java
@@ -0,0 +1,143 @@
+package org.oleanderspring.daemon.wiring.command;
+
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.document.command.DocumentEvent;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.command.MembershipEvent;
+import org.oleanderspring.core.placement.command.PlacementEvent;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.dispatch.command.DispatchInput;
+import org.oleanderspring.daemon.document.command.DocumentInput;
+import org.oleanderspring.daemon.membership.command.MembershipInput;
+import org.oleanderspring.daemon.placement.command.PlacementInput;
+import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.routing.command.RoutingInput;
+import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.duty.command.OfferResult;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.ReceivedMessage;
+
+/**
+ * Hands the messages of other daemons to the duties. A message that meets a full ring is dropped,
+ * since the network may lose it as well and senders repeat what matters.
+ */
+public final class PeerFanOut implements EventSink<ReceivedMessage> {
+    private final Rings mRings;
+    private final MonotonicClock mClock;
+
+    /**
+     * Creates the fan-out.
+     *
+     * @param rings the rings of the duties
+     * @param clock the clock
+     */
+    public PeerFanOut(Rings rings, MonotonicClock clock) {
+        mRings = rings;
+        mClock = clock;
+    }
+
+    @Override
+    public OfferResult offer(ReceivedMessage received) {
+        PeerMessage message = received.message();
+        if (message instanceof PeerMessage.Membership membership) {
+            return mRings.membershipThread()
+                    .offer(
+                            new MembershipInput.Event(
+                                    new MembershipEvent.MessageReceived(membership.message())));
+        }
+        OfferResult result = offerDocument(received.sender(), message);
+        if (result == null) {
+            result = offerPlacement(received.sender(), message);
+        }
+        return result == null ? offerCall(received.sender(), message) : result;
+    }
+
+    private @Nullable OfferResult offerDocument(
+            Address sender, PeerMessage message) {
+        if (message instanceof PeerMessage.DocumentPush push) {
+            return document(new DocumentEvent.PushReceived(sender, push.document()));
+        }
+        if (message instanceof PeerMessage.DocumentFetch fetch) {
+            return document(
+                    new DocumentEvent.FetchRequested(sender, fetch.requestId(), fetch.name()));
+        }
+        if (message instanceof PeerMessage.DocumentReply reply) {
+            return document(
+                    new DocumentEvent.FetchReplied(
+                            sender, reply.requestId(), reply.document(), reply.digest()));
+        }
+        return null;
+    }
+
+    private @Nullable OfferResult offerPlacement(
+            Address sender, PeerMessage message) {
+        if (message instanceof PeerMessage.WakeRequest wake) {
+            Instant deadline = mClock.now().plus(wake.untilDeadline());
+            return mRings.placementThread()
+                    .offer(
+                            new PlacementInput.WakeThere(
+                                    wake.cell(),
+                                    wake.daemon(),
+                                    wake.model(),
+                                    deadline,
+                                    wake.waiting()));
+        }
+        if (message instanceof PeerMessage.UseReport use) {
+            return mRings.placementThread()
+                    .offer(
+                            new PlacementInput.Event(
+                                    use.cell(),
+                                    new PlacementEvent.UseReported(use.daemon(), use.uses())));
+        }
+        if (message instanceof PeerMessage.TermAnnouncement announcement) {
+            return mRings.placementThread()
+                    .offer(
+                            new PlacementInput.TermAnnounced(
+                                    sender, announcement.cell(), announcement.term()));
+        }
+        if (message instanceof PeerMessage.TermAcknowledgement acknowledgement) {
+            return mRings.placementThread()
+                    .offer(
+                            new PlacementInput.TermAcknowledged(
+                                    sender, acknowledgement.cell(), acknowledgement.term()));
+        }
+        return null;
+    }
+
+    private OfferResult offerCall(Address sender, PeerMessage message) {
+        if (message instanceof PeerMessage.ClaimRequest claim) {
+            return mRings.dispatchThread()
+                    .offer(
+                            new DispatchInput.ClaimThere(
+                                    sender, claim.claim(), claim.key(), claim.untilDeadline()));
+        }
+        if (message instanceof PeerMessage.ClaimReply reply) {
+            return mRings.dispatchThread()
+                    .offer(new DispatchInput.ClaimReplied(reply.claim(), reply.result()));
+        }
+        if (message instanceof PeerMessage.OutcomeReport outcome) {
+            return mRings.dispatchThread()
+                    .offer(new DispatchInput.OutcomeKnown(outcome.key(), outcome.state()));
+        }
+        if (message instanceof PeerMessage.ReadyNotice ready) {
+            return routing(
+                    new RoutingEvent.ReadinessEstimated(
+                            new Target.ModelTarget(ready.model()),
+                            mClock.now().plus(ready.readyAfter())));
+        }
+        if (message instanceof PeerMessage.EndpointNotice notice) {
+            return routing(new RoutingEvent.EndpointDraining(notice.endpoint()));
+        }
+        return OfferResult.ACCEPTED;
+    }
+
+    private OfferResult document(DocumentEvent event) {
+        return mRings.documentThread().offer(new DocumentInput.Event(event));
+    }
+
+    private OfferResult routing(RoutingEvent event) {
+        return mRings.routingThread().offer(new RoutingInput.Event(event));
+    }
+}
--- a/standin/src/main/java/org/oleanderspring/standin/engine/EngineState.java
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/EngineState.java
@@ -176,7 +176,8 @@
     public ObjectNode visibleReport() {
         Instant now = Instant.now();
         ObjectNode report = mReport.visible(now).deepCopy();
-        return report.put("madeAt", mReport.visibleAsOf(now).toString());
+        return report.put("madeAt", mReport.visibleAsOf(now).toString())
+                .put("servedAt", now.toString());
     }
 
     private ObjectNode makeReport() {
