Join the daemon to the peer transport, test whole fleets of processes and measure control cost

Cause: daemons have to exchange documents, wakes and claims, and the whole path needs a proof. Change: the fan-out of peer messages, FleetTest with kills, pauses and outages, bench control.

--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -10,7 +10,7 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures the decision core with a virtual clock.",
-        subcommands = {RoutingSubcommand.class, OverloadSubcommand.class})
+        subcommands = {RoutingSubcommand.class, OverloadSubcommand.class, ControlCost.class})
 public final class BenchTool {
     private BenchTool() {}
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
@@ -120,16 +120,17 @@
             daemon.abort();
             return ExitCode.USAGE;
         }
-        CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(
                                 () -> {
                                     daemon.stop();
-                                    stopped.countDown();
+                                    // A planned stop is a success; the signal's code would hide
+                                    // that from a process manager.
+                                    Runtime.getRuntime().halt(ExitCode.SUCCESS);
                                 },
                                 "stop"));
-        stopped.await();
+        new CountDownLatch(1).await();
         return ExitCode.SUCCESS;
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
@@ -132,7 +132,10 @@
         Duration remaining = Duration.between(mClock.now(), claim.deadline());
         owner.flatMap(DaemonIdentity::addressOf)
                 .ifPresentOrElse(
-                        address -> mPeers.send(address, new PeerMessage.ClaimRequest(id, claim.key(), remaining)),
+                        address ->
+                                mPeers.send(
+                                        address,
+                                        new PeerMessage.ClaimRequest(id, claim.key(), remaining)),
                         () -> settleHere(id, new ClaimResult.Unavailable("no owner is known")));
     }
 
@@ -158,7 +161,11 @@
         }
         owner.flatMap(DaemonIdentity::addressOf)
                 .ifPresent(
-                        address -> mPeers.send(address, new PeerMessage.OutcomeReport(outcome.key(), outcome.state())));
+                        address ->
+                                mPeers.send(
+                                        address,
+                                        new PeerMessage.OutcomeReport(
+                                                outcome.key(), outcome.state())));
     }
 
     private void changeMembers(List<MemberId> members) {
@@ -223,9 +230,14 @@
 
     private void settleHere(ClaimId claim, ClaimResult result) {
         CallId call = mOpen.take(claim);
-        if (call != null) {
-            mListener.claimSettled(call, result);
+        if (call == null) {
+            return;
+        }
+        if (result instanceof ClaimResult.Unavailable unavailable) {
+            LOGGER.log(
+                    Level.INFO, "[dispatch] No record for {0}: {1}.", call, unavailable.reason());
         }
+        mListener.claimSettled(call, result);
     }
 
     private void offer(DispatchEvent event) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/document/command/DocumentDuty.java
@@ -138,11 +138,18 @@
             mDesk.settle(settle);
         } else if (decision instanceof DocumentDecision.PushDocument push) {
             push.peers()
-.forEach(peer -> mPeers.send(peer, new PeerMessage.DocumentPush(push.document())));
+                    .forEach(
+                            peer ->
+                                    mPeers.send(
+                                            peer, new PeerMessage.DocumentPush(push.document())));
         } else if (decision instanceof DocumentDecision.FetchDocument fetch) {
-            mPeers.send(fetch.peer(), new PeerMessage.DocumentFetch(fetch.requestId(), fetch.name()));
+            mPeers.send(
+                    fetch.peer(), new PeerMessage.DocumentFetch(fetch.requestId(), fetch.name()));
         } else if (decision instanceof DocumentDecision.ReplyToFetch reply) {
-            mPeers.send(reply.peer(), new PeerMessage.DocumentReply(reply.requestId(), reply.document(), reply.digest()));
+            mPeers.send(
+                    reply.peer(),
+                    new PeerMessage.DocumentReply(
+                            reply.requestId(), reply.document(), reply.digest()));
         } else {
             inform(decision);
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -66,7 +66,7 @@
     private final Set<CellName> mLeased = new TreeSet<>();
     private final Map<CellName, Instant> mPlanReads = new TreeMap<>();
     private final Map<CellName, Plan> mPlans = new TreeMap<>();
-        private final Map<CellName, Set<MemberId>> mAwaited = new TreeMap<>();
+    private final Map<CellName, Set<MemberId>> mAwaited = new TreeMap<>();
     private final OrderExchanges mExchanges = new OrderExchanges();
     private final RunnerDirectory mDirectory = new RunnerDirectory();
     private @Nullable VmId mVm;
@@ -129,7 +129,7 @@
             use(use.uses());
         } else if (input instanceof PlacementInput.TermAnnounced announced) {
             acknowledge(announced);
-                } else if (input instanceof PlacementInput.TermAcknowledged acknowledged) {
+        } else if (input instanceof PlacementInput.TermAcknowledged acknowledged) {
             takeAcknowledgement(acknowledged);
         } else if (input instanceof PlacementInput.PlansAsked asked) {
             asked.reply().complete(List.copyOf(mPlans.values()));
@@ -293,7 +293,11 @@
                                 mPeers.send(
                                         address,
                                         new PeerMessage.WakeRequest(
-                                                mSelf, cell, wake.model(), remaining, wake.waiting())));
+                                                mSelf,
+                                                cell,
+                                                wake.model(),
+                                                remaining,
+                                                wake.waiting())));
     }
 
     private void use(List<ModelUse> uses) {
@@ -307,7 +311,10 @@
                 continue;
             }
             DaemonIdentity.addressOf(holder)
-                    .ifPresent(address -> mPeers.send(address, new PeerMessage.UseReport(mSelf, cell, uses)));
+                    .ifPresent(
+                            address ->
+                                    mPeers.send(
+                                            address, new PeerMessage.UseReport(mSelf, cell, uses)));
         }
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/command/Connections.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/Connections.java
@@ -1,16 +1,22 @@
 package org.oleanderspring.daemon.process.command;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.net.URI;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.PlatformPorts;
 import org.oleanderspring.daemon.process.ProcessSettings;
 import org.oleanderspring.daemon.wiring.command.DutyStarter;
+import org.oleanderspring.daemon.wiring.command.PeerFanOut;
 import org.oleanderspring.daemon.wiring.command.Rings;
+import org.oleanderspring.peer.PeerLimits;
+import org.oleanderspring.peer.codec.PeerCodec;
+import org.oleanderspring.peer.command.PeerNode;
+import org.oleanderspring.peer.command.PeerStart;
+import org.oleanderspring.peer.query.PeerTraffic;
 import org.oleanderspring.platform.command.HttpEndpointCommands;
 import org.oleanderspring.platform.command.HttpKeyValueCommands;
 import org.oleanderspring.platform.command.HttpRunnerCommands;
@@ -37,26 +43,67 @@
 
     private final SharedHttpClient mClient;
 
-    private Connections(SharedHttpClient client) {
+    private final PeerNode mPeers;
+
+    private Connections(SharedHttpClient client, PeerNode peers) {
         mClient = client;
+        mPeers = peers;
+    }
+
+    /** Whether the connections could be opened. */
+    sealed interface Opening {
+        /**
+         * They are open and the duties run.
+         *
+         * @param connections to be closed
+         */
+        record Opened(Connections connections) implements Opening {}
+
+        /**
+         * The peer port cannot be used.
+         *
+         * @param reason why
+         */
+        record Failed(String reason) implements Opening {}
     }
 
-    static Connections open(
+    static Opening open(
             ProcessSettings settings, Rings rings, MetricRegistry metrics, MonotonicClock clock) {
+        Address peer = settings.peerAddress();
+        PeerStart start =
+                PeerNode.start(
+                        peer.ip(), peer.port(), new PeerFanOut(rings, clock), PeerLimits.usual());
+        if (start instanceof PeerStart.Failed failed) {
+            return new Opening.Failed(failed.reason());
+        }
+        PeerNode node = ((PeerStart.Started) start).node();
         SharedHttpClient client = new SharedHttpClient(HttpClientOptions.DEFAULT);
+        registerGauges(metrics, node.traffic());
         DutyStarter starter =
                 new DutyStarter(
                         Daemon.describe(settings),
                         rings,
                         ports(settings, client, clock),
-                        peers,
+                        node,
                         metrics,
                         clock);
+        PeerCodec codec = new PeerCodec();
         starter.start(
-                digest -> new byte[0],
-                bytes -> Optional.empty(),
+                codec::encodeDigest,
+                codec::decodeDigest,
                 new SplittableRandom(settings.id().hashCode()));
-        return new Connections(client);
+        return new Opening.Opened(new Connections(client, node));
+    }
+
+    private static void registerGauges(MetricRegistry metrics, PeerTraffic traffic) {
+        metrics.registerGauge("peer.bytesIn", (Gauge<Long>) traffic::bytesIn);
+        metrics.registerGauge("peer.bytesOut", (Gauge<Long>) traffic::bytesOut);
+        metrics.registerGauge("peer.messagesIn", (Gauge<Long>) traffic::messagesIn);
+        metrics.registerGauge("peer.messagesOut", (Gauge<Long>) traffic::messagesOut);
+        metrics.registerGauge("peer.malformedIn", (Gauge<Long>) traffic::malformedIn);
+        metrics.registerGauge("peer.refusedIn", (Gauge<Long>) traffic::refusedIn);
+        metrics.registerGauge("peer.droppedOut", (Gauge<Long>) traffic::droppedOut);
+        metrics.registerGauge("peer.openConnections", (Gauge<Integer>) traffic::openConnections);
     }
 
     private static PlatformPorts ports(
@@ -79,6 +126,7 @@
 
     @Override
     public void close() {
+        mPeers.close();
         mClient.close();
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/command/Daemon.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/Daemon.java
@@ -62,11 +62,11 @@
      * @return null, or why the daemon could not be started
      */
     public @Nullable String start() {
-        try {
-            mConnections = Connections.open(mSettings, mRings, mMetrics, mClock);
-        } catch (Exception unavailable) {
-            return unavailable(mSettings.peerAddress(), unavailable);
+        Connections.Opening opening = Connections.open(mSettings, mRings, mMetrics, mClock);
+        if (opening instanceof Connections.Opening.Failed failed) {
+            return unavailable(mSettings.peerAddress(), failed.reason());
         }
+        mConnections = ((Connections.Opening.Opened) opening).connections();
         String failure = open(mOperators, mSettings.operatorAddress());
         if (failure == null) {
             failure = open(mCallers, mSettings.callerAddress());
@@ -145,13 +145,12 @@
             listener.start();
             return null;
         } catch (Exception unavailable) {
-            return unavailable(address, unavailable);
+            return unavailable(address, String.valueOf(unavailable.getMessage()));
         }
     }
 
-    private static String unavailable(Address address, Exception cause) {
-        return ErrorMessage.PORT_UNAVAILABLE.format(
-                address.toString(), String.valueOf(cause.getMessage()));
+    private static String unavailable(Address address, String reason) {
+        return ErrorMessage.PORT_UNAVAILABLE.format(address.toString(), reason);
     }
 
     private void registerGauges() {
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/PeerFanOut.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/PeerFanOut.java
@@ -54,8 +54,7 @@
         return result == null ? offerCall(received.sender(), message) : result;
     }
 
-    private @Nullable OfferResult offerDocument(
-            Address sender, PeerMessage message) {
+    private @Nullable OfferResult offerDocument(Address sender, PeerMessage message) {
         if (message instanceof PeerMessage.DocumentPush push) {
             return document(new DocumentEvent.PushReceived(sender, push.document()));
         }
@@ -71,8 +70,7 @@
         return null;
     }
 
-    private @Nullable OfferResult offerPlacement(
-            Address sender, PeerMessage message) {
+    private @Nullable OfferResult offerPlacement(Address sender, PeerMessage message) {
         if (message instanceof PeerMessage.WakeRequest wake) {
             Instant deadline = mClock.now().plus(wake.untilDeadline());
             return mRings.placementThread()
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/fleet/FleetTest.java
@@ -0,0 +1,215 @@
+package org.oleanderspring.daemon.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs real processes and kills, pauses and cuts them off. */
+class FleetTest {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    @TempDir private Path mDirectory;
+
+    /** Guards against a call that is lost, mixed up or run twice on the whole path. */
+    @Test
+    void coldCallsAndOrdersAreServedOnce() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 2, 2, 2, List.of())) {
+            List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+            for (int number = 0; number < 8; number++) {
+                calls.add(completeLater(fleet, number % 2, "model-0", "word-" + number + "-end"));
+            }
+            for (int number = 0; number < 8; number++) {
+                HttpResponse<String> answer = calls.get(number).get();
+                assertThat(answer.body(), answer.statusCode(), is(200));
+                assertThat(answer.body(), containsString("word-" + number + "-end"));
+            }
+            List<String> key = List.of("Idempotency-Key", "turn-7");
+            HttpResponse<String> first = fleet.call(0, "/v1/services/ledger/turns", "turn", key);
+            HttpResponse<String> second = fleet.call(1, "/v1/services/ledger/turns", "turn", key);
+            assertThat(first.body(), first.statusCode(), is(200));
+            assertThat(second.body(), second.statusCode(), is(409));
+            assertThat(workOf(second), is("ran"));
+            assertThat(runsOf(fleet, "turn-7"), is(1));
+        }
+    }
+
+    /** Guards against a planned stop that cuts off a stream or turns a caller away. */
+    @Test
+    void plannedStopFinishesRunningStreams() throws Exception {
+        try (TestFleet fleet =
+                new TestFleet(
+                        mDirectory,
+                        2,
+                        1,
+                        1,
+                        List.of("--tokens", "100", "--token-delay-ms", "100"))) {
+            CompletableFuture<HttpResponse<String>> stream =
+                    completeLater(fleet, 0, "model-0", "long-stream-end");
+            fleet.await("the stream runs", () -> fleet.engineLedger(0).path("runs").size() > 0);
+            fleet.daemon(0).signal("TERM");
+            fleet.await(
+                    "the daemon left the directory",
+                    () -> fleet.directory(1).path("entries").size() == 1);
+            HttpResponse<String> late = complete(fleet, 0, "model-0", "late-call-end");
+            assertThat("a caller that kept the answer is served", late.statusCode(), is(200));
+            HttpResponse<String> answer = stream.get();
+            assertThat(answer.statusCode(), is(200));
+            assertThat(answer.body(), containsString("t99"));
+            assertThat(fleet.daemon(0).awaitExit(), is(0));
+        }
+    }
+
+    /** Guards against a cell without an owner after its holder was killed. */
+    @Test
+    void killedHolderIsReplaced() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 3, 2, 2, List.of())) {
+            assertThat(complete(fleet, 0, "model-0", "before-end").statusCode(), is(200));
+            int holder = fleet.holder();
+            fleet.daemon(holder).signal("KILL");
+            int other = (holder + 1) % 3;
+            HttpResponse<String> answer = complete(fleet, other, "model-1", "after-end");
+            assertThat(answer.body(), answer.statusCode(), is(200));
+        }
+    }
+
+    /** Guards against replicas beyond the limit after a paused holder resumes. */
+    @Test
+    void pausedHolderDoesNotExceedTheReplicaLimit() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 3, 3, 3, List.of())) {
+            assertThat(fleet.applySettings("{\"replicaLimit\":1}"), is(0));
+            assertThat(complete(fleet, 0, "model-0", "before-end").statusCode(), is(200));
+            int holder = fleet.holder();
+            int other = (holder + 1) % 3;
+            CompletableFuture<HttpResponse<String>> woken =
+                    completeLater(fleet, other, "model-1", "woken-end");
+            fleet.daemon(holder).signal("STOP");
+            HttpResponse<String> answer = complete(fleet, other, "model-2", "after-end");
+            assertThat(answer.body(), answer.statusCode(), is(200));
+            assertThat(woken.get().statusCode(), is(200));
+            fleet.daemon(holder).signal("CONT");
+            fleet.await(
+                    "the resumed daemon serves again",
+                    () -> complete(fleet, holder, "model-0", "resumed-end").statusCode() == 200);
+            for (String model : List.of("model-0", "model-1", "model-2")) {
+                assertThat(model, replicasOf(fleet, 3, model), is(lessThanOrEqualTo(1)));
+            }
+        }
+    }
+
+    /**
+     * Guards against an outage of the key-value service that stops warm calls, or that lets an
+     * order start without a record.
+     */
+    @Test
+    void warmCallsOutliveTheKeyValueService() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 3, 1, 1, List.of())) {
+            assertThat(complete(fleet, 0, "model-0", "warm-end").statusCode(), is(200));
+            fleet.await(
+                    "all daemons know the replica",
+                    () -> complete(fleet, 2, "model-0", "warm-too-end").statusCode() == 200);
+            fleet.storeFault("{\"down\":true}");
+            for (int number = 0; number < 3; number++) {
+                HttpResponse<String> answer = complete(fleet, number, "model-0", "outage-end");
+                assertThat(answer.body(), answer.statusCode(), is(200));
+            }
+            HttpResponse<String> order =
+                    fleet.call(
+                            0,
+                            "/v1/services/ledger/turns",
+                            "turn",
+                            List.of("Idempotency-Key", "turn-8", "X-Deadline-Ms", "3000"));
+            assertThat(order.body(), order.statusCode(), is(503));
+            assertThat(workOf(order), is("not_run"));
+            assertThat(runsOf(fleet, "turn-8"), is(0));
+            fleet.storeFault("{\"down\":false}");
+            fleet.await(
+                    "orders are taken again",
+                    () ->
+                            fleet.call(
+                                                    1,
+                                                    "/v1/services/ledger/turns",
+                                                    "turn",
+                                                    List.of("Idempotency-Key", "turn-9"))
+                                            .statusCode()
+                                    == 200);
+        }
+    }
+
+    /** Guards against new work on an endpoint whose VM is leaving. */
+    @Test
+    void leavingVmGetsNoNewWork() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 2, 2, 1, List.of())) {
+            assertThat(complete(fleet, 0, "model-0", "first-end").statusCode(), is(200));
+            int used = fleet.engineLedger(0).path("runs").size() > 0 ? 0 : 1;
+            ObjectNode vms = fleet.vmList();
+            ((ObjectNode) vms.path("vms").get(used)).put("state", "LEAVING");
+            fleet.publishVms(vms);
+            fleet.await(
+                    "the other runner serves",
+                    () ->
+                            complete(fleet, 0, "model-0", "moved-end").statusCode() == 200
+                                    && fleet.engineLedger(1 - used).path("runs").size() > 0);
+            int before = fleet.engineLedger(used).path("runs").size();
+            for (int number = 0; number < 6; number++) {
+                HttpResponse<String> answer = complete(fleet, number % 2, "model-0", "later-end");
+                assertThat(answer.body(), answer.statusCode(), is(200));
+            }
+            assertThat(fleet.engineLedger(used).path("runs").size(), is(equalTo(before)));
+        }
+    }
+
+    private static HttpResponse<String> complete(
+            TestFleet fleet, int daemon, String model, String word) throws Exception {
+        String body =
+                MAPPER.createObjectNode()
+                        .put("model", model)
+                        .put("prompt", "who holds the headgate next? " + word)
+                        .put("stream", true)
+                        .toString();
+        return fleet.call(daemon, "/v1/completions", body, List.of("X-Deadline-Ms", "40000"));
+    }
+
+    private static CompletableFuture<HttpResponse<String>> completeLater(
+            TestFleet fleet, int daemon, String model, String word) {
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return complete(fleet, daemon, model, word);
+                    } catch (Exception failure) {
+                        throw new IllegalStateException(failure);
+                    }
+                });
+    }
+
+    private static String workOf(HttpResponse<String> answer) throws Exception {
+        return MAPPER.readTree(answer.body()).path("error").path("work").asText();
+    }
+
+    private static int runsOf(TestFleet fleet, String key) throws Exception {
+        JsonNode ledger = fleet.serviceLedger();
+        return ledger.path("runsByKey").path(key).asInt();
+    }
+
+    private static int replicasOf(TestFleet fleet, int engines, String model) throws Exception {
+        int replicas = 0;
+        for (int number = 0; number < engines; number++) {
+            for (JsonNode loaded : fleet.engineReport(number).path("loaded")) {
+                replicas += loaded.path("name").asText().equals(model) ? 1 : 0;
+            }
+        }
+        return replicas;
+    }
+}
--- a/standin/src/main/java/org/oleanderspring/standin/load/command/CallerClient.java
+++ b/standin/src/main/java/org/oleanderspring/standin/load/command/CallerClient.java
@@ -79,7 +79,7 @@
         String body =
                 MAPPER.createObjectNode()
                         .put("model", model)
-                        .put("prompt", word + " who holds the headgate next?")
+                        .put("prompt", "who holds the headgate next? " + word)
                         .put("stream", true)
                         .toString();
         Request request = newRequest(entry, "/v1/completions", body);
