Add golden sessions of leases and dispatch records

Cause: the order and content of decisions was only checked through their effects in the fuzz. Change: one harness replays the files of coordination/src/test/resources/sessions on a real decider and a fake service; a new case is a new file. One example pins the stored format.

--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/RecordCodecProperties.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/RecordCodecProperties.java
@@ -5,10 +5,12 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -49,6 +51,26 @@
         assertThat(RecordCodec.decodeActive(bytes), instanceOf(DecodeResult.Broken.class));
     }
 
+    /** Guards against a change of the stored format without a new format version. */
+    @Example
+    void storedFormatIsUnchanged() {
+        ActiveValue value =
+                new ActiveValue(
+                        new PartitionId(3),
+                        16,
+                        new FencingToken(5),
+                        new MemberId("d1"),
+                        7,
+                        List.of(new SealedSegment(2, 4, 6, 100)),
+                        List.of(new DispatchRecord(new KeyHash(-1, 1), RecordState.RAN, 200)));
+        assertThat(
+                HexFormat.of().formatHex(RecordCodec.encode(value)),
+                is(
+                        "4f53445201010000000300000010000000000000000500026431000000000000"
+                                + "0007000000010000000200000000000000040000000000000006000000640000"
+                                + "0001ffffffffffffffff000000000000000101000000c8f8df2090"));
+    }
+
     @Provide
     Arbitrary<ActiveValue> activeValues() {
         Arbitrary<Long> seconds = Arbitraries.longs().between(0, 4_000_000_000L);
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/session/LeaseSession.java
@@ -0,0 +1,98 @@
+package org.oleanderspring.coordination.session;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.lease.LeaseName;
+import org.oleanderspring.coordination.lease.LeaseSettings;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoreOperationId;
+import org.oleanderspring.coordination.store.command.LeaseResult;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/** A session of the lease decider of daemon {@code self} with rank 0 and the default settings. */
+final class LeaseSession extends ScriptedSession {
+    private final DefaultLeaseDecider mDecider =
+            new DefaultLeaseDecider(
+                    new MemberId("self"),
+                    name -> new StoreKey("/cells/" + name),
+                    LeaseSettings.DEFAULT,
+                    new Random(1));
+
+    @Override
+    void tick() {
+        decide(new LeaseEvent.TimerFired());
+    }
+
+    @Override
+    void command(String[] words) {
+        switch (words[0]) {
+            case "compete" -> {
+                List<LeaseCandidacy> candidacies =
+                        Arrays.stream(words)
+                                .skip(1)
+                                .map(name -> new LeaseCandidacy(new LeaseName(name), 0))
+                                .toList();
+                decide(new LeaseEvent.CompetitionChanged(candidacies));
+            }
+            case "stop" -> decide(new LeaseEvent.StopRequested());
+            case "status" ->
+                    mDecider.leases(mTime.now()).forEach(status -> mOutput.add(status.toString()));
+            default -> throw new IllegalArgumentException("unknown command " + words[0]);
+        }
+    }
+
+    private void decide(LeaseEvent event) {
+        mDecider.decide(event, mTime.now()).forEach(this::execute);
+    }
+
+    private void execute(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.WriteKey write) {
+            String content = new String(write.command().bytes(), StandardCharsets.UTF_8);
+            wait(
+                    "write "
+                            + write.command().key()
+                            + " at "
+                            + write.command().expected().value()
+                            + ": "
+                            + content,
+                    () -> mService.write(write.command()),
+                    new WriteResult.Unavailable("down"),
+                    new WriteResult.Unknown("no reply"),
+                    result -> decide(new LeaseEvent.KeyWriteReplied(write.operation(), result)));
+        } else if (decision instanceof LeaseDecision.ReadKey read) {
+            wait(
+                    "read " + read.key(),
+                    () -> mService.read(read.key()),
+                    new ReadResult.Unavailable("down"),
+                    new ReadResult.Unavailable("no reply"),
+                    result -> decide(new LeaseEvent.KeyReadReplied(read.operation(), result)));
+        } else if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+            call("grant", grant.operation(), () -> mService.grant(grant.timeToLive()));
+        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+            call("renew", renew.operation(), () -> mService.renew(renew.lease()));
+        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
+            call("revoke", revoke.operation(), () -> mService.revoke(revoke.lease()));
+        } else {
+            mOutput.add(decision.toString());
+        }
+    }
+
+    private void call(String name, StoreOperationId operation, Supplier<LeaseResult> effect) {
+        LeaseResult unavailable = new LeaseResult.Unavailable("no reply");
+        wait(
+                name,
+                effect,
+                unavailable,
+                unavailable,
+                result -> decide(new LeaseEvent.ServiceLeaseReplied(operation, result)));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/session/ScriptedSession.java
@@ -0,0 +1,69 @@
+package org.oleanderspring.coordination.session;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.oleanderspring.coordination.fake.FakeKeyValueService;
+import org.oleanderspring.coordination.fake.VirtualTime;
+import org.oleanderspring.coordination.store.StoreKey;
+
+/** One decider on a fake service, where each operation waits until the script replies to it. */
+abstract class ScriptedSession {
+    private record Waiting<R>(Supplier<R> effect, R unavailable, R unknown, Consumer<R> reply) {
+        void deliver() {
+            reply.accept(effect.get());
+        }
+
+        void loseReply() {
+            effect.get();
+            reply.accept(unknown);
+        }
+
+        void loseRequest() {
+            reply.accept(unknown);
+        }
+
+        void refuse() {
+            reply.accept(unavailable);
+        }
+    }
+
+    final VirtualTime mTime = new VirtualTime();
+    final FakeKeyValueService mService = new FakeKeyValueService(mTime);
+    final List<String> mOutput = new ArrayList<>();
+    private final ArrayDeque<Waiting<?>> mWaiting = new ArrayDeque<>();
+
+    /** Runs one command and returns the decisions that followed. */
+    final List<String> run(String command) {
+        mOutput.clear();
+        String[] words = command.split(" ");
+        switch (words[0]) {
+            case "tick" -> {
+                mTime.advance(Duration.ofMillis(Long.parseLong(words[1])));
+                tick();
+            }
+            case "deliver" -> mWaiting.remove().deliver();
+            case "lose-reply" -> mWaiting.remove().loseReply();
+            case "lose-request" -> mWaiting.remove().loseRequest();
+            case "refuse" -> mWaiting.remove().refuse();
+            case "remove" -> mService.remove(new StoreKey(words[1]));
+            default -> command(words);
+        }
+        return List.copyOf(mOutput);
+    }
+
+    /** Runs a command of the concrete session. */
+    abstract void command(String[] words);
+
+    /** Tells the decider that time has passed. */
+    abstract void tick();
+
+    final <R> void wait(
+            String text, Supplier<R> effect, R unavailable, R unknown, Consumer<R> reply) {
+        mOutput.add(text);
+        mWaiting.add(new Waiting<>(effect, unavailable, unknown, reply));
+    }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/session/SessionTest.java
@@ -0,0 +1,87 @@
+package org.oleanderspring.coordination.session;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.approvaltests.Approvals;
+import org.approvaltests.core.Options;
+import org.approvaltests.namer.ApprovalNamer;
+import org.approvaltests.reporters.Junit5Reporter;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Replays the session files. A file holds the commands, marked with {@code >}, and the decisions
+ * that followed; a new case is a new file with commands only, which the first run completes in a
+ * {@code received} file next to it.
+ */
+class SessionTest {
+    private static final Path DIRECTORY = Path.of("src", "test", "resources", "sessions");
+    private static final String MARK = "> ";
+
+    static List<Path> sessions() throws IOException {
+        try (Stream<Path> files = Files.list(DIRECTORY)) {
+            return files.filter(file -> file.toString().endsWith(".approved.txt"))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    /** Guards against a change of the order or content of decisions that nobody noticed. */
+    @ParameterizedTest
+    @MethodSource("sessions")
+    void decisionsAreAsApproved(Path file) throws IOException {
+        ScriptedSession session =
+                file.getFileName().toString().startsWith("lease")
+                        ? new LeaseSession()
+                        : new DispatchSession();
+        StringBuilder transcript = new StringBuilder();
+        for (String line : Files.readAllLines(file)) {
+            if (line.startsWith(MARK)) {
+                transcript.append(line).append('\n');
+                session.run(line.substring(MARK.length()))
+                        .forEach(result -> transcript.append("  ").append(result).append('\n'));
+            } else if (line.startsWith("#")) {
+                transcript.append(line).append('\n');
+            }
+        }
+        Options options = new Options(new Junit5Reporter());
+        Approvals.verify(transcript.toString(), options.forFile().withNamer(new FileNamer(file)));
+    }
+
+    /** Lets the session file itself be the approved file. */
+    private record FileNamer(Path file) implements ApprovalNamer {
+        @Override
+        public File getApprovedFile(String extension) {
+            return file.toFile();
+        }
+
+        @Override
+        public File getReceivedFile(String extension) {
+            return new File(file.toString().replace(".approved.", ".received."));
+        }
+
+        @Override
+        public String getApprovalName() {
+            return file.getFileName().toString().replace(".approved.txt", "");
+        }
+
+        @Override
+        public String getSourceFilePath() {
+            return DIRECTORY + File.separator;
+        }
+
+        @Override
+        public ApprovalNamer addAdditionalInformation(String information) {
+            return this;
+        }
+
+        @Override
+        public String getAdditionalInformation() {
+            return "";
+        }
+    }
+}
