Keep dispatch records in a compact index

Cause: a record as map entry and objects takes more than 100 bytes, so half a million records of a partition exceed the 64 MB that a daemon has for control. Change: RecordIndex holds 24 bytes a record in one array with linear probing; the default limit of records is 2^19 for a partition.

--- a/coordination/src/main/java/org/oleanderspring/coordination/dispatch/DispatchLimits.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/DispatchLimits.java
@@ -9,7 +9,8 @@
  * @param partitionCount the number of partitions; the same for all daemons and for as long as
  *     records are kept
  * @param waitingClaimLimit how many claims may wait at a daemon
- * @param recordLimit how many records a partition keeps in memory; further claims are refused
+ * @param recordLimit how many records a partition keeps in memory, 24 bytes each in a table that is
+ *     a quarter to three quarters full; further claims are refused
  * @param sealBytes the size of an active value's records above which they are sealed; each write
  *     sends up to this much, so a smaller size saves bandwidth and a larger one saves keys
  * @param operationTimeout after which an operation without a reply counts as failed
@@ -32,7 +33,7 @@
             new DispatchLimits(
                     16,
                     8_192,
-                    1 << 20,
+                    1 << 19,
                     1 << 16,
                     Duration.ofSeconds(1),
                     Duration.ofMillis(50),
--- a/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/PartitionRecords.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/PartitionRecords.java
@@ -31,7 +31,7 @@
 
     private final PartitionId mPartition;
     private final int mPartitionCount;
-    private final Map<KeyHash, DispatchRecord> mIndex = new HashMap<>();
+    private final RecordIndex mIndex = new RecordIndex();
     private ActiveValue mStored;
     private Revision mRevision = Revision.ABSENT;
 
@@ -71,7 +71,7 @@
     /** Adds records to the index; a record replaces an earlier one of the same key. */
     void index(List<DispatchRecord> records) {
         for (DispatchRecord record : records) {
-            mIndex.put(record.key(), record);
+            mIndex.put(record);
         }
     }
 
@@ -89,12 +89,12 @@
         if (record == null || record.state() != RecordState.DISPATCHED) {
             return false;
         }
-        mIndex.put(key, record.withState(outcome));
+        mIndex.put(record.withState(outcome));
         return true;
     }
 
     void removeExpired(Duration retention, Instant now) {
-        mIndex.values().removeIf(record -> record.isExpired(retention, now));
+        mIndex.removeExpired(retention, now);
     }
 
     boolean needsSealing(int sealBytes) {
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/RecordIndex.java
@@ -0,0 +1,126 @@
+package org.oleanderspring.coordination.dispatch.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.dispatch.DispatchRecord;
+import org.oleanderspring.coordination.dispatch.KeyHash;
+import org.oleanderspring.coordination.dispatch.RecordState;
+
+/**
+ * The records of a partition by key, in a hash table with linear probing.
+ *
+ * <p>A record takes 24 bytes in one array, against more than 100 bytes as map entries and objects;
+ * a partition holds up to half a million records in the memory that a daemon has for control. The
+ * slot is derived from the second half of the key's hash, since the first half selects the
+ * partition.
+ */
+final class RecordIndex {
+    private static final int LONGS_PER_SLOT = 3;
+    private static final int LOW = 1;
+    private static final int CONTENT = 2;
+    private static final int SMALLEST_CAPACITY = 16;
+    private static final int STATE_BITS = 2;
+    private static final long STATE_MASK = (1 << STATE_BITS) - 1;
+
+    /** The position in this list, plus one, is the state in the content. */
+    private static final List<RecordState> STATES =
+            List.of(RecordState.DISPATCHED, RecordState.RAN, RecordState.NOT_RUN);
+
+    /** A slot whose content is 0 is free. */
+    private long[] mSlots = new long[SMALLEST_CAPACITY * LONGS_PER_SLOT];
+
+    private int mSize;
+
+    int size() {
+        return mSize;
+    }
+
+    void clear() {
+        mSlots = new long[SMALLEST_CAPACITY * LONGS_PER_SLOT];
+        mSize = 0;
+    }
+
+    @Nullable DispatchRecord get(KeyHash key) {
+        int position = position(mSlots, key.high(), key.low());
+        return mSlots[position + CONTENT] == 0 ? null : recordAt(mSlots, position);
+    }
+
+    /** Adds a record; it replaces an earlier one of the same key. */
+    void put(DispatchRecord record) {
+        int capacity = mSlots.length / LONGS_PER_SLOT;
+        if (mSize >= capacity - capacity / 4) {
+            mSlots = copy(capacity * 2, Duration.ZERO, null);
+        }
+        if (insert(mSlots, record)) {
+            mSize++;
+        }
+    }
+
+    /** Removes the records that have outlived their retention, by copying the others. */
+    void removeExpired(Duration retention, Instant now) {
+        int kept = 0;
+        for (int position = 0; position < mSlots.length; position += LONGS_PER_SLOT) {
+            boolean used = mSlots[position + CONTENT] != 0;
+            if (used && !recordAt(mSlots, position).isExpired(retention, now)) {
+                kept++;
+            }
+        }
+        if (kept == mSize) {
+            return;
+        }
+        int capacity = SMALLEST_CAPACITY;
+        while (kept >= capacity / 2) {
+            capacity *= 2;
+        }
+        mSlots = copy(capacity, retention, now);
+        mSize = kept;
+    }
+
+    /** Copies all records, or those that are not expired if a time is given. */
+    private long[] copy(int capacity, Duration retention, @Nullable Instant now) {
+        long[] slots = new long[capacity * LONGS_PER_SLOT];
+        for (int position = 0; position < mSlots.length; position += LONGS_PER_SLOT) {
+            if (mSlots[position + CONTENT] == 0) {
+                continue;
+            }
+            DispatchRecord record = recordAt(mSlots, position);
+            if (now == null || !record.isExpired(retention, now)) {
+                insert(slots, record);
+            }
+        }
+        return slots;
+    }
+
+    private static boolean insert(long[] slots, DispatchRecord record) {
+        int position = position(slots, record.key().high(), record.key().low());
+        boolean isNew = slots[position + CONTENT] == 0;
+        slots[position] = record.key().high();
+        slots[position + LOW] = record.key().low();
+        slots[position + CONTENT] =
+                (record.recordedAtSeconds() << STATE_BITS) | (STATES.indexOf(record.state()) + 1);
+        return isNew;
+    }
+
+    /** Returns where the key is, or the free slot where it would be added. */
+    private static int position(long[] slots, long high, long low) {
+        int capacity = slots.length / LONGS_PER_SLOT;
+        int slot = Long.hashCode(low) & (capacity - 1);
+        while (true) {
+            int position = slot * LONGS_PER_SLOT;
+            boolean free = slots[position + CONTENT] == 0;
+            if (free || (slots[position] == high && slots[position + LOW] == low)) {
+                return position;
+            }
+            slot = (slot + 1) & (capacity - 1);
+        }
+    }
+
+    private static DispatchRecord recordAt(long[] slots, int position) {
+        long content = slots[position + CONTENT];
+        RecordState state = STATES.get((int) (content & STATE_MASK) - 1);
+        KeyHash key = new KeyHash(slots[position], slots[position + LOW]);
+        return new DispatchRecord(key, state, content >>> STATE_BITS);
+    }
+}
