Take a partition back at once after an idle loss

Change: an owner that finds a higher term keeps its claims and takes the partition back, at most once in each takeover delay.

--- a/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/OwnedPartition.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/command/OwnedPartition.java
@@ -84,6 +84,7 @@
     private boolean mReadBack;
     private Instant mNextStep;
     private Instant mNextSweep;
+    private Instant mTookOverAt = Instant.MIN;
     private Instant mOutcomesDue = Instant.MAX;
 
     OwnedPartition(PartitionId id, DispatchContext context, Instant now) {
@@ -343,10 +344,15 @@
         takenOverBy(found, now);
     }
 
+    /**
+     * Takes the partition back, since the hint still says that this daemon should own it; two
+     * daemons that both have the hint alternate with a delay. The claims keep waiting: the writes
+     * under way cannot take effect any more, and the records that did are read with the others.
+     */
     private void takenOverBy(ActiveValue found, Instant now) {
-        settleAll("partition " + mId + " was taken over by " + found.owner());
         forgetState();
-        mNextStep = now.plus(mContext.mLimits.takeoverDelay());
+        Instant earliest = mTookOverAt.plus(mContext.mLimits.takeoverDelay());
+        mNextStep = now.isBefore(earliest) ? earliest : now;
         enter(PartitionPhase.READING, "taken over by " + found.owner());
     }
 
@@ -385,6 +391,7 @@
     }
 
     private void startLoading(Instant now) {
+        mTookOverAt = now;
         mRecords.clearIndex();
         mToLoad.clear();
         for (SealedSegment segment : mRecords.stored().sealed()) {
--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/DispatchFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/DispatchFuzz.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.Tuple;
+import net.jqwik.api.statistics.Statistics;
 import org.oleanderspring.coordination.dispatch.SimulatedDispatch.Step;
 import org.oleanderspring.coordination.dispatch.SimulatedDispatch.StepKind;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
@@ -32,6 +33,7 @@
         SimulatedDispatch simulation = new SimulatedDispatch(LONG_RETENTION, linkSeed);
         steps.forEach(simulation::run);
         simulation.healAndSettle();
+        requireCoverage(simulation);
         for (int key = 0; key < SimulatedDispatch.KEYS; key++) {
             boolean startedBefore = simulation.starts(key) > 0;
             ClaimResult result = simulation.claimAfterHealing(key);
@@ -54,6 +56,15 @@
         assertThat("a new key after all faults ended", fresh, is(new ClaimResult.Claimed()));
     }
 
+    /** Fails if the steps too seldom reach the cases that the mechanisms are for. */
+    private static void requireCoverage(SimulatedDispatch simulation) {
+        for (String occurrence : List.of("Claimed", "AlreadyClaimed", "Unavailable", "READING")) {
+            Statistics.label(occurrence)
+                    .collect(simulation.occurrences().containsKey(occurrence))
+                    .coverage(checker -> checker.check(true).percentage(share -> share > 25.0));
+        }
+    }
+
     @Provide
     Arbitrary<List<Step>> steps() {
         Arbitrary<StepKind> kind =
@@ -73,7 +84,7 @@
         return Combinators.combine(kind, number, number)
                 .as(Step::new)
                 .list()
-                .ofMinSize(20)
-                .ofMaxSize(150);
+                .ofMinSize(40)
+                .ofMaxSize(200);
     }
 }
--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
@@ -44,9 +45,11 @@
 
     record Step(StepKind kind, int first, int second) {}
 
-    static final int KEYS = 12;
+    static final int KEYS = 24;
     private static final int DAEMONS = 3;
     private static final int PARTITIONS = 2;
+    private static final int STRAY_CLAIM = 10;
+    private static final int LONG_ADVANCE = 800;
     private static final int SEAL_BYTES = 60;
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration CLAIM_TIME = Duration.ofMillis(1_500);
@@ -70,6 +73,7 @@
     private final Map<Integer, List<Instant>> mStarts = new HashMap<>();
     private final Map<ClaimId, Integer> mKeys = new HashMap<>();
     private final Map<ClaimId, ClaimResult> mResults = new HashMap<>();
+    private final Map<String, Integer> mOccurrences = new TreeMap<>();
     private int mNextDaemon;
     private long mNextClaim;
 
@@ -80,6 +84,14 @@
             mDaemons.add(new Daemon());
         }
         mTime.every(TICK, () -> mDaemons.forEach(Daemon::tick));
+        for (int partition = 0; partition < PARTITIONS; partition++) {
+            mDaemons.get(partition).own(partition, true);
+        }
+    }
+
+    /** Returns how often each kind of result and each phase occurred; shows what a run reached. */
+    Map<String, Integer> occurrences() {
+        return mOccurrences;
     }
 
     int starts(int key) {
@@ -89,8 +101,8 @@
     void run(Step step) {
         Daemon daemon = mDaemons.get(step.first() % DAEMONS);
         switch (step.kind()) {
-            case CLAIM -> daemon.claim(step.second() % KEYS);
-            case ADVANCE -> mTime.advance(Duration.ofMillis(step.second() * 2L));
+            case CLAIM -> target(step).claim(step.second() % KEYS);
+            case ADVANCE -> mTime.advance(advance(step.second()));
             case OUTCOME ->
                     daemon.mInbox.offer(
                             new DispatchEvent.OutcomeReported(
@@ -110,6 +122,22 @@
         }
     }
 
+    /** Most claims go to a daemon that should own the partition, as the daemons send them. */
+    private Daemon target(Step step) {
+        PartitionId partition = PartitionId.of(KeyHash.of(key(step.second() % KEYS)), PARTITIONS);
+        List<Daemon> owners =
+                mDaemons.stream().filter(each -> each.mOwned.contains(partition)).toList();
+        if (owners.isEmpty() || step.second() % STRAY_CLAIM == 0) {
+            return mDaemons.get(step.first() % DAEMONS);
+        }
+        return owners.get(step.first() % owners.size());
+    }
+
+    /** Mostly short times, in which few operations end, and some that exceed all time limits. */
+    private static Duration advance(int number) {
+        return Duration.ofMillis(number < LONG_ADVANCE ? number / 8 : number * 3L);
+    }
+
     /** Ends all faults, leaves all partitions to the first daemon, and checks open claims. */
     void healAndSettle() {
         calm();
@@ -227,6 +255,7 @@
             } else if (decision instanceof DispatchDecision.ClaimSettled settled) {
                 settled(settled.claim(), settled.result());
             } else if (decision instanceof DispatchDecision.PhaseChanged changed) {
+                mOccurrences.merge(changed.phase().name(), 1, Integer::sum);
                 check(
                         changed.phase() != PartitionPhase.REFUSING,
                         "partition " + changed.partition() + ": " + changed.reason());
@@ -237,6 +266,7 @@
             check(mHandled.add(claim), "claim " + claim + " was settled twice");
             mOpen.remove(claim);
             mResults.put(claim, result);
+            mOccurrences.merge(result.getClass().getSimpleName(), 1, Integer::sum);
             if (result instanceof ClaimResult.Claimed) {
                 started(mKeys.get(claim));
             }
--- a/coordination/src/test/java/org/oleanderspring/coordination/session/ScriptedSession.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/session/ScriptedSession.java
@@ -45,16 +45,24 @@
                 mTime.advance(Duration.ofMillis(Long.parseLong(words[1])));
                 tick();
             }
-            case "deliver" -> mWaiting.remove().deliver();
-            case "lose-reply" -> mWaiting.remove().loseReply();
-            case "lose-request" -> mWaiting.remove().loseRequest();
-            case "refuse" -> mWaiting.remove().refuse();
+            case "deliver" -> reply(Waiting::deliver);
+            case "lose-reply" -> reply(Waiting::loseReply);
+            case "lose-request" -> reply(Waiting::loseRequest);
+            case "refuse" -> reply(Waiting::refuse);
             case "remove" -> mService.remove(new StoreKey(words[1]));
             default -> command(words);
         }
         return List.copyOf(mOutput);
     }
 
+    private void reply(Consumer<Waiting<?>> fate) {
+        if (mWaiting.isEmpty()) {
+            mOutput.add("(no operation waits)");
+            return;
+        }
+        fate.accept(mWaiting.remove());
+    }
+
     /** Runs a command of the concrete session. */
     abstract void command(String[] words);
 
