Do not start calls whose answer would begin too late

Under overload the calls with the earliest deadlines are started first, and many of them are cancelled at their deadline before the first byte. The overload policy is now also asked when a free place is given to a call while others wait for it; refusing by estimate then refuses calls whose remaining time is under twice the average time to the first byte.

--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -50,7 +50,7 @@
             EndpointSelector selector, OverloadPolicy overloadPolicy, RetryPolicy retryPolicy) {
         mRetryPolicy = retryPolicy;
         mAdmission = new Admission(mState, overloadPolicy);
-        mDispatcher = new Dispatcher(mState, selector, mAttempts, mCloser);
+        mDispatcher = new Dispatcher(mState, selector, overloadPolicy, mAttempts, mCloser);
     }
 
     @Override
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -9,16 +10,19 @@
 final class Dispatcher {
     private final RoutingState mState;
     private final EndpointSelector mSelector;
+    private final OverloadPolicy mPolicy;
     private final AttemptControl mAttempts;
     private final CallCloser mCloser;
 
     Dispatcher(
             RoutingState state,
             EndpointSelector selector,
+            OverloadPolicy policy,
             AttemptControl attempts,
             CallCloser closer) {
         mState = state;
         mSelector = selector;
+        mPolicy = policy;
         mAttempts = attempts;
         mCloser = closer;
     }
@@ -41,10 +45,25 @@
         }
     }
 
+    /**
+     * Asks the policy only while another call waits for the place. The last waiting call is always
+     * started, so an estimate that is too high is corrected by its answer.
+     */
+    private boolean isWorthStarting(CallState call, TargetState target, Turn turn) {
+        Duration remaining = Duration.between(turn.now(), call.request().deadline());
+        return target.queue().size() == 1
+                || mPolicy.isWorthStarting(call.request(), remaining, target.times().firstByte());
+    }
+
+    /** Starts or refuses the first waiting call; returns whether the next one may follow. */
     private boolean startOne(CallState call, TargetState target, Turn turn) {
         if (target.isFull()) {
             return false;
         }
+        if (!isWorthStarting(call, target, turn)) {
+            mCloser.refuse(call, RefusalReason.DEADLINE_TOO_SHORT, turn);
+            return true;
+        }
         Optional<EndpointChoice> choice =
                 mSelector.select(call.request(), new SlotCandidates(target.listed(), turn.now()));
         if (choice.isEmpty()) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import org.oleanderspring.core.routing.CallRequest;
 
 /**
@@ -14,4 +15,14 @@
      * @param situation the state of its target
      */
     OverloadAction decide(CallRequest call, OverloadSituation situation);
+
+    /**
+     * Decides whether a call that has waited still gets the free place for which others wait too.
+     *
+     * @param call the call
+     * @param remaining the time until its deadline
+     * @param firstByte how long an answer usually takes to begin; zero if unknown
+     * @return whether it is started; if not, it is refused
+     */
+    boolean isWorthStarting(CallRequest call, Duration remaining, Duration firstByte);
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/QueueUntilDeadlinePolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/QueueUntilDeadlinePolicy.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import org.oleanderspring.core.routing.CallRequest;
 
 /**
@@ -11,4 +12,9 @@
     public OverloadAction decide(CallRequest call, OverloadSituation situation) {
         return new OverloadAction.Wait();
     }
+
+    @Override
+    public boolean isWorthStarting(CallRequest call, Duration remaining, Duration firstByte) {
+        return true;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RefuseByEstimatePolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RefuseByEstimatePolicy.java
@@ -5,10 +5,17 @@
 import org.oleanderspring.core.routing.RefusalReason;
 
 /**
- * Lets a call wait only while it can be expected to be served in time. The refused caller bears the
- * cost, but at once, with its remaining time in hand; calls that wait keep theirs.
+ * Lets a call wait only while it can be expected to be served in time, and does not start one whose
+ * answer would begin too late. The refused caller bears the cost, but early, with its remaining
+ * time in hand; replicas spend no time on answers that come too late.
  */
 public final class RefuseByEstimatePolicy implements OverloadPolicy {
+    /**
+     * Times to the first byte spread widely around their average, and the calls with the earliest
+     * deadlines are started first; without a margin many of them are started in vain.
+     */
+    private static final int FIRST_BYTE_MARGIN = 2;
+
     @Override
     public OverloadAction decide(CallRequest call, OverloadSituation situation) {
         Duration remaining = Duration.between(situation.now(), call.deadline());
@@ -17,4 +24,9 @@
         }
         return new OverloadAction.Wait();
     }
+
+    @Override
+    public boolean isWorthStarting(CallRequest call, Duration remaining, Duration firstByte) {
+        return remaining.compareTo(firstByte.multipliedBy(FIRST_BYTE_MARGIN)) >= 0;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RefuseForCallerRetryPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RefuseForCallerRetryPolicy.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.RefusalReason;
 
@@ -17,4 +18,9 @@
         }
         return new OverloadAction.Wait();
     }
+
+    @Override
+    public boolean isWorthStarting(CallRequest call, Duration remaining, Duration firstByte) {
+        return true;
+    }
 }
