--- a/core/src/main/java/org/oleanderspring/core/routing/command/FleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/FleetState.java
@@ -35,6 +35,9 @@
             if (!table.replicas().containsKey(state.target())) {
                 state.relist(List.of(), id -> endpoint(id, now), now);
             }
+            if (!isKnown(state.target())) {
+                state.forgetLoading();
+            }
         }
         mTargets.values().removeIf(state -> !isKnown(state.target()) && state.isUnused());
         mEndpoints.values().removeIf(state -> state.isUnused() && !state.isDraining());
--- a/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotWriter.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotWriter.java
@@ -22,6 +22,8 @@
                 mState.mayDecide(),
                 mState.isDrainStarted(),
                 mState.calls().size(),
+                mState.fleet().targets().size(),
+                mState.fleet().endpoints().size(),
                 mState.budget().retriesLeft(),
                 targets(now),
                 endpoints(now),
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -142,11 +142,16 @@
         }
         if (mCapacity > 0) {
             mUsualCapacity = mCapacity;
-            mLastWake = null;
-            mReadyAt = null;
+            forgetLoading();
         }
     }
 
+    /** Forgets the last wake request and its estimate, because no loading follows from them. */
+    void forgetLoading() {
+        mLastWake = null;
+        mReadyAt = null;
+    }
+
     void started(ReplicaSlot slot) {
         mBusy -= slot.busy();
         slot.changeRunning(1);
--- a/core/src/main/java/org/oleanderspring/core/routing/query/RoutingSnapshot.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/query/RoutingSnapshot.java
@@ -11,6 +11,8 @@
  * @param mayDecide whether new calls are accepted by the settings
  * @param drainStarted whether the daemon takes no new calls because it stops
  * @param openCalls how many calls have not ended
+ * @param trackedTargets how many targets the state holds anything of
+ * @param trackedEndpoints how many endpoints the state holds anything of
  * @param retriesLeft how many retries the daemon's budget holds
  * @param targets the targets that have open calls, by name
  * @param endpoints the endpoints that run calls, drain or are in back-off, by identity
@@ -21,6 +23,8 @@
         boolean mayDecide,
         boolean drainStarted,
         int openCalls,
+        int trackedTargets,
+        int trackedEndpoints,
         int retriesLeft,
         List<TargetStatus> targets,
         List<EndpointStatus> endpoints,
