--- a/core/src/main/java/org/oleanderspring/core/placement/command/AdapterPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/AdapterPlanner.java
@@ -37,7 +37,9 @@
 
     private void promote(Slot slot, Instant now) {
         Slot base = AdapterSlots.baseOf(mState.slots(), slot);
-        if (base == null || !ReplicaDemand.SERVING.contains(base.state())) {
+        int limit = mState.limits().of(slot.key().name()).replicaLimit();
+        boolean isOverLimit = mState.slots().countOf(slot.key().name()) > limit;
+        if (base == null || isOverLimit || !ReplicaDemand.SERVING.contains(base.state())) {
             mState.release(slot, now);
             return;
         }
--- a/core/src/main/java/org/oleanderspring/core/placement/command/WakeAnswers.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/WakeAnswers.java
@@ -17,6 +17,9 @@
     /** Smaller changes of an estimate are not told. */
     private static final Duration NOTABLE = Duration.ofMillis(250);
 
+    /** An overdue load is expected to take its estimate again, but at least this long. */
+    private static final Duration SHORTEST_EXTENSION = Duration.ofSeconds(1);
+
     private final CellState mState;
 
     WakeAnswers(CellState state) {
@@ -74,7 +77,11 @@
         if (base != null && base.state() == SlotState.LOADING) {
             ready = expectedReady(base, now).plus(load);
         }
-        return ready.isAfter(now) ? ready : now;
+        Duration step = load.compareTo(SHORTEST_EXTENSION) > 0 ? load : SHORTEST_EXTENSION;
+        while (!ready.isAfter(now)) {
+            ready = ready.plus(step);
+        }
+        return ready;
     }
 
     private static boolean isNotable(@Nullable Readiness last, Readiness next) {
--- a/core/src/test/java/org/oleanderspring/core/placement/command/PlacementWorld.java
+++ b/core/src/test/java/org/oleanderspring/core/placement/command/PlacementWorld.java
@@ -327,7 +327,8 @@
         for (FakeRunner runner : mRunners.values()) {
             if (mFaultsEnded || mRandom.nextInt(4) > 0) {
                 RunnerReport report = runner.report(mNow);
-                deliver(daemon, new PlacementEvent.RunnerReported(report), randomMillis(2000));
+                long lag = randomMillis(mRandom.nextInt(8) == 0 ? 6000 : 500);
+                deliver(daemon, new PlacementEvent.RunnerReported(report), lag);
             }
         }
     }
