--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingIntake.java
@@ -0,0 +1,44 @@
+package org.oleanderspring.daemon.routing.command;
+
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.front.IncomingCall;
+import org.oleanderspring.daemon.front.command.CallIntake;
+import org.oleanderspring.daemon.wiring.command.Rings;
+import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.duty.command.OfferResult;
+
+/**
+ * Puts new calls into the ring of the routing duty.
+ *
+ * <p>New calls may fill only half of the ring. The other half stays free for the results of running
+ * attempts, so a burst of calls cannot keep running calls from ending.
+ */
+public final class RoutingIntake implements CallIntake {
+    private final DutyThread<RoutingInput> mRing;
+    private final EventSink<RoutingInput> mReliableRing;
+
+    /**
+     * Creates the intake.
+     *
+     * @param rings the rings of the duties
+     */
+    public RoutingIntake(Rings rings) {
+        mRing = rings.routingThread();
+        mReliableRing = rings.routing();
+    }
+
+    @Override
+    public OfferResult accept(IncomingCall call) {
+        if (mRing.used() > mRing.capacity() / 2) {
+            return OfferResult.FULL;
+        }
+        return mRing.offer(new RoutingInput.CallAccepted(call));
+    }
+
+    @Override
+    public void callerLeft(CallId call) {
+        mReliableRing.offer(new RoutingInput.Event(new RoutingEvent.CallerLeft(call)));
+    }
+}
