--- a/standin/src/main/java/org/oleanderspring/standin/http/StateDuty.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/StateDuty.java
@@ -79,7 +79,7 @@
 
     @Override
     public void close() {
-        mTimer.close();
         mThread.close();
+        mTimer.close();
     }
 }
--- a/standin/src/main/java/org/oleanderspring/standin/keyvalue/KeyValueStore.java
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/KeyValueStore.java
@@ -209,15 +209,16 @@
      * @param name the name
      */
     public void saveSnapshot(String name) {
-        mSnapshots.put(name, new Snapshot(new TreeMap<>(mEntries), mRevision));
+        mSnapshots.put(name, new Snapshot(new TreeMap<>(mEntries), mRevision, Map.copyOf(mLeases)));
     }
 
     /**
-     * Goes back to an older content and its revision; leases granted since then stay known.
+     * Goes back to an older content, its revision and its leases, which start to run again.
      *
      * @param name the name of the snapshot
+     * @param nowNanos the monotonic time
      */
-    public void restoreSnapshot(String name) {
+    public void restoreSnapshot(String name, long nowNanos) {
         Snapshot snapshot = mSnapshots.get(name);
         if (snapshot == null) {
             throw new IllegalArgumentException("no snapshot named " + name);
@@ -226,9 +227,13 @@
         mEntries.putAll(snapshot.entries());
         mRevision = snapshot.revision();
         mHistory.removeIf(change -> change.revision() > snapshot.revision());
+        mLeases.clear();
+        mLeases.putAll(snapshot.leases());
+        List.copyOf(mLeases.keySet()).forEach(lease -> renewLease(lease, nowNanos));
     }
 
     private record Lease(Duration timeToLive, long endsNanos) {}
 
-    private record Snapshot(TreeMap<String, Entry> entries, long revision) {}
+    private record Snapshot(
+            TreeMap<String, Entry> entries, long revision, Map<Long, Lease> leases) {}
 }
--- a/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/FaultResource.java
+++ b/standin/src/main/java/org/oleanderspring/standin/keyvalue/command/FaultResource.java
@@ -41,7 +41,7 @@
             mStore.saveSnapshot(request.path("saveSnapshot").asText());
         }
         if (request.has("restoreSnapshot")) {
-            mStore.restoreSnapshot(request.path("restoreSnapshot").asText());
+            mStore.restoreSnapshot(request.path("restoreSnapshot").asText(), System.nanoTime());
             mWatches.abort();
         }
         exchange.reply(200, Json.object());
