--- a/standin/src/main/java/org/oleanderspring/standin/engine/query/EngineViews.java
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/query/EngineViews.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.standin.engine.query;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.oleanderspring.standin.engine.Attempt;
+import org.oleanderspring.standin.engine.AttemptState;
 import org.oleanderspring.standin.engine.EngineState;
 import org.oleanderspring.standin.http.Exchange;
 
@@ -45,6 +47,17 @@
         ObjectNode ledger = mState.ledger().toJson();
         ledger.put("memoryMegabytes", mState.options().memoryMegabytes());
         ledger.put("usedMegabytes", mState.usedMegabytes());
+        ledger.put("waiting", waiting());
         exchange.reply(200, ledger);
     }
+
+    private int waiting() {
+        int waiting = 0;
+        for (Attempt attempt : mState.attempts()) {
+            if (attempt.state() == AttemptState.WAITING) {
+                waiting++;
+            }
+        }
+        return waiting;
+    }
 }
