--- a/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentFuzz.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -99,7 +100,7 @@
     private static final class Advance implements Action.Independent<DocumentWorld> {
         @Override
         public Arbitrary<Transformer<DocumentWorld>> transformer() {
-            return net.jqwik.api.Combinators.combine(
+            return Combinators.combine(
                             Arbitraries.integers().between(1, 9_000), Arbitraries.longs())
                     .as(
                             (millis, seed) ->
@@ -117,7 +118,7 @@
         public Arbitrary<Transformer<DocumentWorld>> transformer() {
             Arbitrary<DocumentName> names =
                     Arbitraries.of(DocumentWorld.SETTINGS, DocumentWorld.PLAN);
-            return net.jqwik.api.Combinators.combine(member(), member(), names)
+            return Combinators.combine(member(), member(), names)
                     .as(
                             (first, second, name) ->
                                     Transformer.mutate(
--- a/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentNode.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentNode.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -32,7 +33,7 @@
     private final Map<DocumentName, VersionedDocument> mApplied = new HashMap<>();
     private final Map<Integer, Instant> mContacts = new HashMap<>();
     private DefaultDocumentDecider mDecider;
-    private DigestSnapshot mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+    private DigestSnapshot mSnapshot = new DigestSnapshot(List.of(), null);
     private @Nullable Instant mKnownAt;
     private @Nullable Instant mGrantedUntil;
     private boolean mPaused;
@@ -107,7 +108,7 @@
         mKnownAt = null;
         mGrantedUntil = null;
         mPaused = false;
-        mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+        mSnapshot = new DigestSnapshot(List.of(), null);
         mDecider = newDecider();
     }
 
@@ -223,6 +224,26 @@
         return mGrantedUntil != null && !localNow().isAfter(mGrantedUntil);
     }
 
+    /**
+     * Checks that a member that decides without a majority has every version accepted longer ago
+     * than the bound.
+     */
+    private void checkUpToDate(Instant acceptedUpTo) {
+        DocumentName name = DocumentWorld.SETTINGS;
+        long accepted = mWorld.service().highestAcceptedBefore(name, acceptedUpTo);
+        if (mApplied.get(name).number() < accepted) {
+            throw new AssertionError(
+                    "member "
+                            + mIndex
+                            + " decides by "
+                            + mApplied.get(name)
+                            + " though number "
+                            + accepted
+                            + " was accepted up to "
+                            + acceptedUpTo);
+        }
+    }
+
     /** Checks that a claim of authority has a reason in what really reached this member. */
     void checkClaim() {
         if (!claimsAuthority()) {
@@ -232,16 +253,16 @@
             throw new AssertionError("member " + mIndex + " decides without settings");
         }
         Instant now = mWorld.now();
-        Duration bound = DocumentWorld.OPTIONS.freshnessBound();
-        if (mKnownAt != null && !now.isAfter(mKnownAt.plus(bound))) {
-            return;
-        }
         Duration contactBound = DocumentWorld.OPTIONS.contactBound();
         long inContact =
                 mContacts.values().stream()
                         .filter(sentAt -> !now.isAfter(sentAt.plus(contactBound)))
                         .count();
-        if (2 * (inContact + 1) <= mWorld.nodes().size()) {
+        if (2 * (inContact + 1) > mWorld.nodes().size()) {
+            return;
+        }
+        Duration bound = DocumentWorld.OPTIONS.freshnessBound();
+        if (mKnownAt == null || now.isAfter(mKnownAt.plus(bound))) {
             throw new AssertionError(
                     "member "
                             + mIndex
@@ -252,5 +273,6 @@
                             + " members at "
                             + now);
         }
+        checkUpToDate(now.minus(bound));
     }
 }
--- a/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentWorld.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/DocumentWorld.java
@@ -13,11 +13,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.document.command.DocumentDecision;
 import org.oleanderspring.coordination.document.command.DocumentEvent;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.store.Revision;
 
 /**
  * Several members with real deciders, a lossy network and a key-value service with faults.
@@ -337,8 +339,8 @@
     private void write(
             DocumentNode node,
             VersionedDocument document,
-            org.oleanderspring.coordination.store.Revision expected,
-            java.util.function.Function<WriteOutcome, DocumentEvent> event) {
+            Revision expected,
+            Function<WriteOutcome, DocumentEvent> event) {
         int run = node.run();
         if (!reaches(node)) {
             node.receiveIn(run, event.apply(WriteOutcome.UNAVAILABLE));
@@ -348,7 +350,7 @@
         after(
                 delay(),
                 () -> {
-                    boolean written = mService.compareAndSwap(document, expected);
+                    boolean written = mService.compareAndSwap(document, expected, mNow);
                     if (written) {
                         notifyWatchers(document.name());
                     }
--- a/coordination/src/test/java/org/oleanderspring/coordination/document/FakeService.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/document/FakeService.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.coordination.document;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 final class FakeService {
     private final List<Map<DocumentName, Entry>> mHistory = new ArrayList<>();
     private final Set<VersionedDocument> mEverWritten = new HashSet<>();
+    private final List<Accepted> mAccepted = new ArrayList<>();
     private Map<DocumentName, Entry> mEntries = new HashMap<>();
     private long mLastRevision;
     private boolean mUp = true;
@@ -35,7 +37,7 @@
         return mEntries.getOrDefault(name, new Entry(null, Revision.ABSENT));
     }
 
-    boolean compareAndSwap(VersionedDocument document, Revision expected) {
+    boolean compareAndSwap(VersionedDocument document, Revision expected, Instant now) {
         if (!find(document.name()).revision().equals(expected)) {
             return false;
         }
@@ -43,6 +45,7 @@
         mLastRevision++;
         mEntries.put(document.name(), new Entry(document, new Revision(mLastRevision)));
         mEverWritten.add(document);
+        mAccepted.add(new Accepted(now, document));
         return true;
     }
 
@@ -51,6 +54,7 @@
         if (mHistory.isEmpty()) {
             return;
         }
+        mAccepted.clear();
         int index = Math.max(0, mHistory.size() - writes);
         mEntries = new HashMap<>(mHistory.get(index));
         mHistory.subList(index, mHistory.size()).clear();
@@ -64,12 +68,25 @@
         return mEverWritten.contains(document);
     }
 
+    /** Returns the highest number accepted up to a time and not lost since, or 0. */
+    long highestAcceptedBefore(DocumentName name, Instant time) {
+        return mAccepted.stream()
+                .filter(accepted -> !accepted.at().isAfter(time))
+                .map(Accepted::document)
+                .filter(document -> document.name().equals(name))
+                .mapToLong(VersionedDocument::number)
+                .max()
+                .orElse(0);
+    }
+
     int takeReadCount() {
         int reads = mReads;
         mReads = 0;
         return reads;
     }
 
+    private record Accepted(Instant at, VersionedDocument document) {}
+
     /** The content of a key. */
     record Entry(@Nullable VersionedDocument document, Revision revision) {}
 }
