--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingTableAssembler.java
@@ -0,0 +1,122 @@
+package org.oleanderspring.daemon.routing.command;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.Checkpoint;
+import org.oleanderspring.core.fleet.Endpoint;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointKind;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.Vm;
+import org.oleanderspring.core.fleet.VmList;
+import org.oleanderspring.core.fleet.VmState;
+import org.oleanderspring.core.placement.Plan;
+import org.oleanderspring.core.placement.query.PlacedReplica;
+import org.oleanderspring.core.placement.query.PlacedReplicas;
+import org.oleanderspring.core.routing.Replica;
+import org.oleanderspring.core.routing.ReplicaState;
+import org.oleanderspring.core.routing.RoutingTable;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.settings.SettingName;
+
+/** Puts the routing table together from the VM list, the catalogue and the plans. */
+final class RoutingTableAssembler {
+    private static final int SERVICE_CONCURRENCY = 64;
+
+    private final Map<EndpointId, Endpoint> mEndpoints = new HashMap<>();
+    private final Set<EndpointId> mLeaving = new HashSet<>();
+    private final Map<CellName, Plan> mPlans = new HashMap<>();
+    private int mRunnerConcurrency = (int) SettingName.RUNNER_CONCURRENCY.defaultValue();
+    private int mDaemons = 1;
+    private List<Checkpoint> mCatalogue = List.of();
+
+    void setVms(VmList vms) {
+        mEndpoints.clear();
+        mLeaving.clear();
+        for (Vm vm : vms.vms()) {
+            for (Endpoint endpoint : vm.endpoints()) {
+                mEndpoints.put(endpoint.id(), endpoint);
+                if (vm.state() == VmState.LEAVING) {
+                    mLeaving.add(endpoint.id());
+                }
+            }
+        }
+    }
+
+    void setCatalogue(List<Checkpoint> catalogue) {
+        mCatalogue = List.copyOf(catalogue);
+    }
+
+    void setPlan(Plan plan) {
+        mPlans.merge(plan.cell(), plan, (old, next) -> next.number() > old.number() ? next : old);
+    }
+
+    void setRunnerConcurrency(int concurrency) {
+        mRunnerConcurrency = concurrency;
+    }
+
+    void setDaemons(int daemons) {
+        mDaemons = daemons;
+    }
+
+    @Nullable Address addressOf(EndpointId endpoint) {
+        Endpoint found = mEndpoints.get(endpoint);
+        return found == null ? null : found.address();
+    }
+
+    List<ModelName> models() {
+        return mCatalogue.stream().map(Checkpoint::name).sorted().toList();
+    }
+
+    RoutingTable build() {
+        Map<Target, List<Replica>> replicas = new HashMap<>();
+        Set<Target> known = new HashSet<>();
+        for (Checkpoint checkpoint : mCatalogue) {
+            known.add(new Target.ModelTarget(checkpoint.name()));
+        }
+        for (Endpoint endpoint : mEndpoints.values()) {
+            if (endpoint.kind() == EndpointKind.SERVICE && endpoint.service() != null) {
+                Target target = new Target.ServiceTarget(endpoint.service());
+                known.add(target);
+                add(replicas, target, endpoint.id(), SERVICE_CONCURRENCY);
+            }
+        }
+        for (Plan plan : mPlans.values()) {
+            addPlaced(plan, replicas);
+        }
+        return new RoutingTable(replicas, known);
+    }
+
+    private void addPlaced(Plan plan, Map<Target, List<Replica>> replicas) {
+        int share = Math.max(1, (mRunnerConcurrency + mDaemons - 1) / mDaemons);
+        for (PlacedReplica placed : PlacedReplicas.of(plan, mEndpoints.values())) {
+            EndpointId endpoint = placed.endpoint().id();
+            boolean draining = placed.draining() || mLeaving.contains(endpoint);
+            replicas.computeIfAbsent(
+                            new Target.ModelTarget(placed.name()), key -> new ArrayList<>())
+                    .add(
+                            new Replica(
+                                    endpoint,
+                                    draining ? ReplicaState.DRAINING : ReplicaState.READY,
+                                    share));
+        }
+    }
+
+    private void add(
+            Map<Target, List<Replica>> replicas,
+            Target target,
+            EndpointId endpoint,
+            int concurrency) {
+        ReplicaState state =
+                mLeaving.contains(endpoint) ? ReplicaState.DRAINING : ReplicaState.READY;
+        replicas.computeIfAbsent(target, key -> new ArrayList<>())
+                .add(new Replica(endpoint, state, concurrency));
+    }
+}
