Add the messages between daemons and their protobuf encoding

The typed messages know nothing of protobuf; one codec translates them and treats every impossible value as a malformed message.

--- /dev/null
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -0,0 +1,93 @@
+package org.oleanderspring.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.oleanderspring.coordination.dispatch.ClaimId;
+import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.coordination.dispatch.RecordState;
+import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.coordination.document.DocumentDigest;
+import org.oleanderspring.coordination.document.DocumentName;
+import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.membership.Member;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.MemberState;
+import org.oleanderspring.coordination.membership.MembershipMessage;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.placement.ModelUse;
+import org.oleanderspring.core.placement.UnreadyReason;
+
+/** Messages of every kind and with every enumerated value. */
+final class PeerSamples {
+    static final VersionedDocument DOCUMENT =
+            new VersionedDocument(new DocumentName("settings"), 7, new byte[] {1, 2, 3});
+    static final DocumentDigest DIGEST =
+            new DocumentDigest(List.of(DOCUMENT.version()), Duration.ofMillis(1_500));
+
+    private static final CellName CELL = new CellName("east-1");
+    private static final ModelName MODEL = new ModelName("assistant/adapter-3");
+    private static final MemberId DAEMON = new MemberId("vm-3/81f2");
+    private static final IdempotencyKey KEY = new IdempotencyKey("order-17");
+    private static final ClaimId CLAIM = new ClaimId(DAEMON, 5);
+
+    private PeerSamples() {}
+
+    static Member member(int index, MemberState state) {
+        return new Member(
+                new MemberId("entry-vm-" + index + "/0f3a97c1"),
+                new Address("10.20." + index / 250 + "." + (1 + index % 250), 7_101),
+                new Address("10.20." + index / 250 + "." + (1 + index % 250), 8_080),
+                "region-" + index % 8 + "-zone-" + index % 18,
+                index,
+                state);
+    }
+
+    static List<PeerMessage.Membership> membership() {
+        List<Member> updates = new ArrayList<>();
+        for (MemberState state : MemberState.values()) {
+            updates.add(member(updates.size(), state));
+        }
+        Member sender = member(9, MemberState.ALIVE);
+        byte[] digest = {9, 8};
+        return List.of(
+                new PeerMessage.Membership(
+                        new MembershipMessage.Probe(1, sender, true, updates, digest)),
+                new PeerMessage.Membership(
+                        new MembershipMessage.ProbeRequest(
+                                2, sender, updates.get(0).peerAddress(), List.of(), digest)),
+                new PeerMessage.Membership(
+                        new MembershipMessage.Acknowledgement(3, sender, updates, new byte[0])));
+    }
+
+    static List<PeerMessage> framed() {
+        List<PeerMessage> samples = new ArrayList<>();
+        samples.add(new PeerMessage.DocumentPush(DOCUMENT));
+        samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
+        samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
+        samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
+        samples.add(new PeerMessage.WakeRequest(DAEMON, CELL, MODEL, Duration.ofMillis(-20), 3));
+        samples.add(new PeerMessage.ReadyNotice(CELL, MODEL, Duration.ofSeconds(2)));
+        for (UnreadyReason reason : UnreadyReason.values()) {
+            samples.add(new PeerMessage.UnreadyNotice(CELL, MODEL, reason));
+        }
+        samples.add(new PeerMessage.UseReport(DAEMON, CELL, List.of(new ModelUse(MODEL, 1, 2, 3))));
+        samples.add(new PeerMessage.TermAnnouncement(CELL, new FencingToken(8), DAEMON));
+        samples.add(new PeerMessage.TermAcknowledgement(CELL, new FencingToken(8), DAEMON));
+        samples.add(new PeerMessage.ClaimRequest(CLAIM, KEY, Duration.ofMillis(900)));
+        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Claimed()));
+        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Unavailable("no owner")));
+        for (RecordState state : RecordState.values()) {
+            samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.AlreadyClaimed(state)));
+            samples.add(new PeerMessage.OutcomeReport(KEY, state));
+        }
+        for (EndpointCondition condition : EndpointCondition.values()) {
+            samples.add(new PeerMessage.EndpointNotice(new EndpointId("runner-2/5"), condition));
+        }
+        return samples;
+    }
+}
