--- /dev/null
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerSender.java
@@ -0,0 +1,18 @@
+package org.oleanderspring.peer.command;
+
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.SendResult;
+
+/** Sends messages to other daemons. */
+public interface PeerSender {
+    /**
+     * Queues a message without waiting. An accepted message may still get lost, so whoever needs a
+     * reply repeats the message.
+     *
+     * @param receiver the receiver's peer address
+     * @param message the message
+     * @return whether it was queued
+     */
+    SendResult send(Address receiver, PeerMessage message);
+}
--- /dev/null
+++ b/peer/src/main/java/org/oleanderspring/peer/command/package-info.java
@@ -0,0 +1,5 @@
+/** Sends messages to other daemons and receives theirs. */
+@NullMarked
+package org.oleanderspring.peer.command;
+
+import org.jspecify.annotations.NullMarked;
