Give up a claim after 2 s so that an outage is refused early

Cause: FleetTest.warmCallsOutliveTheKeyValueService got deadline_passed instead of record_unavailable; coldCallsAndOrdersAreServedOnce expected an outcome that is recorded up to 500 ms after the answer.

--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
@@ -38,6 +38,12 @@
 public final class RoutingDuty implements EventHandler<RoutingInput> {
     private static final Logger LOGGER = System.getLogger(RoutingDuty.class.getName());
 
+    /**
+     * A key-value service that takes no record within this time has an outage; waiting longer would
+     * only delay the refusal.
+     */
+    private static final Duration CLAIM_LIMIT = Duration.ofSeconds(2);
+
     private final MemberId mDaemon;
     private final DefaultRoutingDecider mDecider;
     private final EndpointCommands mEndpoints;
@@ -228,13 +234,18 @@
         } else if (decision instanceof RoutingDecision.RecordDispatch record) {
             AcceptedCall call = mCalls.get(record.call());
             if (call != null) {
-                mClaims.claim(record.call(), record.key(), call.request().deadline());
+                mClaims.claim(record.call(), record.key(), claimDeadline(call.request(), now));
             }
         } else if (decision instanceof RoutingDecision.RecordOutcome outcome) {
             mClaims.recordOutcome(outcome.key(), outcome.state());
         }
     }
 
+    private static Instant claimDeadline(CallRequest request, Instant now) {
+        Instant limit = now.plus(CLAIM_LIMIT);
+        return limit.isBefore(request.deadline()) ? limit : request.deadline();
+    }
+
     private void start(RoutingDecision.StartAttempt start, Instant now) {
         AttemptId attempt = start.attempt();
         AcceptedCall call = mCalls.get(attempt.call());
