--- a/daemon/src/test/java/org/oleanderspring/daemon/fleet/FleetTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/fleet/FleetTest.java
@@ -4,8 +4,8 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
-import static org.hamcrest.Matchers.oneOf;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.oneOf;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -42,7 +42,8 @@
             HttpResponse<String> second = fleet.call(1, "/v1/services/ledger/turns", "turn", key);
             assertThat(first.body(), first.statusCode(), is(200));
             assertThat(second.body(), second.statusCode(), is(409));
-            // The end of the first call reaches the record's owner after its answer, so a repetition
+            // The end of the first call reaches the record's owner after its answer, so a
+            // repetition
             // sent at once may still be told "unknown", but never "not_run".
             assertThat(workOf(second), is(oneOf("ran", "unknown")));
             fleet.await(
