Count a sample of witnesses in large groups, so that a majority can be seen

Cause: bench control with 50 daemons never accepted a settings change: two probes a second reach 13 members within the bound on contact, so no daemon of a large group hears from more than half. Change: nine witnesses stand for the members of a group of ten or more; digests carry the time of their last replies, and two thirds have to reply. Small groups keep the majority of direct replies. Ruled out: asking all members directly (1,700 replies in 6.5 s exceed 3 KB/s) and a sampled estimate of the reachable share (wrong with a probability of 4e-4 for each window at one eighth).

--- a/bench/src/main/java/org/oleanderspring/bench/ControlNode.java
+++ b/bench/src/main/java/org/oleanderspring/bench/ControlNode.java
@@ -38,7 +38,7 @@
     private final PeerCodec mCodec = new PeerCodec();
     private final DefaultMembershipDecider mMembership;
     private final DefaultDocumentDecider mDocuments;
-    private DigestSnapshot mSnapshot = new DigestSnapshot(List.of(), null);
+    private DigestSnapshot mSnapshot = DigestSnapshot.EMPTY;
     private int mKnown;
     private long mSettingsNumber;
     private long mNextChange = 1;
--- a/coordination/src/main/java/org/oleanderspring/coordination/document/DocumentOptions.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/DocumentOptions.java
@@ -13,6 +13,7 @@
  * @param fanOut the number of members that a new version is pushed to
  * @param watchersPerDomain the number of members per failure domain that watch the service
  * @param digestVersions the largest number of versions in one digest
+ * @param witnesses the largest number of members whose replies stand for a majority
  */
 public record DocumentOptions(
         DocumentName governing,
@@ -20,18 +21,20 @@
         Duration contactBound,
         int fanOut,
         int watchersPerDomain,
-        int digestVersions) {
+        int digestVersions,
+        int witnesses) {
     private static final Duration DEFAULT_FRESHNESS_BOUND = Duration.ofSeconds(13);
     private static final int DEFAULT_FAN_OUT = 3;
     private static final int DEFAULT_WATCHERS_PER_DOMAIN = 2;
     private static final int DEFAULT_DIGEST_VERSIONS = 4;
+    private static final int DEFAULT_WITNESSES = 9;
 
     /** Checks the ranges. */
     public DocumentOptions {
         Objects.requireNonNull(governing, "governing");
         requirePositive(freshnessBound, "freshnessBound");
         requirePositive(contactBound, "contactBound");
-        if (fanOut < 1 || watchersPerDomain < 1 || digestVersions < 1) {
+        if (fanOut < 1 || watchersPerDomain < 1 || digestVersions < 1 || witnesses < 1) {
             throw new IllegalArgumentException("a number of members or versions is not positive");
         }
     }
@@ -49,7 +52,8 @@
                 DEFAULT_FRESHNESS_BOUND.dividedBy(2),
                 DEFAULT_FAN_OUT,
                 DEFAULT_WATCHERS_PER_DOMAIN,
-                DEFAULT_DIGEST_VERSIONS);
+                DEFAULT_DIGEST_VERSIONS,
+                DEFAULT_WITNESSES);
     }
 
     private static void requirePositive(Duration value, String name) {
--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/DefaultDocumentDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/DefaultDocumentDecider.java
@@ -17,9 +17,11 @@
 import org.oleanderspring.coordination.document.DocumentOptions;
 import org.oleanderspring.coordination.document.DocumentVersion;
 import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.document.WitnessAge;
 import org.oleanderspring.coordination.document.WriteOutcome;
 import org.oleanderspring.coordination.document.query.DocumentQueries;
 import org.oleanderspring.coordination.document.query.WatcherSelection;
+import org.oleanderspring.coordination.document.query.WitnessSelection;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.Member;
 import org.oleanderspring.coordination.membership.query.RandomChoice;
@@ -52,14 +54,16 @@
  * neither a message that waited in a queue nor a pause of this member makes old knowledge look
  * fresh.
  *
- * <p><b>The majority rule.</b> A member that is not fresh may continue while more than half of the
- * members replied to it within the bound on contact. A change is accepted only by a member that
- * reaches the service and, within the same bound, more than half of the members. Two majorities
- * share a member that replied to both. While both stay in contact with it, the shared member learns
- * of the change within one bound on contact and the member that continues within another. The bound
- * on contact is half the bound on freshness, so the sum is the bound on freshness. If the accepting
- * member loses contact after the write, the change reaches the others through the service's
- * watchers only.
+ * <p><b>The majority rule.</b> A member that is not fresh may continue while a quorum of witnesses
+ * replied, to it or to others that told it, within the bound on contact; in a small group all
+ * members are witnesses (see {@link WitnessSelection}). A change is accepted only by a member that
+ * reaches the service and, within the same bound, a quorum of witnesses. What others tell of a
+ * witness is taken only from a member whose version is not newer than the one in force here, so it
+ * comes with all that the witness had in force at that time. Two quorums share a witness. While
+ * both stay in contact with it, the shared member learns of the change within one bound on contact
+ * and the member that continues within another. The bound on contact is half the bound on
+ * freshness, so the sum is the bound on freshness. If the accepting member loses contact after the
+ * write, the change reaches the others through the service's watchers only.
  *
  * <p><b>Use of the service.</b> Only the watchers of a failure domain read regularly. The others
  * read when they have no document or their freshness is about to end, at a random time and rarely;
@@ -70,7 +74,7 @@
     private static final Duration OTHER_READ_PERIOD = Duration.ofSeconds(60);
     private static final Duration AUTHORITY_STEP = Duration.ofMillis(500);
 
-    private static final String TOO_FEW_MEMBERS = "no more than half of the members reply";
+    private static final String TOO_FEW_MEMBERS = "too few members reply";
 
     private final DocumentOptions mOptions;
     private final Member mSelf;
@@ -125,7 +129,7 @@
         }
         sendDueReads(now, decisions);
         grantAuthority(now, decisions);
-        mDigests.publishChanges(mHeld, mFreshness.freshAt()).ifPresent(decisions::add);
+        mDigests.publishChanges(mHeld, mFreshness).ifPresent(decisions::add);
         return List.copyOf(decisions);
     }
 
@@ -326,9 +330,15 @@
         fetchNewer(peer, digest, now, decisions);
         Duration age = digest.serviceAge();
         boolean knowsLess = digest.find(mOptions.governing()).map(mHeld::lacks).orElse(false);
-        if (age != null && !knowsLess) {
+        if (knowsLess) {
+            return;
+        }
+        if (age != null) {
             mFreshness.reachedThroughPeer(requestSentAt.minus(age));
         }
+        for (WitnessAge witness : digest.witnesses()) {
+            mFreshness.contactedThroughPeer(witness.witness(), requestSentAt.minus(witness.age()));
+        }
     }
 
     private void onFetchReplied(
@@ -455,7 +465,7 @@
     }
 
     private DocumentDigest digest(Instant now) {
-        return mDigests.snapshot(mHeld, mFreshness.freshAt()).at(now);
+        return mDigests.snapshot(mHeld, mFreshness).at(now);
     }
 
     private ServiceLink link(DocumentName name) {
--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/DigestPublisher.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/DigestPublisher.java
@@ -1,6 +1,5 @@
 package org.oleanderspring.coordination.document.command;
 
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -34,7 +33,7 @@
     }
 
     /** Returns the current choice of versions. */
-    DigestSnapshot snapshot(HeldDocuments held, @Nullable Instant freshAt) {
+    DigestSnapshot snapshot(HeldDocuments held, Freshness freshness) {
         List<DocumentName> others = new ArrayList<>(held.names());
         List<DocumentName> chosen = new ArrayList<>();
         if (others.remove(mGoverning)) {
@@ -46,12 +45,12 @@
         }
         List<DocumentVersion> versions =
                 chosen.stream().map(held::version).filter(Objects::nonNull).toList();
-        return new DigestSnapshot(versions, freshAt);
+        return new DigestSnapshot(versions, freshness.freshAt(), freshness.witnessContacts());
     }
 
     /** Returns the current choice as a decision if it differs from the one published last. */
-    Optional<DocumentDecision> publishChanges(HeldDocuments held, @Nullable Instant freshAt) {
-        DigestSnapshot snapshot = snapshot(held, freshAt);
+    Optional<DocumentDecision> publishChanges(HeldDocuments held, Freshness freshness) {
+        DigestSnapshot snapshot = snapshot(held, freshness);
         if (snapshot.equals(mPublished)) {
             return Optional.empty();
         }
--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/Freshness.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/Freshness.java
@@ -4,11 +4,14 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.document.DocumentOptions;
+import org.oleanderspring.coordination.document.query.WitnessContact;
+import org.oleanderspring.coordination.document.query.WitnessSelection;
 import org.oleanderspring.coordination.membership.Address;
 
 /** Keeps when the key-value service and the members last replied, and derives the authority. */
@@ -17,7 +20,9 @@
     private final Duration mFreshnessBound;
     private final Duration mContactBound;
     private final Map<Address, Instant> mContacts = new HashMap<>();
-    private Set<Address> mCounted = Set.of();
+    private final WitnessSelection mSelection;
+    private Set<Address> mWitnesses = Set.of();
+    private int mMembers;
     private @Nullable Instant mFreshAt;
     private @Nullable Instant mServiceAt;
 
@@ -25,6 +30,7 @@
         mSelf = self;
         mFreshnessBound = options.freshnessBound();
         mContactBound = options.contactBound();
+        mSelection = new WitnessSelection(options.witnesses());
     }
 
     /** Notes a reply of the service to a request that was sent at the given time. */
@@ -40,13 +46,29 @@
 
     /** Notes a reply of a member to a request that was sent at the given time. */
     void contacted(Address peer, Instant requestSentAt) {
+        if (!mWitnesses.contains(peer) || peer.equals(mSelf)) {
+            return;
+        }
         mContacts.merge(peer, requestSentAt, Freshness::later);
     }
 
-    /** Replaces the members that a majority is counted of. */
+    /**
+     * Notes that others knew a witness to reply at the given time. In a small group every member
+     * can hear from a majority itself, so only direct replies count there.
+     */
+    void contactedThroughPeer(Address witness, Instant repliedAt) {
+        if (mSelection.isSample(mMembers)) {
+            contacted(witness, repliedAt);
+        }
+    }
+
+    /** Replaces the members that a majority is counted of; this member always counts. */
     void count(Set<Address> counted) {
-        mCounted = counted;
-        mContacts.keySet().retainAll(counted);
+        Set<Address> members = new HashSet<>(counted);
+        members.add(mSelf);
+        mMembers = members.size();
+        mWitnesses = mSelection.witnesses(members);
+        mContacts.keySet().retainAll(mWitnesses);
     }
 
     /** Returns the time before which every accepted version is known here, or null. */
@@ -59,7 +81,7 @@
         return mServiceAt != null && !now.isAfter(mServiceAt.plus(mFreshnessBound));
     }
 
-    /** Returns whether more than half of the members replied within the bound on contact. */
+    /** Returns whether enough witnesses replied within the bound on contact. */
     boolean reachesMajority(Instant now) {
         Instant end = majorityEnd(now);
         return end != null && !now.isAfter(end);
@@ -78,23 +100,34 @@
         return null;
     }
 
+    /** Returns when the witnesses last replied, for the digest. */
+    List<WitnessContact> witnessContacts() {
+        if (!mSelection.isSample(mMembers)) {
+            return List.of();
+        }
+        return mContacts.entrySet().stream()
+                .filter(contact -> mWitnesses.contains(contact.getKey()))
+                .map(contact -> new WitnessContact(contact.getKey(), contact.getValue()))
+                .sorted(Comparator.comparing(contact -> contact.witness().toString()))
+                .toList();
+    }
+
     /**
-     * Returns until when the contacts so far make a majority. Before the first member list nothing
-     * is known about the majority.
+     * Returns until when the contacts so far make a quorum. Before the first member list nothing is
+     * known about the quorum.
      */
     private @Nullable Instant majorityEnd(Instant now) {
-        if (mCounted.isEmpty()) {
+        if (mMembers == 0) {
             return null;
         }
-        boolean countsSelf = mCounted.contains(mSelf);
-        int members = countsSelf ? mCounted.size() : mCounted.size() + 1;
-        int othersNeeded = members / 2;
+        boolean countsSelf = mWitnesses.contains(mSelf);
+        int othersNeeded = mSelection.quorum(mMembers) - (countsSelf ? 1 : 0);
         if (othersNeeded == 0) {
             return now.plus(mContactBound);
         }
         List<Instant> latestFirst =
                 mContacts.entrySet().stream()
-                        .filter(contact -> mCounted.contains(contact.getKey()))
+                        .filter(contact -> mWitnesses.contains(contact.getKey()))
                         .filter(contact -> !contact.getKey().equals(mSelf))
                         .map(Map.Entry::getValue)
                         .sorted(Comparator.reverseOrder())
--- a/daemon/src/main/java/org/oleanderspring/daemon/membership/command/DigestHolder.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/membership/command/DigestHolder.java
@@ -8,7 +8,7 @@
 /** Keeps the latest digest on the membership thread and encodes it for each message. */
 public final class DigestHolder implements DigestSource {
     private final DigestEncoder mEncoder;
-    private DigestSnapshot mSnapshot = new DigestSnapshot(java.util.List.of(), null);
+    private DigestSnapshot mSnapshot = DigestSnapshot.EMPTY;
 
     /** Encodes digests. */
     @FunctionalInterface
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.oleanderspring.coordination.document.DocumentName;
 import org.oleanderspring.coordination.document.DocumentVersion;
 import org.oleanderspring.coordination.document.VersionedDocument;
+import org.oleanderspring.coordination.document.WitnessAge;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.Member;
@@ -369,7 +370,12 @@
         }
         Duration age = digest.serviceAge();
         if (age != null) {
-            encoded.setServiceAgeMillis(age.plusNanos(999_999).toMillis());
+            encoded.setServiceAgeMillis(millisRoundedUp(age));
+        }
+        for (WitnessAge witness : digest.witnesses()) {
+            encoded.addWitnessesBuilder()
+                    .setWitness(address(witness.witness()))
+                    .setAgeMillis(millisRoundedUp(witness.age()));
         }
         return encoded.build();
     }
@@ -386,7 +392,19 @@
                         .toList();
         @Nullable Duration age =
                 digest.hasServiceAgeMillis() ? duration(digest.getServiceAgeMillis()) : null;
-        return new DocumentDigest(versions, age);
+        List<WitnessAge> witnesses =
+                digest.getWitnessesList().stream()
+                        .map(
+                                witness ->
+                                        new WitnessAge(
+                                                address(witness.getWitness()),
+                                                duration(witness.getAgeMillis())))
+                        .toList();
+        return new DocumentDigest(versions, age, witnesses);
+    }
+
+    private static long millisRoundedUp(Duration age) {
+        return age.plusNanos(999_999).toMillis();
     }
 
     private static PeerMessage wakeRequest(PeerProtocol.WakeRequest wake) {
