--- a/coordination/src/main/java/org/oleanderspring/coordination/membership/command/DefaultMembershipDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/DefaultMembershipDecider.java
@@ -38,6 +38,7 @@
     private static final int JOIN_PERIODS = 60;
     private static final int MEMBERS_WANTED_PERIODS = 20;
     private static final int LEAVE_MESSAGES = 5;
+    private static final int FILL_CANDIDATES = 32;
     private static final int MESSAGE_FIXED_BYTES = 32;
 
     private final MembershipOptions mOptions;
@@ -289,9 +290,8 @@
                         - MESSAGE_FIXED_BYTES
                         - UpdateQueue.estimatedBytes(self());
         List<Member> updates = new ArrayList<>();
-        for (Member member : mTable.remembered()) {
-            boolean doubted = member.state().compareTo(MemberState.SUSPECTED) >= 0;
-            if (doubted && member.peerAddress().equals(receiver) && fits(member, bytes)) {
+        for (Member member : mTable.doubted()) {
+            if (member.peerAddress().equals(receiver) && fits(member, bytes)) {
                 updates.add(member);
                 bytes -= UpdateQueue.estimatedBytes(member);
             }
@@ -311,7 +311,7 @@
     private void addOthers(List<Member> updates, int bytes) {
         int remaining = bytes;
         List<Member> others = mTable.liveOthers();
-        for (Member member : choose(others, others.size())) {
+        for (Member member : choose(others, FILL_CANDIDATES)) {
             if (!fits(member, remaining)) {
                 return;
             }
--- a/coordination/src/main/java/org/oleanderspring/coordination/membership/command/MemberTable.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/MemberTable.java
@@ -16,13 +16,20 @@
 import org.oleanderspring.coordination.membership.MemberList;
 import org.oleanderspring.coordination.membership.MemberState;
 
-/** The members that one member remembers, itself included, and the entry VMs of the VM list. */
+/**
+ * The members that one member remembers, itself included, and the entry VMs of the VM list.
+ *
+ * <p>Changes are rare and reads are frequent, so derived lists are kept until the next change.
+ */
 final class MemberTable {
     private final Map<MemberId, Entry> mEntries = new TreeMap<>();
     private final MemberId mSelfId;
     private Set<Address> mSeeds = Set.of();
     private boolean mSeedsListed;
     private long mChanges = 1;
+    private @Nullable List<Member> mLiveOthers;
+    private @Nullable List<Member> mDoubted;
+    private @Nullable List<Address> mUnreachedSeeds;
 
     MemberTable(Member self, Instant now) {
         mSelfId = self.id();
@@ -40,7 +47,14 @@
     /** Replaces what is known of a member. */
     void put(Member member, Instant now) {
         mEntries.put(member.id(), new Entry(member, now));
+        changed();
+    }
+
+    private void changed() {
         mChanges++;
+        mLiveOthers = null;
+        mDoubted = null;
+        mUnreachedSeeds = null;
     }
 
     /** Returns a number that grows whenever the snapshot may change. */
@@ -55,11 +69,27 @@
 
     /** Returns the other members that are expected to reply. */
     List<Member> liveOthers() {
-        return mEntries.values().stream()
-                .map(Entry::member)
-                .filter(member -> member.state().isLive())
-                .filter(member -> !member.id().equals(mSelfId))
-                .toList();
+        if (mLiveOthers == null) {
+            mLiveOthers =
+                    mEntries.values().stream()
+                            .map(Entry::member)
+                            .filter(member -> member.state().isLive())
+                            .filter(member -> !member.id().equals(mSelfId))
+                            .toList();
+        }
+        return mLiveOthers;
+    }
+
+    /** Returns the members that are suspected, failed or left. */
+    List<Member> doubted() {
+        if (mDoubted == null) {
+            mDoubted =
+                    mEntries.values().stream()
+                            .map(Entry::member)
+                            .filter(member -> member.state().compareTo(MemberState.SUSPECTED) >= 0)
+                            .toList();
+        }
+        return mDoubted;
     }
 
     List<Member> remembered() {
@@ -75,13 +105,17 @@
 
     /** Returns the members whose suspicion began at or before the given time. */
     List<Member> suspectedBefore(Instant time) {
-        return mEntries.values().stream()
-                .filter(entry -> entry.member().state() == MemberState.SUSPECTED)
-                .filter(entry -> !entry.since().isAfter(time))
-                .map(Entry::member)
+        return doubted().stream()
+                .filter(member -> member.state() == MemberState.SUSPECTED)
+                .filter(member -> isKnownSince(member, time))
                 .toList();
     }
 
+    private boolean isKnownSince(Member member, Instant time) {
+        Entry entry = mEntries.get(member.id());
+        return entry != null && !entry.since().isAfter(time);
+    }
+
     /** Moves all times on after this member was paused. */
     void addPause(Duration pause) {
         mEntries.replaceAll((id, entry) -> new Entry(entry.member(), entry.since().plus(pause)));
@@ -90,31 +124,34 @@
     /** Replaces the entry VMs of the VM list. */
     void setSeeds(List<Address> seeds) {
         Set<Address> listed = new LinkedHashSet<>(seeds);
+        mSeedsListed = true;
         if (!listed.equals(mSeeds)) {
-            mChanges++;
+            mSeeds = listed;
+            changed();
         }
-        mSeeds = listed;
-        mSeedsListed = true;
     }
 
     /** Returns the addresses of entry VMs at which no live member is known. */
     List<Address> unreachedSeeds() {
-        Set<Address> reached = new HashSet<>();
-        reached.add(self().peerAddress());
-        liveOthers().forEach(member -> reached.add(member.peerAddress()));
-        return mSeeds.stream().filter(seed -> !reached.contains(seed)).toList();
+        if (mUnreachedSeeds == null) {
+            Set<Address> reached = new HashSet<>();
+            reached.add(self().peerAddress());
+            liveOthers().forEach(member -> reached.add(member.peerAddress()));
+            mUnreachedSeeds = mSeeds.stream().filter(seed -> !reached.contains(seed)).toList();
+        }
+        return mUnreachedSeeds;
     }
 
     /** Forgets left members, and failed ones whose VM is not on the VM list, after a time. */
     void forgetBefore(Instant time) {
-        boolean forgotten =
-                mEntries.values()
-                        .removeIf(
-                                entry ->
-                                        !entry.since().isAfter(time)
-                                                && isForgettable(entry.member()));
-        if (forgotten) {
-            mChanges++;
+        List<Member> forgotten =
+                doubted().stream()
+                        .filter(this::isForgettable)
+                        .filter(member -> isKnownSince(member, time))
+                        .toList();
+        forgotten.forEach(member -> mEntries.remove(member.id()));
+        if (!forgotten.isEmpty()) {
+            changed();
         }
     }
 
