Deliver the timer before held replies when a paused member resumes

The membership session passed also without the handling of pauses, because the replies of before the pause arrived first. In a ring the timer's event can be first, and then the member must not suspect the others.

--- a/coordination/src/test/java/org/oleanderspring/coordination/membership/MembershipSession.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/membership/MembershipSession.java
@@ -61,7 +61,7 @@
             case "run" -> advance(Duration.ofMillis(Long.parseLong(words[1])));
             case "kill" -> mRunningAt.remove(mNodes.remove(words[1]).address());
             case "pause" -> mPaused.add(words[1]);
-            case "resume" -> mPaused.remove(words[1]);
+            case "resume" -> resume(words[1]);
             case "cut" -> mCutOff.addAll(List.of(words).subList(1, words.length));
             case "heal" -> mCutOff.clear();
             case "drain" -> tell(words[1], new MembershipEvent.DrainRequested());
@@ -71,6 +71,12 @@
         }
     }
 
+    /** The timer's event was in the ring before the replies that arrived during the pause. */
+    private void resume(String id) {
+        mPaused.remove(id);
+        tell(id, new MembershipEvent.TimerFired());
+    }
+
     private void start(String id, String host, String domain) {
         Member self =
                 new Member(
