--- /dev/null
+++ b/bench/src/main/java/org/oleanderspring/bench/VirtualStore.java
@@ -0,0 +1,98 @@
+package org.oleanderspring.bench;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoredValue;
+import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/** A virtual clock and a key-value service that replies after a fixed time and never fails. */
+final class VirtualStore {
+    private record Task(Instant due, long sequence, Runnable action) {}
+
+    private final PriorityQueue<Task> mTasks =
+            new PriorityQueue<>(Comparator.comparing(Task::due).thenComparingLong(Task::sequence));
+    private final Map<StoreKey, StoredValue> mValues = new HashMap<>();
+    private final Duration mOneWay;
+    private Instant mNow = Instant.EPOCH;
+    private long mSequence;
+    private long mRevision;
+    private long mWrites;
+    private long mBytesWritten;
+
+    VirtualStore(Duration latency) {
+        mOneWay = latency.dividedBy(2);
+    }
+
+    Instant now() {
+        return mNow;
+    }
+
+    long writes() {
+        return mWrites;
+    }
+
+    long bytesWritten() {
+        return mBytesWritten;
+    }
+
+    long keys() {
+        return mValues.size();
+    }
+
+    void after(Duration delay, Runnable action) {
+        mTasks.add(new Task(mNow.plus(delay), mSequence++, action));
+    }
+
+    void runUntil(Instant end) {
+        while (!mTasks.isEmpty() && !mTasks.element().due().isAfter(end)) {
+            Task task = mTasks.remove();
+            mNow = task.due();
+            task.action().run();
+        }
+        mNow = end;
+    }
+
+    void write(CompareAndSwap command, Consumer<WriteResult> reply) {
+        after(
+                mOneWay,
+                () -> {
+                    WriteResult result = apply(command);
+                    after(mOneWay, () -> reply.accept(result));
+                });
+    }
+
+    void read(StoreKey key, Consumer<ReadResult> reply) {
+        after(
+                mOneWay,
+                () -> {
+                    @Nullable StoredValue value = mValues.get(key);
+                    ReadResult result =
+                            new ReadResult.Found(value == null ? List.of() : List.of(value));
+                    after(mOneWay, () -> reply.accept(result));
+                });
+    }
+
+    private WriteResult apply(CompareAndSwap command) {
+        StoredValue current = mValues.get(command.key());
+        Revision revision = current == null ? Revision.ABSENT : current.revision();
+        if (!revision.equals(command.expected())) {
+            return new WriteResult.Conflict(current);
+        }
+        mWrites++;
+        mBytesWritten += command.bytes().length;
+        Revision next = new Revision(++mRevision);
+        mValues.put(command.key(), new StoredValue(command.key(), command.bytes(), next));
+        return new WriteResult.Written(next);
+    }
+}
