Deliver more requests late in the coordination fuzz

Change: the fake link delivers 15 percent of the requests shortly after their sender gave up, and faults last longer.

--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/DispatchFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/DispatchFuzz.java
@@ -77,9 +77,9 @@
                         Tuple.of(5, StepKind.PAUSE),
                         Tuple.of(5, StepKind.RESUME),
                         Tuple.of(2, StepKind.CRASH),
-                        Tuple.of(4, StepKind.FAULTS),
-                        Tuple.of(2, StepKind.OUTAGE),
-                        Tuple.of(3, StepKind.CALM));
+                        Tuple.of(6, StepKind.FAULTS),
+                        Tuple.of(1, StepKind.OUTAGE),
+                        Tuple.of(2, StepKind.CALM));
         Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
         return Combinators.combine(kind, number, number)
                 .as(Step::new)
--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
@@ -52,7 +52,7 @@
     private static final int LONG_ADVANCE = 800;
     private static final int SEAL_BYTES = 60;
     private static final Duration TICK = Duration.ofMillis(20);
-    private static final Duration CLAIM_TIME = Duration.ofMillis(1_500);
+    private static final Duration CLAIM_TIME = Duration.ofMillis(2_500);
     private static final Duration HEALING_TIME = Duration.ofSeconds(12);
     private static final DispatchLimits LIMITS =
             new DispatchLimits(
--- a/coordination/src/test/java/org/oleanderspring/coordination/fake/FaultyLink.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/fake/FaultyLink.java
@@ -11,6 +11,10 @@
  */
 public final class FaultyLink {
     private static final Duration GIVE_UP = Duration.ofMillis(400);
+
+    /** Longer than a read takes: the request arrives after its sender saw that it had no effect. */
+    private static final int SHORT_DELAY_MILLIS = 40;
+
     private static final int LATEST_DELIVERY_MILLIS = 3_000;
     private static final int SLOW_MILLIS = 900;
 
@@ -51,12 +55,15 @@
         } else if (fault < 20) {
             mTime.after(millis(1, 50), effect::get);
             mTime.after(GIVE_UP, () -> reply.accept(unknown));
-        } else if (fault < 30) {
+        } else if (fault < 35) {
+            mTime.after(GIVE_UP, () -> reply.accept(unknown));
+            mTime.after(GIVE_UP.plus(millis(1, SHORT_DELAY_MILLIS)), effect::get);
+        } else if (fault < 45) {
             mTime.after(millis(1, LATEST_DELIVERY_MILLIS), effect::get);
             mTime.after(GIVE_UP, () -> reply.accept(unknown));
-        } else if (fault < 35) {
+        } else if (fault < 50) {
             mTime.after(millis(1, LATEST_DELIVERY_MILLIS), effect::get);
-        } else if (fault < 45) {
+        } else if (fault < 60) {
             deliver(effect, reply, SLOW_MILLIS);
         } else {
             deliver(effect, reply, 2);
