--- a/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/dispatch/SimulatedDispatch.java
@@ -67,7 +67,7 @@
 
     private final VirtualTime mTime = new VirtualTime();
     private final FakeKeyValueService mService = new FakeKeyValueService(mTime);
-    private final FaultyLink mLink;
+    private final long mLinkSeed;
     private final Duration mRetention;
     private final List<Daemon> mDaemons = new ArrayList<>();
     private final Map<Integer, List<Instant>> mStarts = new HashMap<>();
@@ -79,7 +79,7 @@
 
     SimulatedDispatch(Duration retention, long linkSeed) {
         mRetention = retention;
-        mLink = new FaultyLink(mTime, linkSeed);
+        mLinkSeed = linkSeed;
         for (int index = 0; index < DAEMONS; index++) {
             mDaemons.add(new Daemon());
         }
@@ -115,8 +115,8 @@
                 daemon.mInbox.crash();
                 mDaemons.set(step.first() % DAEMONS, new Daemon());
             }
-            case FAULTS -> mLink.setFaulty(true);
-            case OUTAGE -> mLink.setDown(true);
+            case FAULTS -> mDaemons.forEach(each -> each.mLink.setFaulty(true));
+            case OUTAGE -> daemon.mLink.setDown(true);
             case CALM -> calm();
             default -> throw new IllegalStateException("unknown step " + step);
         }
@@ -162,8 +162,10 @@
     }
 
     private void calm() {
-        mLink.setDown(false);
-        mLink.setFaulty(false);
+        for (Daemon daemon : mDaemons) {
+            daemon.mLink.setDown(false);
+            daemon.mLink.setFaulty(false);
+        }
     }
 
     private static IdempotencyKey key(int number) {
@@ -197,6 +199,7 @@
                         new DispatchKeyLayout(new StoreKey("/dispatch")),
                         LIMITS,
                         new DispatchSettings(mRetention, 50));
+        private final FaultyLink mLink = new FaultyLink(mTime, mLinkSeed + mNextDaemon);
         private final PausableInbox<DispatchEvent> mInbox = new PausableInbox<>(this::handle);
         private final Set<PartitionId> mOwned = new TreeSet<>();
         private final Map<ClaimId, Instant> mOpen = new HashMap<>();
--- a/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -80,7 +81,7 @@
                         Tuple.of(4, StepKind.WITHDRAW),
                         Tuple.of(6, StepKind.COMPETE),
                         Tuple.of(4, StepKind.FAULTS),
-                        Tuple.of(2, StepKind.OUTAGE),
+                        Tuple.of(5, StepKind.OUTAGE),
                         Tuple.of(4, StepKind.CALM));
         Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
         return Combinators.combine(kind, number, number)
@@ -93,14 +94,12 @@
     private static final class Simulation {
         private final VirtualTime mTime = new VirtualTime();
         private final FakeKeyValueService mService = new FakeKeyValueService(mTime);
-        private final FaultyLink mLink;
         private final long mSeed;
         private final List<Daemon> mDaemons = new ArrayList<>();
         private int mNextDaemon;
 
         Simulation(long seed) {
             mSeed = seed;
-            mLink = new FaultyLink(mTime, seed);
             for (int index = 0; index < DAEMONS; index++) {
                 mDaemons.add(new Daemon(index));
             }
@@ -125,16 +124,18 @@
                 }
                 case WITHDRAW -> daemon.compete(name, false);
                 case COMPETE -> daemon.compete(name, true);
-                case FAULTS -> mLink.setFaulty(true);
-                case OUTAGE -> mLink.setDown(true);
+                case FAULTS -> mDaemons.forEach(each -> each.mLink.setFaulty(true));
+                case OUTAGE -> daemon.mLink.setDown(true);
                 case CALM -> calm();
                 default -> throw new IllegalStateException("unknown step " + step);
             }
         }
 
         private void calm() {
-            mLink.setDown(false);
-            mLink.setFaulty(false);
+            for (Daemon daemon : mDaemons) {
+                daemon.mLink.setDown(false);
+                daemon.mLink.setFaulty(false);
+            }
         }
 
         private void healAndCheck() {
@@ -172,6 +173,7 @@
         /** One daemon run. */
         private final class Daemon {
             private final int mRank;
+            private final FaultyLink mLink;
             private final DefaultLeaseDecider mDecider;
             private final PausableInbox<LeaseEvent> mInbox = new PausableInbox<>(this::handle);
             private final Set<LeaseName> mWanted = new TreeSet<>();
@@ -180,6 +182,7 @@
             Daemon(int rank) {
                 mRank = rank;
                 int number = mNextDaemon++;
+                mLink = new FaultyLink(mTime, mSeed + number);
                 mDecider =
                         new DefaultLeaseDecider(
                                 new MemberId("d" + number),
@@ -234,8 +237,7 @@
                 }
             }
 
-            private void send(
-                    StoreOperationId operation, java.util.function.Supplier<LeaseResult> effect) {
+            private void send(StoreOperationId operation, Supplier<LeaseResult> effect) {
                 LeaseResult unavailable = new LeaseResult.Unavailable("no reply");
                 mLink.send(
                         effect,
