--- a/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -77,30 +78,28 @@
                         Tuple.of(6, StepKind.RESUME),
                         Tuple.of(2, StepKind.CRASH),
                         Tuple.of(2, StepKind.STOP),
-                        Tuple.of(4, StepKind.WITHDRAW),
-                        Tuple.of(6, StepKind.COMPETE),
+                        Tuple.of(8, StepKind.WITHDRAW),
+                        Tuple.of(10, StepKind.COMPETE),
                         Tuple.of(4, StepKind.FAULTS),
-                        Tuple.of(2, StepKind.OUTAGE),
+                        Tuple.of(5, StepKind.OUTAGE),
                         Tuple.of(4, StepKind.CALM));
         Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
         return Combinators.combine(kind, number, number)
                 .as(Step::new)
                 .list()
                 .ofMinSize(10)
-                .ofMaxSize(80);
+                .ofMaxSize(120);
     }
 
     private static final class Simulation {
         private final VirtualTime mTime = new VirtualTime();
         private final FakeKeyValueService mService = new FakeKeyValueService(mTime);
-        private final FaultyLink mLink;
         private final long mSeed;
         private final List<Daemon> mDaemons = new ArrayList<>();
         private int mNextDaemon;
 
         Simulation(long seed) {
             mSeed = seed;
-            mLink = new FaultyLink(mTime, seed);
             for (int index = 0; index < DAEMONS; index++) {
                 mDaemons.add(new Daemon(index));
             }
@@ -112,7 +111,7 @@
             Daemon daemon = mDaemons.get(index);
             LeaseName name = NAMES.get(step.second() % NAMES.size());
             switch (step.kind()) {
-                case ADVANCE -> mTime.advance(Duration.ofMillis(step.second() * 5L));
+                case ADVANCE -> mTime.advance(advance(step.second()));
                 case PAUSE -> daemon.mInbox.pause();
                 case RESUME -> daemon.mInbox.resume();
                 case CRASH -> {
@@ -125,23 +124,37 @@
                 }
                 case WITHDRAW -> daemon.compete(name, false);
                 case COMPETE -> daemon.compete(name, true);
-                case FAULTS -> mLink.setFaulty(true);
-                case OUTAGE -> mLink.setDown(true);
+                case FAULTS -> mDaemons.forEach(each -> each.mLink.setFaulty(true));
+                case OUTAGE -> daemon.mLink.setDown(true);
                 case CALM -> calm();
                 default -> throw new IllegalStateException("unknown step " + step);
             }
         }
 
+        /** Times in which an operation is under way, and some that exceed a time to live. */
+        private static Duration advance(int number) {
+            return Duration.ofMillis(number < 600 ? number : number * 7L);
+        }
+
         private void calm() {
-            mLink.setDown(false);
-            mLink.setFaulty(false);
+            for (Daemon daemon : mDaemons) {
+                daemon.mLink.setDown(false);
+                daemon.mLink.setFaulty(false);
+            }
         }
 
+        /**
+         * Ends all faults. With an odd seed each lease then has one candidate, so that a key left
+         * behind by another daemon blocks it.
+         */
         private void healAndCheck() {
             calm();
-            for (Daemon daemon : mDaemons) {
+            for (int index = 0; index < DAEMONS; index++) {
+                Daemon daemon = mDaemons.get(index);
                 daemon.mInbox.resume();
-                NAMES.forEach(name -> daemon.compete(name, true));
+                for (int number = 0; number < NAMES.size(); number++) {
+                    daemon.compete(NAMES.get(number), mSeed % 2 == 0 || number == index);
+                }
             }
             mTime.advance(TAKEOVER_BOUND);
             for (LeaseName name : NAMES) {
@@ -172,6 +185,7 @@
         /** One daemon run. */
         private final class Daemon {
             private final int mRank;
+            private final FaultyLink mLink;
             private final DefaultLeaseDecider mDecider;
             private final PausableInbox<LeaseEvent> mInbox = new PausableInbox<>(this::handle);
             private final Set<LeaseName> mWanted = new TreeSet<>();
@@ -180,6 +194,7 @@
             Daemon(int rank) {
                 mRank = rank;
                 int number = mNextDaemon++;
+                mLink = new FaultyLink(mTime, mSeed + number);
                 mDecider =
                         new DefaultLeaseDecider(
                                 new MemberId("d" + number),
@@ -234,8 +249,7 @@
                 }
             }
 
-            private void send(
-                    StoreOperationId operation, java.util.function.Supplier<LeaseResult> effect) {
+            private void send(StoreOperationId operation, Supplier<LeaseResult> effect) {
                 LeaseResult unavailable = new LeaseResult.Unavailable("no reply");
                 mLink.send(
                         effect,
