Lift a first back-off with any answer of the endpoint

Change: an answer to any attempt lifts the back-off of a first failure; after repeated failures it takes an answer to an attempt that was started later.

--- a/bench/src/main/java/org/oleanderspring/bench/command/OverloadScenario.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/OverloadScenario.java
@@ -7,9 +7,10 @@
  *
  * @param load offered calls as a multiple of what the replicas can answer
  * @param coldFor how long the model takes to load; zero if it is loaded from the start
+ * @param refusing the share of attempts that a replica refuses because other daemons fill it
  * @param seed determines arrivals, deadlines, service times and pauses of callers
  */
-record OverloadScenario(double load, Duration coldFor, long seed) {
+record OverloadScenario(double load, Duration coldFor, double refusing, long seed) {
     /** Replicas of the model. */
     static final int REPLICAS = 8;
 
--- a/bench/src/main/java/org/oleanderspring/bench/command/OverloadSimulation.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/OverloadSimulation.java
@@ -25,12 +25,12 @@
 import org.oleanderspring.core.routing.command.RoutingDecider;
 import org.oleanderspring.core.routing.command.RoutingDecision;
 import org.oleanderspring.core.routing.command.RoutingEvent;
-import org.oleanderspring.core.routing.command.SafeRetryPolicy;
 
 /** Runs one decider with simulated callers and replicas on a virtual clock. */
 final class OverloadSimulation {
     private static final Target.ModelTarget TARGET = new Target.ModelTarget(new ModelName("llama"));
     private static final Duration TIMER_STEP = Duration.ofMillis(100);
+    private static final Duration REFUSAL_TIME = Duration.ofMillis(5);
     private static final Duration ESTIMATE_DELAY = Duration.ofMillis(5);
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
     private static final Duration SETTLING_TIME = Duration.ofSeconds(60);
@@ -44,6 +44,7 @@
     private final OverloadTally mTally = new OverloadTally();
     private final Random mRandom;
     private final Random mPauses;
+    private final Random mRefusals;
     private final Map<CallId, OfferedCall> mOpen = new HashMap<>();
     private final Map<AttemptId, Running> mRunning = new HashMap<>();
     private long mNextCall = 1;
@@ -54,11 +55,12 @@
         mStrategy = strategy;
         mRandom = new Random(scenario.seed());
         mPauses = new Random(~scenario.seed());
+        mRefusals = new Random(-scenario.seed());
         mDecider =
                 new DefaultRoutingDecider(
                         new LeastLoadedSelector(scenario.seed()),
                         strategy.policy(),
-                        new SafeRetryPolicy());
+                        strategy.retryPolicy());
     }
 
     OverloadResult run() {
@@ -131,10 +133,19 @@
             mTally.extraAttempt();
         }
         mRunning.put(attempt, new Running(offered, mSchedule.now()));
+        if (mRefusals.nextDouble() < mScenario.refusing()) {
+            mSchedule.after(REFUSAL_TIME, () -> refuse(attempt));
+            return;
+        }
         mSchedule.after(offered.firstByte(), () -> begin(attempt));
         mSchedule.after(offered.service(), () -> complete(attempt));
     }
 
+    private void refuse(AttemptId attempt) {
+        end(attempt, false);
+        handle(new RoutingEvent.AttemptFinished(attempt, new AttemptOutcome.NotRun("busy", false)));
+    }
+
     private void begin(AttemptId attempt) {
         if (mRunning.containsKey(attempt)) {
             handle(new RoutingEvent.ResponseBegan(attempt));
--- a/bench/src/main/java/org/oleanderspring/bench/command/OverloadSubcommand.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/OverloadSubcommand.java
@@ -12,9 +12,12 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.bench.query.OverloadResult;
 import org.oleanderspring.bench.query.TextTable;
+import org.oleanderspring.core.routing.command.NoRetryPolicy;
 import org.oleanderspring.core.routing.command.QueueUntilDeadlinePolicy;
 import org.oleanderspring.core.routing.command.RefuseByEstimatePolicy;
 import org.oleanderspring.core.routing.command.RefuseForCallerRetryPolicy;
+import org.oleanderspring.core.routing.command.RetryPolicy;
+import org.oleanderspring.core.routing.command.SafeRetryPolicy;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -25,11 +28,15 @@
         description = "Compares waiting, refusing and retrying under overload.")
 public final class OverloadSubcommand implements Callable<Integer> {
     private static final int CALLER_SENDS = 5;
+    private static final RetryPolicy RETRY = new SafeRetryPolicy();
     private static final List<OverloadStrategy> STRATEGIES =
             List.of(
-                    new OverloadStrategy("wait", new QueueUntilDeadlinePolicy(), 1),
-                    new OverloadStrategy("refuse", new RefuseByEstimatePolicy(), 1),
-                    new OverloadStrategy("retry", new RefuseForCallerRetryPolicy(), CALLER_SENDS));
+                    new OverloadStrategy("wait", new QueueUntilDeadlinePolicy(), RETRY, 1),
+                    new OverloadStrategy("refuse", new RefuseByEstimatePolicy(), RETRY, 1),
+                    new OverloadStrategy(
+                            "retry", new RefuseForCallerRetryPolicy(), RETRY, CALLER_SENDS));
+    private static final OverloadStrategy WITHOUT_RETRY =
+            new OverloadStrategy("refuse-1", new RefuseByEstimatePolicy(), new NoRetryPolicy(), 1);
 
     @Option(names = "--seeds", description = "Number of seeds, from 1 on (${DEFAULT-VALUE}).")
     private int mSeeds = 5;
@@ -45,6 +52,12 @@
             description = "Milliseconds that the model takes to load; 0 if it is loaded.")
     private long mColdMillis;
 
+    @Option(
+            names = "--refusing",
+            description =
+                    "Share of attempts that replicas refuse; adds refuse-1, which does not retry.")
+    private double mRefusing;
+
     @Option(names = "--csv", description = "File for the table as CSV.")
     private @Nullable Path mCsv;
 
@@ -63,11 +76,15 @@
                         "too_short%",
                         "passed%",
                         "overloaded%",
-                        "queue_full%");
+                        "queue_full%",
+                        "exhausted%");
         for (double load : mLoads) {
             for (OverloadStrategy strategy : STRATEGIES) {
                 addRow(table, load, strategy);
             }
+            if (mRefusing > 0) {
+                addRow(table, load, WITHOUT_RETRY);
+            }
         }
         System.out.print(table.text());
         if (mCsv != null) {
@@ -80,7 +97,7 @@
         List<OverloadResult> results = new ArrayList<>();
         for (int seed = 1; seed <= mSeeds; seed++) {
             Duration coldFor = Duration.ofMillis(mColdMillis);
-            OverloadScenario scenario = new OverloadScenario(load, coldFor, seed);
+            OverloadScenario scenario = new OverloadScenario(load, coldFor, mRefusing, seed);
             results.add(new OverloadSimulation(scenario, strategy).run());
         }
         double lowest = results.stream().mapToDouble(OverloadResult::usefulPercent).min().orElse(0);
@@ -98,7 +115,8 @@
                 mean(results, result -> result.refusedPercent("deadline_too_short")),
                 mean(results, result -> result.refusedPercent("deadline_passed")),
                 mean(results, result -> result.refusedPercent("overloaded")),
-                mean(results, result -> result.refusedPercent("queue_full")));
+                mean(results, result -> result.refusedPercent("queue_full")),
+                mean(results, result -> result.refusedPercent("attempts_exhausted")));
     }
 
     private static String mean(
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -36,14 +36,14 @@
         call.answerBegan();
         mState.calls().answerBegan(call);
         call.target().times().firstByteObserved(Duration.between(attempt.startedAt(), now));
-        if (attempt.trial()) {
-            liftBackoff(attempt.slot().endpoint());
-        }
+        succeeded(attempt);
     }
 
-    private void liftBackoff(EndpointState endpoint) {
-        endpoint.backoff().succeeded();
-        endpoint.listedBy().forEach(mState::touch);
+    private void succeeded(RunningAttemptState attempt) {
+        EndpointState endpoint = attempt.slot().endpoint();
+        if (endpoint.backoff().succeeded(attempt.startedAt())) {
+            endpoint.listedBy().forEach(mState::touch);
+        }
     }
 
     /** Takes note of an attempt's end; the call is without an attempt afterwards. */
@@ -53,6 +53,7 @@
         if (outcome instanceof AttemptOutcome.Completed) {
             answerBegan(call, attempt, now);
             call.target().times().wholeObserved(Duration.between(attempt.startedAt(), now));
+            succeeded(attempt);
         } else if (outcome instanceof AttemptOutcome.NotRun notRun && notRun.endpointDraining()) {
             mState.fleet().drain(endpoint.id(), now);
         } else {
@@ -61,8 +62,9 @@
     }
 
     /**
-     * Cancels the running attempt, if any. Its place is free at once: the endpoint sees the
-     * cancellation before a later attempt, and an end that is still reported is dropped as late.
+     * Cancels the running attempt, if any. Its place is free at once, because the cancellation is
+     * sent before any later attempt; for a moment the endpoint may see both. An end of the attempt
+     * that is still reported is dropped as late.
      */
     void cancel(CallState call, String reason, Turn turn) {
         RunningAttemptState attempt = call.running();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointBackoff.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointBackoff.java
@@ -39,10 +39,21 @@
         mTrialRunning = false;
     }
 
-    void succeeded() {
-        mLast = Duration.ZERO;
-        mUntil = Instant.MIN;
-        mTrialRunning = false;
+    /**
+     * Notes that an attempt has an answer; returns whether this lifts the back-off. After a first
+     * failure any answer does: an endpoint that refused a call because it was full has a place when
+     * another call ends. After repeated failures only an answer to a later attempt does.
+     *
+     * @param startedAt when the attempt was started
+     */
+    boolean succeeded(Instant startedAt) {
+        boolean lifts = isActive() && (mLast.equals(FIRST) || !startedAt.isBefore(mUntil));
+        if (lifts) {
+            mLast = Duration.ZERO;
+            mUntil = Instant.MIN;
+            mTrialRunning = false;
+        }
+        return lifts;
     }
 
     void failed(Instant now) {
--- a/core/src/test/java/org/oleanderspring/core/routing/command/FuzzOracle.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzOracle.java
@@ -14,6 +14,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.RefusalReason;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.ReplicaState;
 import org.oleanderspring.core.routing.RoutingLimits;
@@ -154,6 +155,10 @@
         if (refuse.workState() == WorkState.NOT_RUN) {
             check(call.mTimesRun == 0, "refused as not run, but it ran: " + refuse);
             check(mayNeverRun(call), "refused as not run, but it may still run: " + refuse);
+            check(
+                    refuse.reason() != RefusalReason.DUPLICATE_KEY
+                            || mRecords.get(key) == RecordState.NOT_RUN,
+                    "refused as not run, but the key says otherwise: " + refuse);
         }
     }
 
