--- a/bench/src/main/java/org/oleanderspring/bench/query/RoutingCost.java
+++ b/bench/src/main/java/org/oleanderspring/bench/query/RoutingCost.java
@@ -3,15 +3,15 @@
 /**
  * What routing costs at one size.
  *
- * @param decisionsPerSecond decisions of one thread in a second, the median of several rounds
+ * @param decisionsPerSecond decisions in a second of CPU time, the median of several rounds
  * @param bytesPerDecision bytes allocated for each decision, the events included
- * @param tableMicros the time to take over a changed table
- * @param tableBytes bytes allocated to take over a changed table
+ * @param tableMicros the CPU time to take over a changed table
+ * @param sharedTableMicros the same if the lists of unchanged targets are the same objects
  * @param stateMegabytes the memory that the decider holds, the table included
  */
 public record RoutingCost(
         double decisionsPerSecond,
         double bytesPerDecision,
         double tableMicros,
-        double tableBytes,
+        double sharedTableMicros,
         double stateMegabytes) {}
