--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.bench;
 
+import org.oleanderspring.bench.command.ColdStartSubcommand;
 import org.oleanderspring.bench.command.OverloadSubcommand;
 import org.oleanderspring.bench.command.RoutingSubcommand;
 import picocli.CommandLine;
@@ -10,7 +11,11 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures the decision core with a virtual clock.",
-        subcommands = {RoutingSubcommand.class, OverloadSubcommand.class})
+        subcommands = {
+            RoutingSubcommand.class,
+            OverloadSubcommand.class,
+            ColdStartSubcommand.class
+        })
 public final class BenchTool {
     private BenchTool() {}
 
--- a/core/src/main/java/org/oleanderspring/core/placement/command/LoadTimes.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/LoadTimes.java
@@ -11,12 +11,16 @@
     /** The weight of the latest load in the moving average. */
     private static final double LATEST = 0.25;
 
-    /** Milliseconds for each megabyte of a model before anything was measured. */
+    /**
+     * Milliseconds for each megabyte of a model before anything was measured. A weight store that
+     * serves 4 loads at once and 7 a second takes about 0.6 s for a load; a higher start would have
+     * the first calls after a takeover refused although they can be served.
+     */
     private static final Map<CheckpointLocation, Double> MODEL_START =
             Map.of(
-                    CheckpointLocation.MEMORY, 0.05,
-                    CheckpointLocation.DISK, 0.5,
-                    CheckpointLocation.REMOTE, 1.0);
+                    CheckpointLocation.MEMORY, 0.01,
+                    CheckpointLocation.DISK, 0.03,
+                    CheckpointLocation.REMOTE, 0.05);
 
     /** Milliseconds for a whole adapter before anything was measured. */
     private static final double ADAPTER_START = 10;
@@ -44,7 +48,7 @@
 
     private double rateOf(CheckpointLocation source) {
         Double measured = mModelRate.get(source);
-        return measured == null ? MODEL_START.getOrDefault(source, 1.0) : measured;
+        return measured == null ? MODEL_START.getOrDefault(source, 0.05) : measured;
     }
 
     /** Returns the estimate for a checkpoint from a location. */
