Add the bench subcommand placement; search runners for 64 requests in a pass

A trial with 1,250 missing replicas in a cell of 10,000 runners did not end within 200 s, since each request searched all runners in each pass. A pass now searches for the 64 most urgent requests, more than the weight store admits at once.

--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -2,6 +2,7 @@
 
 import org.oleanderspring.bench.command.ColdStartSubcommand;
 import org.oleanderspring.bench.command.OverloadSubcommand;
+import org.oleanderspring.bench.command.PlacementSubcommand;
 import org.oleanderspring.bench.command.RoutingSubcommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,7 +15,8 @@
         subcommands = {
             RoutingSubcommand.class,
             OverloadSubcommand.class,
-            ColdStartSubcommand.class
+            ColdStartSubcommand.class,
+            PlacementSubcommand.class
         })
 public final class BenchTool {
     private BenchTool() {}
--- a/core/src/main/java/org/oleanderspring/core/placement/command/ArrivalHistory.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/ArrivalHistory.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import java.util.stream.IntStream;
 
 /**
  * When a model or adapter was used: how long it was idle between uses, and in which quarter hours
@@ -26,6 +28,11 @@
     /** Counts are halved at this total, so that old habits fade. */
     private static final int TOTAL_LIMIT = 256;
 
+    private static final List<Duration> UPPER_BOUNDS =
+            IntStream.range(0, GAP_BUCKETS)
+                    .mapToObj(i -> Duration.ofMillis((long) (1000 * Math.pow(2, (i + 1) / 2.0))))
+                    .toList();
+
     private final int[] mGaps = new int[GAP_BUCKETS];
     private final short[] mDaysByQuarter = new short[QUARTERS];
     private int mTotal;
@@ -126,7 +133,7 @@
 
     /** Returns the longest gap of a bucket. */
     static Duration upperBound(int bucket) {
-        return Duration.ofMillis((long) (1000 * Math.pow(2, (bucket + 1) / 2.0)));
+        return UPPER_BOUNDS.get(bucket);
     }
 
     static int bucketOf(Duration gap) {
--- a/core/src/main/java/org/oleanderspring/core/placement/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/LoadPlanner.java
@@ -17,6 +17,13 @@
 
 /** Reserves slots for missing replicas and estimates when woken models become ready. */
 final class LoadPlanner {
+    /**
+     * The requests for which runners are searched in one pass. Each search goes over all runners of
+     * the cell, and the weight store admits fewer loads than this at once, so later requests only
+     * get an estimate.
+     */
+    private static final int REQUESTS_PER_PASS = 64;
+
     private final CellState mState;
     private final PlacementPolicies mPolicies;
     private final ReplicaDemand mDemand;
@@ -38,8 +45,12 @@
         TreeMap<ModelName, Readiness> pending = new TreeMap<>();
         List<LoadRequest> requests = new ArrayList<>(mDemand.missing(now));
         requests.sort(mPolicies.loadOrder().order());
-        for (LoadRequest request : requests) {
-            Readiness readiness = place(request, room, now);
+        for (int i = 0; i < requests.size(); i++) {
+            LoadRequest request = requests.get(i);
+            Readiness readiness =
+                    i < REQUESTS_PER_PASS
+                            ? place(request, room, now)
+                            : new Readiness.ReadyAt(request.expectedReady());
             if (readiness != null) {
                 pending.put(request.checkpoint().name(), delayed(readiness, pending.size()));
             }
