--- a/core/src/test/java/org/oleanderspring/core/placement/command/PlacementSession.java
+++ b/core/src/test/java/org/oleanderspring/core/placement/command/PlacementSession.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -87,7 +88,11 @@
             case "store" -> store(words[1]);
             case "wake" -> wake(words[1], Integer.parseInt(words[2]));
             case "answer" -> answer(words[1]);
-            case "report" -> report(words);
+            case "report" -> report(words, mNow);
+            case "late-report" -> {
+                Instant madeAt = mNow.minusMillis(Long.parseLong(words[1]));
+                report(Arrays.copyOfRange(words, 1, words.length), madeAt);
+            }
             case "vms" -> listVms(words);
             case "ack" -> {
                 FencingToken term = mStore.plan().term();
@@ -194,7 +199,7 @@
         tell(new PlacementEvent.OrderAnswered(sent.order().id(), result));
     }
 
-    private void report(String[] words) {
+    private void report(String[] words, Instant madeAt) {
         List<LoadedCheckpoint> loaded = new ArrayList<>();
         for (int i = 3; i < words.length; i++) {
             String[] parts = words[i].split("[=:]");
@@ -208,7 +213,7 @@
         tell(
                 new PlacementEvent.RunnerReported(
                         new RunnerReport(
-                                runner, mNow, token, loaded, none, none, Set.of(), 8, false)));
+                                runner, madeAt, token, loaded, none, none, Set.of(), 8, false)));
     }
 
     private void tell(PlacementEvent event) {
