--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.bench;
 
+import org.oleanderspring.bench.command.ColdStartSubcommand;
 import org.oleanderspring.bench.command.OverloadSubcommand;
+import org.oleanderspring.bench.command.PlacementSubcommand;
 import org.oleanderspring.bench.command.RoutingSubcommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -10,7 +12,13 @@
         name = "bench",
         mixinStandardHelpOptions = true,
         description = "Measures the decision core with a virtual clock.",
-        subcommands = {RoutingSubcommand.class, OverloadSubcommand.class, ControlCost.class})
+        subcommands = {
+            RoutingSubcommand.class,
+            OverloadSubcommand.class,
+            ColdStartSubcommand.class,
+            PlacementSubcommand.class,
+            ControlSubcommand.class
+        })
 public final class BenchTool {
     private BenchTool() {}
 
--- a/bench/src/main/java/org/oleanderspring/bench/ControlCost.java
+++ b/bench/src/main/java/org/oleanderspring/bench/ControlSubcommand.java
@@ -28,7 +28,7 @@
         name = "control",
         mixinStandardHelpOptions = true,
         description = "Measures the cost of membership and documents for each daemon.")
-public final class ControlCost implements Callable<Integer> {
+public final class ControlSubcommand implements Callable<Integer> {
     private static final Duration STEP = Duration.ofMillis(50);
     private static final Duration SETTLE_LIMIT = Duration.ofSeconds(120);
     private static final Duration CHANGE_LIMIT = Duration.ofSeconds(60);
@@ -46,7 +46,7 @@
 
     /** Created by the command line parser, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
-    public ControlCost() {}
+    public ControlSubcommand() {}
 
     @Override
     public Integer call() {
