--- a/standin/src/main/java/org/oleanderspring/standin/http/ChunkWriter.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/ChunkWriter.java
@@ -22,6 +22,14 @@
         mAbort = abort;
     }
 
+    /** Sends the headers before there is a part. */
+    public synchronized void begin() {
+        if (mClosed || mEnded || mWriting) {
+            return;
+        }
+        write("");
+    }
+
     /**
      * Queues a part.
      *
@@ -61,11 +69,9 @@
             return;
         }
         if (mPending.length() > 0) {
-            mWriting = true;
-            byte[] bytes = mPending.toString().getBytes(StandardCharsets.UTF_8);
+            String part = mPending.toString();
             mPending.setLength(0);
-            mResponse.write(
-                    false, ByteBuffer.wrap(bytes), Callback.from(this::written, this::failed));
+            write(part);
             return;
         }
         if (mEnded) {
@@ -74,6 +80,12 @@
         }
     }
 
+    private void write(String part) {
+        mWriting = true;
+        byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+        mResponse.write(false, ByteBuffer.wrap(bytes), Callback.from(this::written, this::failed));
+    }
+
     private synchronized void written() {
         mWriting = false;
         pump();
