--- a/coordination/src/main/java/org/oleanderspring/coordination/membership/command/DefaultMembershipDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/DefaultMembershipDecider.java
@@ -114,7 +114,7 @@
             return;
         }
         learn(message.sender(), now, decisions);
-        message.updates().forEach(update -> learn(update, now, decisions));
+        message.updates().forEach(update -> learnFromOthers(update, now, decisions));
         if (message instanceof MembershipMessage.Acknowledgement acknowledgement) {
             onAcknowledgement(acknowledgement, now, decisions);
             return;
@@ -343,6 +343,22 @@
         }
     }
 
+    /**
+     * Learns what a message says about third members. Members that are named to this one while it
+     * joins are not news to others; passing all of them on would fill the messages of a large fleet
+     * for many minutes.
+     */
+    private void learnFromOthers(Member heard, Instant now, List<MembershipDecision> decisions) {
+        boolean isNews =
+                mPeriods > JOIN_PERIODS
+                        || heard.state() != MemberState.ALIVE
+                        || mTable.find(heard.id()) != null;
+        learn(heard, now, decisions);
+        if (!isNews) {
+            mUpdates.remove(heard.id());
+        }
+    }
+
     private void refute(Member heard, Instant now) {
         Member self = self();
         boolean doubted = heard.state().compareTo(MemberState.SUSPECTED) >= 0;
--- a/coordination/src/main/java/org/oleanderspring/coordination/membership/command/UpdateQueue.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/membership/command/UpdateQueue.java
@@ -25,6 +25,11 @@
         mUpdates.put(member.id(), new Update(member, 0));
     }
 
+    /** Stops passing on the update about a member. */
+    void remove(MemberId id) {
+        mUpdates.remove(id);
+    }
+
     /** Returns the updates for one message, at most as many as fit, and counts them as sent. */
     List<Member> take(int bytes, int memberCount) {
         List<Member> taken = new ArrayList<>();
