Treat an endpoint that leaves three attempts in a row unanswered as failed

A stopped process takes connections and answers nothing. An attempt counted as a failure of its endpoint only after 1.5 s without a first byte, so callers with less time left gave up before, and the endpoint kept getting calls. Three attempts in a row that had the usual time to the first byte and no answer now count as one failure.

--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -41,7 +41,7 @@
 
     private void succeeded(RunningAttemptState attempt) {
         EndpointState endpoint = attempt.slot().endpoint();
-        if (endpoint.backoff().succeeded(attempt.startedAt())) {
+        if (endpoint.answered(attempt.startedAt())) {
             endpoint.listedBy().forEach(mState::touch);
         }
     }
@@ -82,11 +82,14 @@
         if (attempt == null) {
             return;
         }
+        cancel(call, "deadline passed", turn);
         Duration elapsed = Duration.between(attempt.startedAt(), turn.now());
         ServiceTimes times = call.target().times();
-        cancel(call, "deadline passed", turn);
-        if (times.isSuspiciouslyLong(elapsed)) {
-            attempt.slot().endpoint().backoff().failed(turn.now());
+        EndpointState endpoint = attempt.slot().endpoint();
+        boolean hadUsualTime = elapsed.compareTo(times.firstByte()) >= 0;
+        boolean silent = hadUsualTime && endpoint.unanswered();
+        if (silent || times.isSuspiciouslyLong(elapsed)) {
+            endpoint.backoff().failed(turn.now());
         } else {
             times.firstByteMissed(elapsed);
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -11,6 +11,12 @@
     /** A seen load that is older says nothing about the present one. */
     static final Duration LOAD_VALIDITY = Duration.ofSeconds(10);
 
+    /**
+     * So many attempts in a row without an answer count as a failure. One or two happen at any
+     * endpoint when callers have little time; a stopped process answers none.
+     */
+    private static final int SILENT_ATTEMPTS = 3;
+
     private final EndpointId mId;
     private final EndpointBackoff mBackoff = new EndpointBackoff();
     private final List<TargetState> mListedBy = new ArrayList<>(1);
@@ -18,6 +24,7 @@
     private boolean mDraining;
     private Instant mLastListed;
     private int mCallsOfOthers;
+    private int mUnanswered;
     private Instant mLoadSeenAt = Instant.MIN;
 
     EndpointState(EndpointId id, Instant now) {
@@ -41,6 +48,20 @@
         mRunning += difference;
     }
 
+    /** Notes an answer to any attempt; returns whether this lifts a back-off. */
+    boolean answered(Instant startedAt) {
+        mUnanswered = 0;
+        return mBackoff.succeeded(startedAt);
+    }
+
+    /**
+     * Notes that an attempt had the usual time and no answer; returns whether it is one of many.
+     */
+    boolean unanswered() {
+        mUnanswered++;
+        return mUnanswered >= SILENT_ATTEMPTS;
+    }
+
     boolean isDraining() {
         return mDraining;
     }
