--- a/core/src/main/java/org/oleanderspring/core/placement/UnreadyReason.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/UnreadyReason.java
@@ -9,5 +9,7 @@
     /** No runner has or can free enough memory. */
     NO_MEMORY,
     /** No runner of the cell takes new work, or all are backed off after failed loads. */
-    NO_RUNNER
+    NO_RUNNER,
+    /** The plan of the cell has as many slots as one value of the key-value service holds. */
+    PLAN_FULL
 }
--- a/core/src/main/java/org/oleanderspring/core/placement/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/LoadPlanner.java
@@ -24,6 +24,12 @@
      */
     private static final int REQUESTS_PER_PASS = 64;
 
+    /**
+     * A slot takes about 315 bytes in the JSON of a plan, and the key-value service holds 1 MB in
+     * one value.
+     */
+    private static final int SLOT_LIMIT = 3_000;
+
     private final CellState mState;
     private final PlacementPolicies mPolicies;
     private final ReplicaDemand mDemand;
@@ -78,6 +84,9 @@
         if (mState.slots().countOf(checkpoint.name()) >= limits.replicaLimit()) {
             return full(checkpoint, now);
         }
+        if (mState.slots().size() >= SLOT_LIMIT) {
+            return new Readiness.NotPossible(UnreadyReason.PLAN_FULL);
+        }
         return checkpoint.isAdapter()
                 ? mAdapters.place(request, room, now)
                 : mReservations.place(
--- a/core/src/main/java/org/oleanderspring/core/placement/command/SlotTable.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/SlotTable.java
@@ -76,6 +76,11 @@
         return new ArrayList<>(mSlots.values());
     }
 
+    /** Returns the number of slots. */
+    int size() {
+        return mSlots.size();
+    }
+
     /** Returns the slots of a model or adapter; not to be held across changes. */
     Collection<Slot> named(ModelName name) {
         TreeMap<SlotKey, Slot> slots = mByName.get(name);
