Look for awaited acknowledgements every two seconds only, and sort replicas only to drain one

Each event copied all slots to look for awaited senders: 27 KB for each report at 2,500 runners. The planner sorted the replicas of each model several times in each pass.

--- a/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
@@ -291,7 +291,11 @@
             mNeedsPlanning = false;
             planSlots(now, out);
         }
-        if (!now.isBefore(mAnnouncedAt.plus(ANNOUNCE_INTERVAL)) && !awaited().isEmpty()) {
+        if (now.isBefore(mAnnouncedAt.plus(ANNOUNCE_INTERVAL))) {
+            return;
+        }
+        mAnnouncedAt = now;
+        if (!awaited().isEmpty()) {
             announce(now, out);
         }
     }
--- a/core/src/main/java/org/oleanderspring/core/placement/command/UnloadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/UnloadPlanner.java
@@ -74,7 +74,10 @@
         int going =
                 mState.slots().countOf(name) - mState.slots().countOf(name, ReplicaDemand.SERVING);
         int excess = mState.slots().countOf(name) - mState.limits().of(name).replicaLimit() - going;
-        List<Slot> ready = readySlots(name);
+        if (excess <= 0) {
+            return;
+        }
+        List<Slot> ready = byActiveCalls(readySlots(name));
         for (int i = 0; i < Math.min(excess, ready.size()); i++) {
             mState.drain(ready.get(i), now);
         }
@@ -124,11 +127,13 @@
         if (ready.size() <= minimum || mState.wakes().contains(name)) {
             return;
         }
-        Slot candidate = firstWithoutAdapters(ready);
-        if (candidate == null || isNeeded(name, ready, now)) {
+        if (isNeeded(name, ready, now)) {
             return;
         }
-        mState.drain(candidate, now);
+        Slot candidate = firstWithoutAdapters(byActiveCalls(ready));
+        if (candidate != null) {
+            mState.drain(candidate, now);
+        }
     }
 
     private @Nullable Slot firstWithoutAdapters(List<Slot> ready) {
@@ -163,7 +168,7 @@
         return mPolicies.keepAlive().keepAlive(history, mState.use().pool(), coldStart, limits);
     }
 
-    /** Returns the ready replicas of a name, those with the fewest calls first. */
+    /** Returns the ready replicas of a name. */
     private List<Slot> readySlots(ModelName name) {
         List<Slot> ready = new ArrayList<>();
         for (Slot slot : mState.slots().named(name)) {
@@ -171,6 +176,11 @@
                 ready.add(slot);
             }
         }
+        return ready;
+    }
+
+    /** Sorts replicas so that those with the fewest calls come first. */
+    private List<Slot> byActiveCalls(List<Slot> ready) {
         ready.sort(Comparator.comparingInt(this::activeCalls));
         return ready;
     }
