--- a/core/src/main/java/org/oleanderspring/core/placement/command/CellState.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/CellState.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.placement.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,6 +25,9 @@
 
 /** What the parts of the decider share: the slots of the next plan and all that was observed. */
 final class CellState {
+    /** Reports are less late than this, since a runner that is silent for seconds is not used. */
+    private static final Duration RELEASE_MEMORY = Duration.ofMinutes(5);
+
     private final OrderSender mSelf;
     private final SlotTable mSlots = new SlotTable();
     private final FleetState mFleet;
@@ -146,6 +150,10 @@
 
     /** Adds or replaces a slot whose order is sent once the plan is written. */
     void putWithOrder(Slot slot) {
+        Slot previous = mSlots.get(slot.key());
+        if (previous != null) {
+            mOutcomes.forget(previous.order().id());
+        }
         put(slot);
         mUnsent.put(slot.key(), slot);
         if (slot.state() == SlotState.LOADING) {
@@ -163,6 +171,11 @@
         mReleasedAt.put(slot.key(), now);
     }
 
+    /** Forgets releases that no report is late enough to predate. */
+    void expireReleases(Instant now) {
+        mReleasedAt.values().removeIf(at -> at.plus(RELEASE_MEMORY).isBefore(now));
+    }
+
     /** Returns when a slot with this key was last released in this term, or the term's start. */
     Instant releasedAt(SlotKey key) {
         return mReleasedAt.getOrDefault(key, mTermStart);
--- a/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
@@ -137,6 +137,7 @@
         } else if (event instanceof PlacementEvent.TimerFired) {
             mState.use().dropSilent(now);
             mState.backOff().expire(now);
+            mState.expireReleases(now);
             mDemand.noteUse(now);
             mNeedsPlanning = true;
         }
