--- a/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/placement/command/DefaultPlacementDecider.java
@@ -137,6 +137,7 @@
         } else if (event instanceof PlacementEvent.TimerFired) {
             mState.use().dropSilent(now);
             mState.backOff().expire(now);
+            mState.expireReleases(now);
             mDemand.noteUse(now);
             mNeedsPlanning = true;
         }
@@ -291,7 +292,11 @@
             mNeedsPlanning = false;
             planSlots(now, out);
         }
-        if (!now.isBefore(mAnnouncedAt.plus(ANNOUNCE_INTERVAL)) && !awaited().isEmpty()) {
+        if (now.isBefore(mAnnouncedAt.plus(ANNOUNCE_INTERVAL))) {
+            return;
+        }
+        mAnnouncedAt = now;
+        if (!awaited().isEmpty()) {
             announce(now, out);
         }
     }
