--- a/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/dispatch/command/DispatchDuty.java
@@ -20,13 +20,12 @@
 import org.oleanderspring.coordination.dispatch.query.RendezvousPartitionMap;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.MemberId;
-import org.oleanderspring.coordination.store.command.KeyValueCommands;
-import org.oleanderspring.coordination.store.query.KeyValueQueries;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.settings.FleetSettings;
 import org.oleanderspring.core.settings.SettingName;
 import org.oleanderspring.daemon.process.DaemonIdentity;
 import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.StorePorts;
 import org.oleanderspring.duty.command.BusyTicker;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
@@ -46,8 +45,7 @@
     private final MemberId mSelf;
     private final DefaultDispatchDecider mDecider;
     private final DispatchLimits mLimits;
-    private final KeyValueCommands mCommands;
-    private final KeyValueQueries mQueries;
+    private final StorePorts mStore;
     private final PeerSender mPeers;
     private final ClaimListener mListener;
     private final MonotonicClock mClock;
@@ -64,8 +62,7 @@
      * @param self the identity of this daemon
      * @param decider decides
      * @param limits the sizes and times of the decider
-     * @param commands changes the key-value service
-     * @param queries reads the key-value service
+     * @param store the key-value service
      * @param peers sends messages to other daemons
      * @param listener is told of settled claims
      * @param clock the clock
@@ -76,8 +73,7 @@
             MemberId self,
             DefaultDispatchDecider decider,
             DispatchLimits limits,
-            KeyValueCommands commands,
-            KeyValueQueries queries,
+            StorePorts store,
             PeerSender peers,
             ClaimListener listener,
             MonotonicClock clock,
@@ -86,8 +82,7 @@
         mSelf = self;
         mDecider = decider;
         mLimits = limits;
-        mCommands = commands;
-        mQueries = queries;
+        mStore = store;
         mPeers = peers;
         mListener = listener;
         mClock = clock;
@@ -201,7 +196,7 @@
 
     private void carryOut(DispatchDecision decision) {
         if (decision instanceof DispatchDecision.WriteValue write) {
-            mCommands
+            mStore.commands()
                     .compareAndSwap(write.command())
                     .thenAccept(
                             result ->
@@ -209,7 +204,8 @@
                                             new DispatchEvent.WriteReplied(
                                                     write.operation(), result)));
         } else if (decision instanceof DispatchDecision.ReadValue read) {
-            mQueries.read(read.key())
+            mStore.queries()
+                    .read(read.key())
                     .thenAccept(
                             result ->
                                     offer(new DispatchEvent.ReadReplied(read.operation(), result)));
--- a/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/placement/command/PlacementDuty.java
@@ -67,6 +67,7 @@
     private final Map<CellName, Instant> mPlanReads = new TreeMap<>();
     private final Map<CellName, Plan> mPlans = new TreeMap<>();
     private final Map<CellName, Set<MemberId>> mAwaited = new TreeMap<>();
+    private final Set<CellName> mUseReported = new TreeSet<>();
     private final OrderExchanges mExchanges = new OrderExchanges();
     private final RunnerDirectory mDirectory = new RunnerDirectory();
     private @Nullable VmId mVm;
@@ -302,20 +303,28 @@
 
     private void use(List<ModelUse> uses) {
         for (CellName cell : mDirectory.cells()) {
-            MemberId holder = holderOf(cell);
-            if (holder == null) {
-                continue;
-            }
-            if (holder.equals(mSelf)) {
-                decide(cell, new PlacementEvent.UseReported(mSelf, uses));
-                continue;
-            }
-            DaemonIdentity.addressOf(holder)
-                    .ifPresent(
-                            address ->
-                                    mPeers.send(
-                                            address, new PeerMessage.UseReport(mSelf, cell, uses)));
+            List<ModelUse> ofCell =
+                    uses.stream().filter(use -> cell.equals(cellOf(use.name()))).toList();
+            reportUse(cell, ofCell);
+        }
+    }
+
+    /** Reports the end of all use once and then stays silent, so an idle daemon sends nothing. */
+    private void reportUse(CellName cell, List<ModelUse> uses) {
+        MemberId holder = holderOf(cell);
+        boolean reportedBefore =
+                uses.isEmpty() ? mUseReported.remove(cell) : !mUseReported.add(cell);
+        if (holder == null || (uses.isEmpty() && !reportedBefore)) {
+            return;
+        }
+        if (holder.equals(mSelf)) {
+            decide(cell, new PlacementEvent.UseReported(mSelf, uses));
+            return;
         }
+        DaemonIdentity.addressOf(holder)
+                .ifPresent(
+                        address ->
+                                mPeers.send(address, new PeerMessage.UseReport(mSelf, cell, uses)));
     }
 
     /** Chooses a cell that already has the model, or else the same one at every daemon. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/routing/command/RoutingDuty.java
@@ -15,7 +15,6 @@
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.EndpointCall;
-import org.oleanderspring.core.port.command.EndpointCommands;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -47,10 +46,7 @@
 
     private final MemberId mDaemon;
     private final DefaultRoutingDecider mDecider;
-    private final EndpointCommands mEndpoints;
-    private final ClaimCommands mClaims;
-    private final WakeCommands mWakes;
-    private final UseCommands mUses;
+    private final RoutingPorts mPorts;
     private final RoutingMeters mMeters;
     private final MonotonicClock mClock;
     private final EventSink<RoutingInput> mOwnRing;
@@ -75,10 +71,7 @@
      *
      * @param daemon the identity of this daemon
      * @param decider decides
-     * @param endpoints sends calls to endpoints
-     * @param claims asks for dispatch records
-     * @param wakes sends wake requests
-     * @param uses reports the use of models
+     * @param ports carries out decisions
      * @param meters counts decisions
      * @param clock the clock
      * @param ownRing the ring of this duty, for results of I/O
@@ -87,20 +80,14 @@
     public RoutingDuty(
             MemberId daemon,
             DefaultRoutingDecider decider,
-            EndpointCommands endpoints,
-            ClaimCommands claims,
-            WakeCommands wakes,
-            UseCommands uses,
+            RoutingPorts ports,
             RoutingMeters meters,
             MonotonicClock clock,
             EventSink<RoutingInput> ownRing,
             BusyTicker<RoutingInput> ticker) {
         mDaemon = daemon;
         mDecider = decider;
-        mEndpoints = endpoints;
-        mClaims = claims;
-        mWakes = wakes;
-        mUses = uses;
+        mPorts = ports;
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -122,7 +109,7 @@
             mAuthorityUntil = authority.until();
             checkAuthority();
         } else if (input instanceof RoutingInput.UseDue) {
-            mUses.report(mUse.take(mCalls.values(), mRunning.keySet()));
+            mPorts.uses().report(mUse.take(mCalls.values(), mRunning.keySet()));
         } else if (input instanceof RoutingInput.ModelsAsked asked) {
             asked.reply().complete(mTable.models());
         } else if (input instanceof RoutingInput.QuietAsked asked) {
@@ -238,14 +225,15 @@
                     wake.model(),
                     wake.waiting());
             mMeters.wakeRequested();
-            mWakes.wake(wake.model(), wake.earliestDeadline(), wake.waiting());
+            mPorts.wakes().wake(wake.model(), wake.earliestDeadline(), wake.waiting());
         } else if (decision instanceof RoutingDecision.RecordDispatch record) {
             AcceptedCall call = mCalls.get(record.call());
             if (call != null) {
-                mClaims.claim(record.call(), record.key(), claimDeadline(call.request(), now));
+                mPorts.claims()
+                        .claim(record.call(), record.key(), claimDeadline(call.request(), now));
             }
         } else if (decision instanceof RoutingDecision.RecordOutcome outcome) {
-            mClaims.recordOutcome(outcome.key(), outcome.state());
+            mPorts.claims().recordOutcome(outcome.key(), outcome.state());
         }
     }
 
@@ -274,17 +262,18 @@
         mMeters.attemptStarted();
         AnswerRelay relay = new AnswerRelay(attempt, call.call().stream(), mOwnRing);
         RunningAttempt running =
-                mEndpoints.start(
-                        new EndpointCall(
-                                mDaemon + "/" + attempt,
-                                address,
-                                call.call().method(),
-                                call.call().path(),
-                                call.call().headers(),
-                                call.call().body(),
-                                call.request().priority(),
-                                Duration.between(now, start.deadline())),
-                        relay);
+                mPorts.endpoints()
+                        .start(
+                                new EndpointCall(
+                                        mDaemon + "/" + attempt,
+                                        address,
+                                        call.call().method(),
+                                        call.call().path(),
+                                        call.call().headers(),
+                                        call.call().body(),
+                                        call.request().priority(),
+                                        Duration.between(now, start.deadline())),
+                                relay);
         mRunning.put(attempt, new Running(running, relay));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/command/DutyStarter.java
@@ -42,11 +42,13 @@
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.PlatformPorts;
 import org.oleanderspring.daemon.process.StoreKeys;
+import org.oleanderspring.daemon.process.StorePorts;
 import org.oleanderspring.daemon.report.command.ReportDuty;
 import org.oleanderspring.daemon.report.command.ReportInput;
 import org.oleanderspring.daemon.routing.command.RoutingDuty;
 import org.oleanderspring.daemon.routing.command.RoutingInput;
 import org.oleanderspring.daemon.routing.command.RoutingMeters;
+import org.oleanderspring.daemon.routing.command.RoutingPorts;
 import org.oleanderspring.duty.command.BusyTicker;
 import org.oleanderspring.peer.command.PeerSender;
 
@@ -125,14 +127,15 @@
                 new RoutingDuty(
                         mSelf.id(),
                         newRoutingDecider(random),
-                        mPorts.endpoints(),
-                        new RingClaims(mRings),
-                        (model, deadline, waiting) ->
-                                mRings.placement()
-                                        .offer(
-                                                new PlacementInput.WakeHere(
-                                                        model, deadline, waiting)),
-                        uses -> mRings.placement().offer(new PlacementInput.UseHere(uses)),
+                        new RoutingPorts(
+                                mPorts.endpoints(),
+                                new RingClaims(mRings),
+                                (model, deadline, waiting) ->
+                                        mRings.placement()
+                                                .offer(
+                                                        new PlacementInput.WakeHere(
+                                                                model, deadline, waiting)),
+                                uses -> mRings.placement().offer(new PlacementInput.UseHere(uses))),
                         new RoutingMeters(mMetrics),
                         mClock,
                         mRings.routing(),
@@ -161,8 +164,7 @@
                                 limits,
                                 DispatchSettings.DEFAULT),
                         limits,
-                        mPorts.storeCommands(),
-                        mPorts.storeQueries(),
+                        new StorePorts(mPorts.storeCommands(), mPorts.storeQueries()),
                         mPeers,
                         (call, result) ->
                                 mRings.routing()
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/cli/CommandLineTest.java
@@ -0,0 +1,80 @@
+package org.oleanderspring.daemon.cli;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.daemon.Oleanderspring;
+import org.oleanderspring.daemon.process.ExitCode;
+import picocli.CommandLine;
+
+class CommandLineTest {
+    private static final List<String> VALID =
+            List.of(
+                    "serve",
+                    "--failure-domain=north",
+                    "--key-value-service=http://127.0.0.1:1",
+                    "--vm-list=http://127.0.0.1:2",
+                    "--weight-store=http://127.0.0.1:3");
+
+    private final StringWriter mErrors = new StringWriter();
+
+    /** Guards against a wrong flag that is noticed only after ports are open, or not named. */
+    @Test
+    void wrongFlagsAreNamedWithWhatIsAllowed() {
+        checkRefused("--caller-port=0", "--caller-port has the invalid value \"0\"; allowed: 1 to");
+        checkRefused("--peer-port=70000", "--peer-port has the invalid value \"70000\"");
+        checkRefused("--ip=north", "--ip has the invalid value \"north\"; allowed: an IP number");
+        checkRefused("--body-limit-bytes=-1", "--body-limit-bytes has the invalid value \"-1\"");
+        checkRefused("--stop-limit-seconds=0", "allowed: 1 to 3600");
+        checkRefused("--vm-list=ftp://127.0.0.1:2", "allowed: http://IP:PORT");
+        checkRefused("--weight-store=http://127.0.0.1", "allowed: http://IP:PORT");
+        checkRefused("--failure-domain= ", "--failure-domain");
+        checkRefused("--no-such-flag=1", "--no-such-flag");
+        checkRefused("--caller-port=many", "--caller-port");
+    }
+
+    /** Guards against a missing subcommand or address that ends in a stack trace. */
+    @Test
+    void missingPartsAreUsageErrors() {
+        assertThat(run(List.of()), is(ExitCode.USAGE));
+        assertThat(run(List.of("serve")), is(ExitCode.USAGE));
+        assertThat(run(List.of("settings")), is(ExitCode.USAGE));
+        assertThat(run(List.of("status")), is(ExitCode.USAGE));
+        assertThat(
+                run(List.of("settings", "apply", "--daemon=http://127.0.0.1:1", "no-such-file")),
+                is(ExitCode.USAGE));
+    }
+
+    /** Guards against an unreachable daemon that looks like a refused command. */
+    @Test
+    void unreachableDaemonHasItsOwnExitCode() {
+        assertThat(run(List.of("status", "--daemon=http://127.0.0.1:1")), is(ExitCode.UNREACHABLE));
+        assertThat(run(List.of("--help")), is(ExitCode.SUCCESS));
+        assertThat(run(List.of("--version")), is(ExitCode.SUCCESS));
+    }
+
+    private void checkRefused(String flag, String expected) {
+        String name = flag.substring(0, flag.indexOf('='));
+        List<String> arguments = new ArrayList<>(VALID);
+        arguments.removeIf(argument -> argument.startsWith(name + "="));
+        arguments.add(flag);
+        mErrors.getBuffer().setLength(0);
+        assertThat(flag, run(arguments), is(ExitCode.USAGE));
+        String text = mErrors.toString().strip();
+        assertThat(text, containsString(expected));
+        assertThat(text, text.lines().count(), is(1L));
+    }
+
+    private int run(List<String> arguments) {
+        CommandLine commandLine = Oleanderspring.commandLine();
+        commandLine.setOut(new PrintWriter(new StringWriter()));
+        commandLine.setErr(new PrintWriter(mErrors, true));
+        return commandLine.execute(arguments.toArray(String[]::new));
+    }
+}
--- a/daemon/src/test/java/org/oleanderspring/daemon/fleet/FleetTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/fleet/FleetTest.java
@@ -180,6 +180,37 @@
         }
     }
 
+    /** Guards against malformed input that gets no clear error, or that disturbs other calls. */
+    @Test
+    void malformedInputIsRefusedAndCostsNothingElse() throws Exception {
+        try (TestFleet fleet = new TestFleet(mDirectory, 1, 1, 1, List.of())) {
+            String path = "/v1/completions";
+            checkRefusal(fleet.call(0, path, "{", List.of()), 400, "broken_json");
+            checkRefusal(fleet.call(0, path, "[]", List.of()), 400, "broken_json");
+            checkRefusal(fleet.call(0, path, "{\"model\":7}", List.of()), 400, "bad_field");
+            String unknown = "{\"model\":\"nobody\"}";
+            checkRefusal(fleet.call(0, path, unknown, List.of()), 404, "unknown_target");
+            String known = "{\"model\":\"model-0\",\"prompt\":\"a\"}";
+            List<String> deadline = List.of("X-Deadline-Ms", "soon");
+            checkRefusal(fleet.call(0, path, known, deadline), 400, "bad_header");
+            checkRefusal(fleet.call(0, "/v1/nowhere", known, List.of()), 404, "unknown_path");
+            String service = "/v1/services/nobody/turns";
+            checkRefusal(fleet.call(0, service, "", List.of()), 404, "unknown_target");
+            String large = "x".repeat(4_194_305);
+            checkRefusal(fleet.call(0, path, large, List.of()), 413, "body_too_large");
+            fleet.sendGarbageToPeerPort(0);
+            HttpResponse<String> answer = complete(fleet, 0, "model-0", "sound-end");
+            assertThat(answer.body(), answer.statusCode(), is(200));
+        }
+    }
+
+    private static void checkRefusal(HttpResponse<String> answer, int status, String type)
+            throws Exception {
+        assertThat(answer.body(), answer.statusCode(), is(status));
+        assertThat(MAPPER.readTree(answer.body()).path("error").path("type").asText(), is(type));
+        assertThat(workOf(answer), is("not_run"));
+    }
+
     private static HttpResponse<String> complete(
             TestFleet fleet, int daemon, String model, String word) throws Exception {
         String body =
--- a/daemon/src/test/java/org/oleanderspring/daemon/fleet/TestFleet.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/fleet/TestFleet.java
@@ -1,10 +1,13 @@
 package org.oleanderspring.daemon.fleet;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -268,6 +271,14 @@
         post(mStorePort, "/faults", fault);
     }
 
+    /** Sends bytes that are no message to a daemon's peer port. */
+    void sendGarbageToPeerPort(int daemon) throws IOException {
+        try (Socket socket = new Socket(IP, mPeerPorts.get(daemon))) {
+            socket.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(US_ASCII));
+            socket.getOutputStream().flush();
+        }
+    }
+
     /** Returns the number of the daemon that holds the cell of the runners, or -1. */
     int holder() throws Exception {
         for (int number = 0; number < mDaemons.size(); number++) {
