--- a/bench/src/main/java/org/oleanderspring/bench/ControlSubcommand.java
+++ b/bench/src/main/java/org/oleanderspring/bench/ControlSubcommand.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.oleanderspring.coordination.membership.Address;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -159,7 +161,7 @@
             }
         }
 
-        Duration runUntil(java.util.function.BooleanSupplier condition, Duration limit) {
+        Duration runUntil(BooleanSupplier condition, Duration limit) {
             Instant start = mNow;
             while (!condition.getAsBoolean() && mNow.isBefore(start.plus(limit))) {
                 step();
@@ -178,8 +180,7 @@
         }
 
         @Override
-        public void send(
-                Address receiver, int bytes, java.util.function.Consumer<ControlNode> message) {
+        public void send(Address receiver, int bytes, Consumer<ControlNode> message) {
             mBytes += bytes;
             mMessages++;
             ControlNode node = mByAddress.get(receiver);
--- a/coordination/src/main/java/org/oleanderspring/coordination/dispatch/query/RendezvousPartitionMap.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/dispatch/query/RendezvousPartitionMap.java
@@ -1,7 +1,6 @@
 package org.oleanderspring.coordination.dispatch.query;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -10,12 +9,15 @@
 import org.oleanderspring.coordination.dispatch.KeyHash;
 import org.oleanderspring.coordination.dispatch.PartitionId;
 import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.query.RendezvousRanking;
 
 /**
  * Assigns partitions by rendezvous hashing: each member has a score per partition, and the highest
  * score owns it. A member that joins or leaves moves only the partitions that it gains or loses.
  */
 public final class RendezvousPartitionMap implements PartitionMap {
+    private static final String RANKING_PREFIX = "partition-";
+
     private final List<MemberId> mMembers;
     private final int mPartitionCount;
 
@@ -40,7 +42,8 @@
 
     @Override
     public Optional<MemberId> ownerOf(PartitionId partition) {
-        return mMembers.stream().max(Comparator.comparingLong(member -> score(member, partition)));
+        return RendezvousRanking.first(
+                RANKING_PREFIX + partition.value(), mMembers, MemberId::value);
     }
 
     @Override
@@ -54,15 +57,4 @@
         }
         return owned;
     }
-
-    /** FNV-1a over the member's name and the partition, followed by a mixing step. */
-    private static long score(MemberId member, PartitionId partition) {
-        long hash = 0xcbf29ce484222325L;
-        String text = member.value() + "/" + partition.value();
-        for (int index = 0; index < text.length(); index++) {
-            hash = (hash ^ text.charAt(index)) * 0x100000001b3L;
-        }
-        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-        return hash ^ (hash >>> 33);
-    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/operator/DraftHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/operator/DraftHandler.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.routing.WorkState;
 import org.oleanderspring.core.settings.command.SettingsDraft;
 import org.oleanderspring.daemon.codec.Decoded;
 import org.oleanderspring.daemon.codec.SettingsCodec;
@@ -81,11 +82,7 @@
             return;
         }
         if (reply instanceof SettingsReply.Refused refused) {
-            answer.refuse(
-                    new Refusal(
-                            refused.message(),
-                            refused.text(),
-                            org.oleanderspring.core.routing.WorkState.NOT_RUN));
+            answer.refuse(new Refusal(refused.message(), refused.text(), WorkState.NOT_RUN));
             return;
         }
         answer.send(describe(reply));
--- a/daemon/src/main/java/org/oleanderspring/daemon/wiring/query/StatusCollector.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/wiring/query/StatusCollector.java
@@ -76,7 +76,7 @@
         settings.put("mayDecide", end != null && mClock.now().isBefore(end));
     }
 
-    private static void addMembers(ObjectNode root, List<Member> members, DocumentStatus status) {
+    private void addMembers(ObjectNode root, List<Member> members, DocumentStatus status) {
         ArrayNode nodes = root.putArray("members");
         for (Member member : members) {
             ObjectNode node = nodes.addObject();
@@ -85,7 +85,11 @@
             node.put("callerAddress", member.callerAddress().toString());
             node.put("failureDomain", member.failureDomain());
             node.put("state", member.state().name());
-            node.put("settingsNumber", status.numbersOfPeers().get(member.peerAddress()));
+            Long number =
+                    member.id().equals(mSelf)
+                            ? Long.valueOf(status.settingsNumber())
+                            : status.numbersOfPeers().get(member.peerAddress());
+            node.put("settingsNumber", number);
         }
     }
 
