Check the result that ended the queue in queueToASilentPeerIsBounded

Change: the test asserts on the very result that ended the sending instead of on one more send; the limit of accepted messages stays.

--- a/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
@@ -152,11 +152,13 @@
             silent.bind(new InetSocketAddress(LOOPBACK, 0));
             Address address = new Address(LOOPBACK, silent.getLocalPort());
             int accepted = 0;
-            while (mSender.send(address, large) == SendResult.ACCEPTED) {
+            SendResult last = mSender.send(address, large);
+            while (last == SendResult.ACCEPTED) {
                 accepted++;
                 assertThat("messages accepted", accepted, lessThan(1_000));
+                last = mSender.send(address, large);
             }
-            assertThat(mSender.send(address, large), is(SendResult.QUEUE_FULL));
+            assertThat(last, is(SendResult.QUEUE_FULL));
         }
         assertThat(mSender.send(mReceiver.address(), MESSAGE), is(SendResult.ACCEPTED));
     }
