Report malformed settings in one line

Cause: settings apply with a broken file printed Jackson's message on two lines. Change: the original message without the place. Result: SettingsCodecTest, CommandLineTest and LayoutTest pass.

--- a/daemon/src/main/java/org/oleanderspring/daemon/codec/SettingsCodec.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/codec/SettingsCodec.java
@@ -56,7 +56,7 @@
         try {
             root = MAPPER.readTree(bytes);
         } catch (IOException broken) {
-            return new Decoded.Broken<>(String.valueOf(broken.getMessage()));
+            return new Decoded.Broken<>(reasonOf(broken));
         }
         if (root == null || !root.path("number").isIntegralNumber()) {
             return new Decoded.Broken<>("field number is missing");
@@ -84,7 +84,7 @@
         try {
             root = MAPPER.readTree(bytes);
         } catch (IOException broken) {
-            return new Decoded.Broken<>(String.valueOf(broken.getMessage()));
+            return new Decoded.Broken<>(reasonOf(broken));
         }
         if (root == null || !root.path("basedOn").isIntegralNumber()) {
             return new Decoded.Broken<>("field basedOn is missing");
@@ -137,6 +137,13 @@
         return entries;
     }
 
+    /** Returns one line; Jackson's full message adds the place in a second one. */
+    private static String reasonOf(IOException broken) {
+        return broken instanceof JsonProcessingException malformed
+                ? malformed.getOriginalMessage()
+                : String.valueOf(broken.getMessage());
+    }
+
     private static Decoded<SettingsDraft> draftOf(JsonNode root, long basedOn) {
         if (basedOn < 0) {
             return new Decoded.Broken<>("field basedOn is negative");
