Share the code of settings check and settings apply

Cause: both subcommands repeated their flags, the reading of the file and the request. Change: DraftCommand holds them; each subcommand keeps its path and its description of the answer.

--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/DraftCommand.java
@@ -0,0 +1,42 @@
+package org.oleanderspring.daemon.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** A subcommand that sends a settings document to a daemon. */
+public abstract class DraftCommand implements Callable<Integer>, DaemonFlags.Action {
+    private final String mPath;
+
+    @Spec private CommandSpec mSpec;
+    @Mixin private DaemonFlags mFlags;
+
+    @Parameters(paramLabel = "FILE", description = "The settings document, in JSON.")
+    private Path mFile;
+
+    private String mDraft = "";
+
+    /**
+     * Creates the subcommand; the command line parser sets the flags.
+     *
+     * @param path the daemon's path that takes the document
+     */
+    @SuppressWarnings("NullAway.Init")
+    protected DraftCommand(String path) {
+        mPath = path;
+    }
+
+    @Override
+    public final Integer call() throws Exception {
+        mDraft = DraftFile.read(mSpec, mFile);
+        return mFlags.run(this);
+    }
+
+    @Override
+    public final DaemonClient.Answer ask(DaemonClient client) {
+        return client.post(mPath, mDraft);
+    }
+}
