Remove the service contact that nothing reads any more

Cause: since a proposal no longer asks for it, Freshness.reachesService had no caller. Change: the query and its field are gone; behaviour is unchanged. Result: the module compiles with all checks and its architecture test passes.

--- a/coordination/src/main/java/org/oleanderspring/coordination/document/command/Freshness.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/document/command/Freshness.java
@@ -24,7 +24,6 @@
     private Set<Address> mWitnesses = Set.of();
     private int mMembers;
     private @Nullable Instant mFreshAt;
-    private @Nullable Instant mServiceAt;
 
     Freshness(Address self, DocumentOptions options) {
         mSelf = self;
@@ -35,7 +34,6 @@
 
     /** Notes a reply of the service to a request that was sent at the given time. */
     void reachedService(Instant requestSentAt) {
-        mServiceAt = later(mServiceAt, requestSentAt);
         reachedThroughPeer(requestSentAt);
     }
 
@@ -76,11 +74,6 @@
         return mFreshAt;
     }
 
-    /** Returns whether a read sent within the bound got a reply of the service itself. */
-    boolean reachesService(Instant now) {
-        return mServiceAt != null && !now.isAfter(mServiceAt.plus(mFreshnessBound));
-    }
-
     /** Returns whether enough witnesses replied within the bound on contact. */
     boolean reachesMajority(Instant now) {
         Instant end = majorityEnd(now);
