--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
 import org.oleanderspring.coordination.lease.LeaseKeyLayout;
 import org.oleanderspring.coordination.lease.LeaseLossReason;
@@ -101,6 +102,14 @@
         return lease != null && lease.mHeld && mService.usable(now);
     }
 
+    @Override
+    public FencingToken token(LeaseName name) {
+        CompetedLease lease = mLeases.get(name);
+        return lease == null || !lease.mHeld
+                ? FencingToken.NONE
+                : new FencingToken(lease.mRevision.value());
+    }
+
     @Override
     public List<LeaseStatus> leases(Instant now) {
         List<LeaseStatus> statuses = new ArrayList<>();
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseQueries.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseQueries.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.lease.LeaseName;
 
 /** Reads the leases of one daemon; to be called on the thread that owns them. */
@@ -21,4 +22,12 @@
      * @param now the current time
      */
     List<LeaseStatus> leases(Instant now);
+
+    /**
+     * Returns the fencing token of a held lease: the revision at which its key was written. The
+     * service's revisions only grow, so every later holder has a higher token.
+     *
+     * @param name the lease
+     */
+    FencingToken token(LeaseName name);
 }
--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/KeyValueQueries.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/KeyValueQueries.java
@@ -4,15 +4,7 @@
 import org.oleanderspring.coordination.store.StoreKey;
 
 /** Reads the key-value service. Futures never complete exceptionally; every failure is a result. */
-public interface KeyValueQueries {
-    /**
-     * Reads one key.
-     *
-     * @param key the key
-     * @return a list of no or one value
-     */
-    CompletableFuture<ReadResult> read(StoreKey key);
-
+public interface KeyValueQueries extends ValueQueries {
     /**
      * Reads all keys with a prefix.
      *
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -0,0 +1,105 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.oleanderspring.core.fleet.ModelReference;
+
+/**
+ * Loads models and adapters for which calls wait, and unloads those that make way.
+ *
+ * <p>Nothing has to be written down before an order: a holder that takes over asks each runner for
+ * its models and its count of accepted orders, and {@link RunnerRecord} says why orders of a holder
+ * before cannot exceed the memory together with its own.
+ */
+public final class DefaultResidencyDecider implements ResidencyDecider {
+    private final Tenure mTenure = new Tenure();
+    private final RunnerFleet mFleet = new RunnerFleet();
+    private final DemandBook mDemand = new DemandBook();
+    private final OrderSequencer mOrders;
+    private final LoadPlanner mLoads;
+    private final ResidentAdapterPlanner mAdapters;
+
+    /**
+     * Creates a decider that gives no orders before its tenure begins.
+     *
+     * @param storeLoadsAtOnce so many loads the weight store serves at once at full speed
+     */
+    public DefaultResidencyDecider(int storeLoadsAtOnce) {
+        mOrders = new OrderSequencer(mTenure, mFleet, new LoadPacer(), storeLoadsAtOnce);
+        mLoads = new LoadPlanner(mFleet, mDemand);
+        mAdapters = new ResidentAdapterPlanner(mFleet, mDemand, mOrders);
+    }
+
+    @Override
+    public List<ResidencyDecision> decide(ResidencyEvent event, Instant now) {
+        ResidencyTurn turn = new ResidencyTurn(now, new ArrayList<>());
+        handle(event, turn);
+        if (!mTenure.mayOrder(now)) {
+            return turn.decisions();
+        }
+        for (RunnerRecord record : mFleet.records()) {
+            for (ModelReference adapter : record.settleIncoming(now)) {
+                mAdapters.settled(record, adapter, turn);
+            }
+        }
+        mAdapters.plan(turn);
+        mLoads.plan(turn);
+        for (RunnerRecord record : mFleet.records()) {
+            mOrders.advance(record, turn);
+        }
+        return turn.decisions();
+    }
+
+    private void handle(ResidencyEvent event, ResidencyTurn turn) {
+        if (event instanceof ResidencyEvent.ConfigurationChanged changed) {
+            publishAll(mFleet.configure(changed.configuration(), turn.now()), turn);
+        } else if (event instanceof ResidencyEvent.RunnersListed listed) {
+            publishAll(mFleet.list(listed.runners(), turn.now()), turn);
+        } else if (event instanceof ResidencyEvent.DemandReported reported) {
+            mDemand.reported(
+                    reported.daemon(), reported.service(), reported.demands(), turn.now());
+        } else if (event instanceof ResidencyEvent.LoadRequested requested) {
+            mDemand.requested(
+                    requested.daemon(),
+                    requested.target(),
+                    requested.waiting(),
+                    requested.untilDeadline(),
+                    turn.now());
+        } else if (event instanceof ResidencyEvent.TenureBegan began) {
+            mTenure.begin(began.token(), began.ordersFrom());
+            mFleet.records().forEach(record -> record.unconfirm(began.ordersFrom()));
+        } else if (event instanceof ResidencyEvent.TenureEnded) {
+            mTenure.end();
+            mFleet.records().forEach(record -> record.unconfirm(turn.now()));
+        } else {
+            handleReply(event, turn);
+        }
+    }
+
+    private void handleReply(ResidencyEvent event, ResidencyTurn turn) {
+        if (event instanceof ResidencyEvent.StateRead read) {
+            RunnerRecord record = mFleet.record(read.runner());
+            if (record != null && mTenure.mayOrder(turn.now())) {
+                mOrders.read(record, read.state(), turn);
+            }
+        } else if (event instanceof ResidencyEvent.StateUnread unread) {
+            RunnerRecord record = mFleet.record(unread.runner());
+            if (record != null) {
+                mOrders.unread(record, turn);
+            }
+        } else if (event instanceof ResidencyEvent.OrderReplied replied) {
+            RunnerRecord record = mFleet.record(replied.runner());
+            if (record != null) {
+                mOrders.replied(record, replied.order(), replied.reply(), turn);
+            }
+        }
+    }
+
+    private void publishAll(List<RunnerRecord> records, ResidencyTurn turn) {
+        if (mTenure.mayOrder(turn.now())) {
+            records.forEach(record -> mOrders.publish(record, Set.of(), turn));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -0,0 +1,210 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.routing.Target;
+
+/** The use of all models and adapters, added up over the daemons that report it. */
+final class DemandBook {
+    /** A report that is older says nothing about the calls that wait or run now. */
+    static final Duration REPORT_VALIDITY = Duration.ofSeconds(2);
+
+    /** Rates follow changes of demand with this time constant. */
+    static final Duration RATE_MEMORY = Duration.ofSeconds(6);
+
+    private final Map<Target.ServedModelTarget, Use> mUses = new HashMap<>();
+
+    /** Replaces what a daemon reported before of a service. */
+    void reported(
+            MemberId daemon, ServiceName service, List<ModelDemand> demands, Instant now) {
+        Set<Target.ServedModelTarget> seen = new HashSet<>();
+        for (ModelDemand demand : demands) {
+            Target.ServedModelTarget target =
+                    new Target.ServedModelTarget(service, demand.model());
+            seen.add(target);
+            use(target).report(daemon, demand, now);
+        }
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (entry.getKey().service().equals(service) && !seen.contains(entry.getKey())) {
+                entry.getValue().mReports.remove(daemon);
+            }
+        }
+    }
+
+    /** Notes that calls wait at a daemon. */
+    void requested(
+            MemberId daemon,
+            Target.ServedModelTarget target,
+            int waiting,
+            Duration untilDeadline,
+            Instant now) {
+        Use use = use(target);
+        Report before = use.mReports.get(daemon);
+        int running = before == null ? 0 : before.running();
+        use.mReports.put(daemon, new Report(waiting, running, now));
+        Instant deadline = now.plus(untilDeadline);
+        if (use.waiting(now) == waiting || deadline.isBefore(use.mDeadline)) {
+            use.mDeadline = deadline;
+        }
+        use.mRequestedAt = now;
+    }
+
+    /** Returns the targets for which calls wait, the most urgent first. */
+    List<Target.ServedModelTarget> waiting(Instant now) {
+        List<Target.ServedModelTarget> waiting = new ArrayList<>();
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (entry.getValue().waiting(now) > 0) {
+                waiting.add(entry.getKey());
+            }
+        }
+        waiting.sort(
+                Comparator.comparing((Target.ServedModelTarget target) -> use(target).mRequestedAt)
+                        .thenComparing(Target.ServedModelTarget::toString));
+        return waiting;
+    }
+
+    /** Returns the daemons at which calls wait. */
+    Set<MemberId> waitingDaemons(Target.ServedModelTarget target, Instant now) {
+        Set<MemberId> daemons = new HashSet<>();
+        Use use = mUses.get(target);
+        if (use == null) {
+            return daemons;
+        }
+        use.mReports.forEach(
+                (daemon, report) -> {
+                    if (report.isValid(now) && report.waiting() > 0) {
+                        daemons.add(daemon);
+                    }
+                });
+        return daemons;
+    }
+
+    int waiting(Target.ServedModelTarget target, Instant now) {
+        Use use = mUses.get(target);
+        return use == null ? 0 : use.waiting(now);
+    }
+
+    /** Returns the calls that run, those for the model's adapters included. */
+    int running(ServiceName service, ModelName model, Instant now) {
+        int running = 0;
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (concerns(entry.getKey(), service, model)) {
+                running += entry.getValue().running(now);
+            }
+        }
+        return running;
+    }
+
+    /** Returns the calls a second for a model, those for its adapters included. */
+    double rate(ServiceName service, ModelName model, Instant now) {
+        double rate = 0;
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (concerns(entry.getKey(), service, model)) {
+                rate += entry.getValue().rate(now);
+            }
+        }
+        return rate;
+    }
+
+    /** Returns the calls a second for exactly this model or adapter. */
+    double rate(Target.ServedModelTarget target, Instant now) {
+        Use use = mUses.get(target);
+        return use == null ? 0 : use.rate(now);
+    }
+
+    /** Returns when calls last arrived for a model or its adapters; the distant past if never. */
+    Instant lastUse(ServiceName service, ModelName model) {
+        Instant last = Instant.MIN;
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (concerns(entry.getKey(), service, model)
+                    && entry.getValue().mLastUse.isAfter(last)) {
+                last = entry.getValue().mLastUse;
+            }
+        }
+        return last;
+    }
+
+    /** Returns when calls last arrived for exactly this model or adapter. */
+    Instant lastUse(Target.ServedModelTarget target) {
+        Use use = mUses.get(target);
+        return use == null ? Instant.MIN : use.mLastUse;
+    }
+
+    private static boolean concerns(
+            Target.ServedModelTarget target, ServiceName service, ModelName model) {
+        ModelReference reference = target.model();
+        return target.service().equals(service) && reference.base().equals(model);
+    }
+
+    private Use use(Target.ServedModelTarget target) {
+        return mUses.computeIfAbsent(target, key -> new Use());
+    }
+
+    /** What one daemon reported of one target. */
+    private record Report(int waiting, int running, Instant at) {
+        boolean isValid(Instant now) {
+            return at.plus(REPORT_VALIDITY).isAfter(now);
+        }
+    }
+
+    /** The use of one target. */
+    private static final class Use {
+        private final Map<MemberId, Report> mReports = new HashMap<>();
+        private double mRate;
+        private Instant mRateAt = Instant.MIN;
+        private Instant mLastUse = Instant.MIN;
+        private Instant mDeadline = Instant.MAX;
+        private Instant mRequestedAt = Instant.MAX;
+
+        void report(MemberId daemon, ModelDemand demand, Instant now) {
+            mReports.put(daemon, new Report(demand.waiting(), demand.running(), now));
+            if (demand.arrived() > 0) {
+                mRate = rate(now) + demand.arrived() / seconds(RATE_MEMORY);
+                mRateAt = now;
+            }
+            if (demand.arrived() > 0 || demand.running() > 0 || demand.waiting() > 0) {
+                mLastUse = now;
+            }
+        }
+
+        double rate(Instant now) {
+            if (mRate == 0) {
+                return 0;
+            }
+            double age = seconds(Duration.between(mRateAt, now));
+            return mRate * Math.exp(-age / seconds(RATE_MEMORY));
+        }
+
+        int waiting(Instant now) {
+            int waiting = 0;
+            for (Report report : mReports.values()) {
+                waiting += report.isValid(now) ? report.waiting() : 0;
+            }
+            return waiting;
+        }
+
+        int running(Instant now) {
+            int running = 0;
+            for (Report report : mReports.values()) {
+                running += report.isValid(now) ? report.running() : 0;
+            }
+            return running;
+        }
+
+        private static double seconds(Duration duration) {
+            return duration.toNanos() / 1e9;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ModelEviction.java
@@ -0,0 +1,85 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.route.EngineModel;
+
+/** Chooses the models whose unload costs the callers least. */
+final class ModelEviction {
+    /**
+     * A model that was just loaded serves the calls that waited for it before it may go again.
+     */
+    private static final Duration LEAST_STAY = Duration.ofMillis(1_500);
+
+    private static final Duration RECENT_USE = Duration.ofMillis(800);
+    private static final double LAST_REPLICA_FACTOR = 4.0;
+    private static final double RUNNING_COST = 0.15;
+
+    private final RunnerFleet mFleet;
+    private final DemandBook mDemand;
+
+    ModelEviction(RunnerFleet fleet, DemandBook demand) {
+        mFleet = fleet;
+        mDemand = demand;
+    }
+
+    /** Returns the cheapest way to free memory on a runner, or nothing if there is none. */
+    Optional<EvictionChoice> choose(RunnerRecord record, double megabytes, Instant now) {
+        double missing = megabytes - record.freeMegabytes();
+        List<ModelName> victims = new ArrayList<>();
+        if (missing <= 0) {
+            return Optional.of(new EvictionChoice(victims, 0));
+        }
+        List<Candidate> candidates = new ArrayList<>();
+        for (ModelName model : record.models()) {
+            if (mayGo(record, model, now)) {
+                candidates.add(candidate(record, model, now));
+            }
+        }
+        candidates.sort(
+                Comparator.comparingDouble(Candidate::cost).thenComparing(Candidate::model));
+        double cost = 0;
+        for (Candidate candidate : candidates) {
+            if (missing <= 0) {
+                break;
+            }
+            victims.add(candidate.model());
+            missing -= candidate.megabytes();
+            cost += candidate.cost();
+        }
+        return missing > 0 ? Optional.empty() : Optional.of(new EvictionChoice(victims, cost));
+    }
+
+    private boolean mayGo(RunnerRecord record, ModelName model, Instant now) {
+        if (record.loadedAt(model).plus(LEAST_STAY).isAfter(now)) {
+            return false;
+        }
+        ServiceName service = record.entry().service();
+        boolean last = mFleet.replicas(service, model) <= 1;
+        Instant lastUse = mDemand.lastUse(service, model);
+        return !last || lastUse.equals(Instant.MIN) || lastUse.plus(RECENT_USE).isBefore(now);
+    }
+
+    private Candidate candidate(RunnerRecord record, ModelName model, Instant now) {
+        ServiceName service = record.entry().service();
+        int replicas = Math.max(1, mFleet.replicas(service, model));
+        double rate = mDemand.rate(service, model, now) / replicas;
+        EngineModel description = record.engine().models().get(model);
+        double reload =
+                description == null ? 1 : description.diskLoad().toMillis() / 1_000.0;
+        double cost = rate * reload * (replicas == 1 ? LAST_REPLICA_FACTOR : 1);
+        cost += mDemand.running(service, model, now) > 0 ? RUNNING_COST : 0;
+        int adapters = record.adapters(model).size();
+        return new Candidate(model, record.megabytes(model, adapters), cost);
+    }
+
+    /** A model that may go. */
+    private record Candidate(ModelName model, double megabytes, double cost) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
@@ -0,0 +1,200 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Set;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.residency.ResidencyOrder;
+import org.oleanderspring.core.residency.ResidencyOrderKind;
+import org.oleanderspring.core.residency.ResidencyOrderReply;
+import org.oleanderspring.core.route.EngineModel;
+import org.oleanderspring.core.runner.RunnerState;
+
+/**
+ * Carries out the planned changes of each runner, one order at a time.
+ *
+ * <p>Before a model is unloaded, the daemons are told that it is closing, and a pause lets calls
+ * that were sent before arrive; a call that comes after the unload would be rejected.
+ */
+final class OrderSequencer {
+    /** Runners report values of up to some hundred milliseconds ago. */
+    static final Duration REPORT_LAG = Duration.ofMillis(150);
+
+    /** Longer than a message to every daemon and the call it has just sent take. */
+    static final Duration CLOSING_PAUSE = Duration.ofMillis(80);
+
+    /** An adapter takes up to ten milliseconds while few adapters are on their way. */
+    static final Duration ADAPTER_TIME = Duration.ofMillis(15);
+
+    private static final Duration RECHECK = Duration.ofMillis(200);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
+    private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
+
+    private final Tenure mTenure;
+    private final RunnerFleet mFleet;
+    private final LoadPacer mPacer;
+    private final int mStoreLoadsAtOnce;
+
+    OrderSequencer(Tenure tenure, RunnerFleet fleet, LoadPacer pacer, int storeLoadsAtOnce) {
+        mTenure = tenure;
+        mFleet = fleet;
+        mPacer = pacer;
+        mStoreLoadsAtOnce = storeLoadsAtOnce;
+    }
+
+    /** Takes the next step of a runner, if it is due. */
+    void advance(RunnerRecord record, ResidencyTurn turn) {
+        if (!record.isUsable()) {
+            record.dropSteps();
+            return;
+        }
+        if (!record.isConfirmed() || record.isChanging()) {
+            readIfDue(record, turn);
+            return;
+        }
+        ModelStep step = record.steps().peekFirst();
+        if (step == null || !record.mayBeOrdered()) {
+            return;
+        }
+        if (step.kind() == ResidencyOrderKind.UNLOAD) {
+            unload(record, step, turn);
+        } else {
+            load(record, step, turn);
+        }
+    }
+
+    private void readIfDue(RunnerRecord record, ResidencyTurn turn) {
+        if (!record.isReadDue(turn.now())) {
+            return;
+        }
+        record.reading();
+        turn.add(new ResidencyDecision.ReadState(record.entry().id()));
+    }
+
+    private void unload(RunnerRecord record, ModelStep step, ResidencyTurn turn) {
+        Instant closingSince = record.closing().get(step.model());
+        if (closingSince == null) {
+            record.closing().put(step.model(), turn.now());
+            publish(record, Set.of(), turn);
+            turn.add(new ResidencyDecision.WakeAt(turn.now().plus(CLOSING_PAUSE)));
+            return;
+        }
+        if (closingSince.plus(CLOSING_PAUSE).isAfter(turn.now())) {
+            return;
+        }
+        send(record, step.kind(), new ModelReference(step.model(), null), step.reason(), turn);
+    }
+
+    private void load(RunnerRecord record, ModelStep step, ResidencyTurn turn) {
+        if (record.megabytes(step.model(), 0) > record.freeMegabytes()) {
+            record.dropSteps();
+            publish(record, Set.of(), turn);
+            return;
+        }
+        if (record.needsStore(step.model())) {
+            double loadsPerSecond = record.engine().loadsPerSecond();
+            if (!mPacer.allows(
+                    loadsPerSecond, mFleet.storeLoads(), mStoreLoadsAtOnce, turn.now())) {
+                return;
+            }
+            mPacer.began(turn.now());
+        }
+        send(record, step.kind(), new ModelReference(step.model(), null), step.reason(), turn);
+    }
+
+    /** Sends an order to a runner whose count is known. */
+    void send(
+            RunnerRecord record,
+            ResidencyOrderKind kind,
+            ModelReference model,
+            String reason,
+            ResidencyTurn turn) {
+        ResidencyOrder order =
+                new ResidencyOrder(
+                        mTenure.nextOrder(),
+                        record.entry().id(),
+                        kind,
+                        model,
+                        record.orders(),
+                        mTenure.token());
+        record.sent(order);
+        turn.add(new ResidencyDecision.SendOrder(order, reason));
+    }
+
+    /** Handles the reply to an order. */
+    void replied(RunnerRecord record, long number, ResidencyOrderReply reply, ResidencyTurn turn) {
+        ResidencyOrder order = record.unanswered();
+        if (order == null || order.number() != number) {
+            return;
+        }
+        switch (reply) {
+            case ACCEPTED -> accepted(record, order, turn);
+            case FULFILLED -> fulfilled(record, order, turn);
+            case CONFLICT, UNKNOWN -> record.doubt(turn.now().plus(RETRY_PAUSE));
+            case NOT_SENT -> record.doubt(turn.now().plus(UNREACHABLE_PAUSE));
+            default -> {
+                record.dropSteps();
+                record.doubt(turn.now().plus(UNREACHABLE_PAUSE));
+            }
+        }
+    }
+
+    private void accepted(RunnerRecord record, ResidencyOrder order, ResidencyTurn turn) {
+        if (order.concernsAdapter()) {
+            Instant heldAt = turn.now().plus(ADAPTER_TIME);
+            record.acceptedAdapter(order, heldAt);
+            turn.add(new ResidencyDecision.WakeAt(heldAt));
+            return;
+        }
+        Duration time = Duration.ZERO;
+        if (order.kind() == ResidencyOrderKind.LOAD) {
+            EngineModel model = record.engine().models().get(order.model().base());
+            time = model == null ? Duration.ZERO : record.loadTime(model);
+        }
+        Instant nextRead = turn.now().plus(time).plus(REPORT_LAG);
+        record.accepted(order, nextRead);
+        turn.add(new ResidencyDecision.WakeAt(nextRead));
+    }
+
+    private void fulfilled(RunnerRecord record, ResidencyOrder order, ResidencyTurn turn) {
+        if (order.concernsAdapter() && order.kind() == ResidencyOrderKind.UNLOAD) {
+            record.acceptedAdapter(order, turn.now());
+            return;
+        }
+        record.doubt(turn.now());
+    }
+
+    /** Handles what a runner told of itself. */
+    void read(RunnerRecord record, RunnerState state, ResidencyTurn turn) {
+        boolean news = record.adopt(state, turn.now(), RECHECK);
+        if (news && !record.isChanging()) {
+            publish(record, Set.of(), turn);
+        }
+        if (!record.isConfirmed() || record.isChanging()) {
+            turn.add(new ResidencyDecision.WakeAt(record.nextRead()));
+        }
+    }
+
+    /** Handles that a runner did not tell its state. */
+    void unread(RunnerRecord record, ResidencyTurn turn) {
+        record.unread(turn.now().plus(UNREACHABLE_PAUSE));
+    }
+
+    /** Tells daemons what a runner holds. */
+    void publish(RunnerRecord record, Set<MemberId> daemons, ResidencyTurn turn) {
+        Set<ModelName> closing = record.closing().keySet();
+        turn.add(
+                new ResidencyDecision.Publish(
+                        new Residency(
+                                record.entry().id(),
+                                mTenure.token(),
+                                mTenure.nextStatement(),
+                                record.orders(),
+                                record.heldModels(),
+                                closing),
+                        daemons));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyDecision.java
@@ -0,0 +1,46 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Instant;
+import java.util.Set;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.residency.ResidencyOrder;
+
+/** What the placement of models decided; the daemon carries it out. */
+public sealed interface ResidencyDecision {
+    /**
+     * Send an order to a runner.
+     *
+     * @param order the order
+     * @param reason why, for the log
+     */
+    record SendOrder(ResidencyOrder order, String reason) implements ResidencyDecision {}
+
+    /**
+     * Ask a runner for its state.
+     *
+     * @param runner the runner
+     */
+    record ReadState(EndpointId runner) implements ResidencyDecision {}
+
+    /**
+     * Tell daemons what a runner holds.
+     *
+     * @param residency what it holds
+     * @param daemons the daemons to tell; all if empty
+     */
+    record Publish(Residency residency, Set<MemberId> daemons) implements ResidencyDecision {
+        /** Copies the set. */
+        public Publish {
+            daemons = Set.copyOf(daemons);
+        }
+    }
+
+    /**
+     * Fire the timer at a certain time, besides its regular times.
+     *
+     * @param at when
+     */
+    record WakeAt(Instant at) implements ResidencyDecision {}
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -0,0 +1,111 @@
+package org.oleanderspring.core.residency.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.route.EngineDescription;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.route.ServiceDescription;
+import org.oleanderspring.core.runner.RunnerEntry;
+
+/** The records of all runners that have a model engine. */
+final class RunnerFleet {
+    private final Map<EndpointId, RunnerRecord> mRecords = new LinkedHashMap<>();
+    private List<RunnerEntry> mEntries = List.of();
+    private @Nullable FleetConfiguration mConfiguration;
+
+    Collection<RunnerRecord> records() {
+        return mRecords.values();
+    }
+
+    @Nullable RunnerRecord record(EndpointId id) {
+        return mRecords.get(id);
+    }
+
+    /** Returns the runners of a service that take part in the placement. */
+    List<RunnerRecord> usable(ServiceName service) {
+        List<RunnerRecord> usable = new ArrayList<>();
+        for (RunnerRecord record : mRecords.values()) {
+            if (record.isUsable() && record.entry().service().equals(service)) {
+                usable.add(record);
+            }
+        }
+        return usable;
+    }
+
+    /** Returns on how many runners of a service a model is open. */
+    int replicas(ServiceName service, ModelName model) {
+        int replicas = 0;
+        for (RunnerRecord record : usable(service)) {
+            replicas += record.isOpen(model) ? 1 : 0;
+        }
+        return replicas;
+    }
+
+    /** Returns whether a load of a model is planned or under way on any runner of a service. */
+    boolean isLoading(ServiceName service, ModelName model) {
+        return usable(service).stream().anyMatch(record -> record.isLoading(model));
+    }
+
+    /** Returns how many loads from the weight store are under way. */
+    int storeLoads() {
+        int loads = 0;
+        for (RunnerRecord record : mRecords.values()) {
+            if (record.carriedOut() != null
+                    && record.isLoading(record.carriedOut().model().base())
+                    && record.needsStore(record.carriedOut().model().base())) {
+                loads++;
+            }
+        }
+        return loads;
+    }
+
+    @Nullable EngineDescription engine(ServiceName service) {
+        if (mConfiguration == null) {
+            return null;
+        }
+        ServiceDescription description = mConfiguration.services().get(service);
+        return description == null ? null : description.engine();
+    }
+
+    /** Takes over a configuration; returns the records whose models changed. */
+    List<RunnerRecord> configure(FleetConfiguration configuration, Instant now) {
+        mConfiguration = configuration;
+        return relist(now);
+    }
+
+    /** Takes over the registered runners; returns the records whose models changed. */
+    List<RunnerRecord> list(List<RunnerEntry> entries, Instant now) {
+        mEntries = entries;
+        return relist(now);
+    }
+
+    private List<RunnerRecord> relist(Instant now) {
+        List<RunnerRecord> changed = new ArrayList<>();
+        Set<EndpointId> listed = new HashSet<>();
+        for (RunnerEntry entry : mEntries) {
+            EngineDescription engine = engine(entry.service());
+            if (engine == null) {
+                continue;
+            }
+            listed.add(entry.id());
+            RunnerRecord record = mRecords.get(entry.id());
+            if (record == null) {
+                mRecords.put(entry.id(), new RunnerRecord(entry, engine));
+            } else if (record.update(entry, engine, now)) {
+                changed.add(record);
+            }
+        }
+        mRecords.keySet().retainAll(listed);
+        return changed;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTable.java
@@ -0,0 +1,104 @@
+package org.oleanderspring.core.residency.query;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.route.EngineModel;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.route.ServiceDescription;
+import org.oleanderspring.core.routing.Replica;
+import org.oleanderspring.core.routing.ReplicaState;
+import org.oleanderspring.core.routing.RoutingTable;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.runner.HeldModel;
+import org.oleanderspring.core.runner.RunnerEntry;
+
+/** Builds the routing table of a hosted fleet. */
+public final class HostedRoutingTable {
+    private static final String ADAPTER_PREFIX = "a";
+
+    private final FleetConfiguration mConfiguration;
+    private final Set<Target> mKnown;
+
+    /**
+     * Creates a builder of tables for one configuration.
+     *
+     * @param configuration the configuration
+     */
+    public HostedRoutingTable(FleetConfiguration configuration) {
+        mConfiguration = configuration;
+        mKnown = known(configuration);
+    }
+
+    private static Set<Target> known(FleetConfiguration configuration) {
+        Set<Target> known = new HashSet<>();
+        for (ServiceDescription service : configuration.services().values()) {
+            known.add(new Target.ServiceTarget(service.name()));
+            if (service.engine() == null) {
+                continue;
+            }
+            for (EngineModel model : service.engine().models().values()) {
+                ModelReference base = new ModelReference(model.name(), null);
+                known.add(new Target.ServedModelTarget(service.name(), base));
+                for (int number = 1; number <= model.adapters(); number++) {
+                    known.add(
+                            new Target.ServedModelTarget(
+                                    service.name(),
+                                    new ModelReference(model.name(), ADAPTER_PREFIX + number)));
+                }
+            }
+        }
+        return Set.copyOf(known);
+    }
+
+    /**
+     * Builds the table.
+     *
+     * @param runners the registered runners
+     * @param view which of their models may get calls
+     * @param now the current time
+     */
+    public RoutingTable build(Collection<RunnerEntry> runners, ResidencyView view, Instant now) {
+        Map<Target, List<Replica>> replicas = new HashMap<>();
+        for (RunnerEntry runner : runners) {
+            ServiceDescription service = mConfiguration.services().get(runner.service());
+            if (service == null || runner.draining()) {
+                continue;
+            }
+            Replica replica =
+                    new Replica(runner.id(), ReplicaState.READY, Math.max(1, runner.slots()));
+            add(replicas, new Target.ServiceTarget(service.name()), replica);
+            if (service.engine() != null) {
+                addModels(replicas, service.name(), view.open(runner, now), replica);
+            }
+        }
+        return new RoutingTable(replicas, mKnown);
+    }
+
+    private static void addModels(
+            Map<Target, List<Replica>> replicas,
+            ServiceName service,
+            List<HeldModel> models,
+            Replica replica) {
+        for (HeldModel model : models) {
+            ModelReference base = new ModelReference(model.name(), null);
+            add(replicas, new Target.ServedModelTarget(service, base), replica);
+            for (String adapter : model.adapters()) {
+                ModelReference reference = new ModelReference(model.name(), adapter);
+                add(replicas, new Target.ServedModelTarget(service, reference), replica);
+            }
+        }
+    }
+
+    private static void add(
+            Map<Target, List<Replica>> replicas, Target target, Replica replica) {
+        replicas.computeIfAbsent(target, key -> new ArrayList<>()).add(replica);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/route/FleetConfiguration.java
@@ -0,0 +1,27 @@
+package org.oleanderspring.core.route;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.oleanderspring.core.fleet.ServiceName;
+
+/**
+ * One version of the operators' configuration, in full.
+ *
+ * @param version its number; a later version has a higher one
+ * @param routes the routes
+ * @param services the services by name
+ * @param limits the limits for callers
+ */
+public record FleetConfiguration(
+        long version,
+        List<Route> routes,
+        Map<ServiceName, ServiceDescription> services,
+        IngressLimits limits) {
+    /** Copies the collections. */
+    public FleetConfiguration {
+        routes = List.copyOf(routes);
+        services = Map.copyOf(services);
+        Objects.requireNonNull(limits, "limits");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/route/query/package-info.java
@@ -0,0 +1,5 @@
+/** Finds the route of a request. */
+@NullMarked
+package org.oleanderspring.core.route.query;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/oleanderspring/core/routing/AttemptOutcome.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/AttemptOutcome.java
@@ -20,4 +20,18 @@
      * @param answerBegan whether a part of the answer was already passed on to the caller
      */
     record Failed(String reason, boolean answerBegan) implements AttemptOutcome {}
+
+    /**
+     * Nothing of the attempt was sent.
+     *
+     * @param reason why, for the log
+     */
+    record NotSent(String reason) implements AttemptOutcome {}
+
+    /**
+     * The endpoint did not run it because it does not hold what the call asks for.
+     *
+     * @param reason what the endpoint said, for the log
+     */
+    record NotHeld(String reason) implements AttemptOutcome {}
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
@@ -10,11 +10,14 @@
  *
  * @param id the identity
  * @param target what the call asks for
- * @param onceKey the key of a non-idempotent call, or null for an idempotent one
+ * @param onceKey the key under which a call must be recorded before it is started, or null
  * @param priority a higher number goes first among calls with the same deadline
- * @param deadline when the answer must have begun
+ * @param deadline when the answer must have begun, or ended, as the scope says
  * @param prefixHash a hash of the start of the prompt, equal for calls that can share a cached
  *     prefix; 0 if unknown
+ * @param repetition how often the work may be done
+ * @param attemptLimit at most this many attempts; the limit of the fleet applies besides
+ * @param deadlineScope which part of the answer the deadline bounds
  */
 public record CallRequest(
         CallId id,
@@ -22,16 +25,59 @@
         @Nullable IdempotencyKey onceKey,
         int priority,
         Instant deadline,
-        long prefixHash) {
+        long prefixHash,
+        Repetition repetition,
+        int attemptLimit,
+        DeadlineScope deadlineScope) {
     /** Checks for missing parts. */
     public CallRequest {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(target, "target");
         Objects.requireNonNull(deadline, "deadline");
+        Objects.requireNonNull(repetition, "repetition");
+        Objects.requireNonNull(deadlineScope, "deadlineScope");
+        if (attemptLimit < 1) {
+            throw new IllegalArgumentException("attempt limit is not positive: " + attemptLimit);
+        }
+    }
+
+    /**
+     * Creates a call that is recorded before its start or may be repeated, with the attempts that
+     * the fleet allows and a deadline for the beginning of the answer.
+     *
+     * @param id the identity
+     * @param target what the call asks for
+     * @param onceKey the key of a non-idempotent call, or null for an idempotent one
+     * @param priority a higher number goes first among calls with the same deadline
+     * @param deadline when the answer must have begun
+     * @param prefixHash a hash of the start of the prompt; 0 if unknown
+     */
+    public CallRequest(
+            CallId id,
+            Target target,
+            @Nullable IdempotencyKey onceKey,
+            int priority,
+            Instant deadline,
+            long prefixHash) {
+        this(
+                id,
+                target,
+                onceKey,
+                priority,
+                deadline,
+                prefixHash,
+                onceKey == null ? Repetition.REPEATABLE : Repetition.AT_MOST_ONCE,
+                Integer.MAX_VALUE,
+                DeadlineScope.BEGINNING);
     }
 
     /** Returns whether the call may be run again after it may have run. */
     public boolean isIdempotent() {
-        return onceKey == null;
+        return repetition != Repetition.AT_MOST_ONCE;
+    }
+
+    /** Returns whether the call must be recorded before it is started. */
+    public boolean needsRecord() {
+        return onceKey != null;
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/RoutingLimits.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RoutingLimits.java
@@ -9,20 +9,45 @@
  * @param attemptLimit how many attempts a call may have
  * @param retryBudgetPercent how many retries the daemon may make for each hundred first attempts
  * @param wakeRepeat how long to wait before a wake request is repeated
+ * @param extraRetries how many retries a window may hold beyond the percentage
+ * @param retryWindow the length of that window
  */
 public record RoutingLimits(
-        int queueLimit, int attemptLimit, int retryBudgetPercent, Duration wakeRepeat) {
+        int queueLimit,
+        int attemptLimit,
+        int retryBudgetPercent,
+        Duration wakeRepeat,
+        int extraRetries,
+        Duration retryWindow) {
+    private static final Duration USUAL_RETRY_WINDOW = Duration.ofSeconds(10);
+
     /** The limits before the settings are known. */
     public static final RoutingLimits DEFAULT =
             new RoutingLimits(256, 3, 10, Duration.ofSeconds(1));
 
     /** Checks the ranges. */
     public RoutingLimits {
-        if (queueLimit < 0 || attemptLimit < 1 || retryBudgetPercent < 0) {
+        if (queueLimit < 0 || attemptLimit < 1 || retryBudgetPercent < 0 || extraRetries < 0) {
             throw new IllegalArgumentException("routing limit is out of range");
         }
         if (wakeRepeat.isNegative() || wakeRepeat.isZero()) {
             throw new IllegalArgumentException("wake repeat is not positive: " + wakeRepeat);
         }
+        if (retryWindow.isNegative() || retryWindow.isZero()) {
+            throw new IllegalArgumentException("retry window is not positive: " + retryWindow);
+        }
+    }
+
+    /**
+     * Creates limits without extra retries.
+     *
+     * @param queueLimit how many calls may wait for one target
+     * @param attemptLimit how many attempts a call may have
+     * @param retryBudgetPercent how many retries there may be for each hundred first attempts
+     * @param wakeRepeat how long to wait before a wake request is repeated
+     */
+    public RoutingLimits(
+            int queueLimit, int attemptLimit, int retryBudgetPercent, Duration wakeRepeat) {
+        this(queueLimit, attemptLimit, retryBudgetPercent, wakeRepeat, 0, USUAL_RETRY_WINDOW);
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/Target.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/Target.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 
 /** What a call asks for. */
@@ -39,4 +40,23 @@
             return "service " + service;
         }
     }
+
+    /**
+     * A model or an adapter that runners of one service hold.
+     *
+     * @param service the service
+     * @param model the model or adapter
+     */
+    record ServedModelTarget(ServiceName service, ModelReference model) implements Target {
+        /** Checks for missing parts. */
+        public ServedModelTarget {
+            Objects.requireNonNull(service, "service");
+            Objects.requireNonNull(model, "model");
+        }
+
+        @Override
+        public String toString() {
+            return "model " + model + " of " + service;
+        }
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
@@ -64,7 +64,7 @@
         int limit = mState.limits().queueLimit();
         if (target.hasFreePlace(now)) {
             boolean full = target.claiming() >= limit + target.capacity();
-            return full && !call.request().isIdempotent() ? RefusalReason.QUEUE_FULL : null;
+            return full && call.request().needsRecord() ? RefusalReason.QUEUE_FULL : null;
         }
         if (target.admitted() >= limit) {
             return RefusalReason.QUEUE_FULL;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -19,7 +19,8 @@
         call.started(slot, turn.now(), trial);
         mState.tally().started(call.attempts());
         if (call.attempts() == 1) {
-            mState.budget().firstAttempt(mState.limits().retryBudgetPercent());
+            mState.retries()
+                    .firstAttempt(call.request().target(), mState.limits(), turn.now());
         }
         turn.add(
                 new RoutingDecision.StartAttempt(
@@ -56,6 +57,8 @@
             succeeded(attempt);
         } else if (outcome instanceof AttemptOutcome.NotRun notRun && notRun.endpointDraining()) {
             mState.fleet().drain(endpoint.id(), now);
+        } else if (outcome instanceof AttemptOutcome.NotHeld) {
+            attempt.slot().notHeld(now);
         } else {
             endpoint.backoff().failed(now);
         }
@@ -83,6 +86,9 @@
             return;
         }
         cancel(call, "deadline passed", turn);
+        if (call.hasAnswerBegun()) {
+            return;
+        }
         Duration elapsed = Duration.between(attempt.startedAt(), turn.now());
         ServiceTimes times = call.target().times();
         EndpointState endpoint = attempt.slot().endpoint();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -18,6 +18,7 @@
     private final TargetState mTarget;
     private CallPhase mPhase;
     private int mAttempts;
+    private int mUnreached;
     private @Nullable RunningAttemptState mRunning;
     private boolean mClaimed;
     private boolean mAnswerBegan;
@@ -26,7 +27,7 @@
     CallState(CallRequest request, TargetState target) {
         mRequest = request;
         mTarget = target;
-        mPhase = request.isIdempotent() ? CallPhase.WAITING : CallPhase.CLAIMING;
+        mPhase = request.needsRecord() ? CallPhase.CLAIMING : CallPhase.WAITING;
     }
 
     CallRequest request() {
@@ -97,4 +98,14 @@
     boolean hasPossiblyRun() {
         return mMayHaveRun;
     }
+
+    /** Notes that the last attempt did not reach its endpoint. */
+    void endpointNotReached() {
+        mUnreached++;
+    }
+
+    /** Returns how many attempts did not reach their endpoint. */
+    int unreached() {
+        return mUnreached;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallTable.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallTable.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.DeadlineScope;
 
 /** The open calls of the daemon, by identity and by deadline. */
 final class CallTable {
@@ -37,6 +38,9 @@
 
     /** Exempts a call from its deadline because its answer has begun. */
     void answerBegan(CallState call) {
+        if (call.request().deadlineScope() == DeadlineScope.WHOLE_ANSWER) {
+            return;
+        }
         mUnanswered.remove(call);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -31,9 +31,15 @@
  * started.
  */
 public final class DefaultRoutingDecider implements RoutingDecider, RoutingQueries {
-    private final RoutingState mState = new RoutingState();
-    private final CallCloser mCloser = new CallCloser(mState);
-    private final AttemptControl mAttempts = new AttemptControl(mState);
+    /**
+     * So many attempts of one call may fail to reach their endpoint. They are not counted as
+     * attempts of the call, because the endpoint saw nothing of them.
+     */
+    private static final int UNREACHED_LIMIT = 4;
+
+    private final RoutingState mState;
+    private final CallCloser mCloser;
+    private final AttemptControl mAttempts;
     private final RetryPolicy mRetryPolicy;
     private final Admission mAdmission;
     private final Dispatcher mDispatcher;
@@ -48,6 +54,26 @@
      */
     public DefaultRoutingDecider(
             EndpointSelector selector, OverloadPolicy overloadPolicy, RetryPolicy retryPolicy) {
+        this(selector, overloadPolicy, retryPolicy, new TokenBucketAllowance());
+    }
+
+    /**
+     * Creates a decider that refuses all calls until {@link RoutingEvent.AuthorityChanged} allows
+     * them.
+     *
+     * @param selector chooses the replica of a call
+     * @param overloadPolicy decides on calls that no replica can take now
+     * @param retryPolicy decides which calls may have another attempt
+     * @param retries limits the retries of all calls together
+     */
+    public DefaultRoutingDecider(
+            EndpointSelector selector,
+            OverloadPolicy overloadPolicy,
+            RetryPolicy retryPolicy,
+            RetryAllowance retries) {
+        mState = new RoutingState(retries);
+        mCloser = new CallCloser(mState);
+        mAttempts = new AttemptControl(mState);
         mRetryPolicy = retryPolicy;
         mAdmission = new Admission(mState, overloadPolicy);
         mDispatcher = new Dispatcher(mState, selector, overloadPolicy, mAttempts, mCloser);
@@ -160,17 +186,27 @@
         }
         if (!mState.mayDecide()) {
             mCloser.refuse(call, RefusalReason.NO_AUTHORITY, turn);
-        } else if (mayRetry(call, outcome, began)) {
+        } else if (mayRetry(call, outcome, began, turn)) {
             mState.enqueue(call);
         } else {
             mCloser.refuse(call, RefusalReason.ATTEMPTS_EXHAUSTED, turn);
         }
     }
 
-    private boolean mayRetry(CallState call, AttemptOutcome outcome, boolean began) {
-        return call.attempts() < mState.limits().attemptLimit()
-                && mRetryPolicy.mayRetry(call.request(), outcome, began)
-                && mState.budget().takeRetry();
+    private boolean mayRetry(CallState call, AttemptOutcome outcome, boolean began, Turn turn) {
+        if (!mRetryPolicy.mayRetry(call.request(), outcome, began)) {
+            return false;
+        }
+        if (outcome instanceof AttemptOutcome.NotSent) {
+            call.endpointNotReached();
+            return call.unreached() < UNREACHED_LIMIT;
+        }
+        return call.attempts() - call.unreached() < attemptLimit(call)
+                && mState.retries().takeRetry(call.request().target(), mState.limits(), turn.now());
+    }
+
+    private int attemptLimit(CallState call) {
+        return Math.min(call.request().attemptLimit(), mState.limits().attemptLimit());
     }
 
     private void callerLeft(CallId id, Turn turn) {
@@ -197,7 +233,7 @@
     private void limitsChanged(RoutingLimits limits, Turn turn) {
         mState.limits(limits);
         for (CallState call : mState.calls().withoutAttempt()) {
-            if (call.attempts() >= limits.attemptLimit()) {
+            if (call.attempts() - call.unreached() >= limits.attemptLimit()) {
                 mCloser.refuse(call, RefusalReason.ATTEMPTS_EXHAUSTED, turn);
             }
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.core.routing.command;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -82,15 +83,21 @@
         if (first == null || target.capacity() > 0) {
             return;
         }
-        if (!(target.target() instanceof Target.ModelTarget model)) {
+        if (target.target() instanceof Target.ServiceTarget
+                || !target.takeWake(turn.now(), mState.limits().wakeRepeat())) {
             return;
         }
-        if (target.takeWake(turn.now(), mState.limits().wakeRepeat())) {
-            mState.tally().woke();
-            turn.add(
-                    new RoutingDecision.RequestWake(
-                            model.model(), first.request().deadline(), target.queue().size()));
+        mState.tally().woke();
+        turn.add(request(target, first.request().deadline()));
+    }
+
+    private static RoutingDecision request(TargetState target, Instant earliestDeadline) {
+        int waiting = target.queue().size();
+        if (target.target() instanceof Target.ServedModelTarget served) {
+            return new RoutingDecision.RequestLoad(served, earliestDeadline, waiting);
         }
+        Target.ModelTarget model = (Target.ModelTarget) target.target();
+        return new RoutingDecision.RequestWake(model.model(), earliestDeadline, waiting);
     }
 
     private void refuseWaiting(TargetState target, Turn turn) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
@@ -8,6 +8,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.WorkState;
 
 /** What routing decided; the daemon carries it out. */
@@ -57,6 +58,16 @@
     record RequestWake(ModelName model, Instant earliestDeadline, int waiting)
             implements RoutingDecision {}
 
+    /**
+     * Ask for a model or adapter to be loaded on a runner of its service.
+     *
+     * @param target the model or adapter
+     * @param earliestDeadline the earliest deadline among the waiting calls
+     * @param waiting how many calls wait
+     */
+    record RequestLoad(Target.ServedModelTarget target, Instant earliestDeadline, int waiting)
+            implements RoutingDecision {}
+
     /**
      * Refuse a call.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -10,7 +10,7 @@
 final class RoutingState {
     private final CallTable mCalls = new CallTable();
     private final FleetState mFleet = new FleetState();
-    private final RetryBudget mBudget = new RetryBudget();
+    private final RetryAllowance mRetries;
     private final RoutingTally mTally = new RoutingTally();
     private final Set<TargetState> mWaiting = new LinkedHashSet<>();
     private final Set<TargetState> mTouched = new LinkedHashSet<>();
@@ -18,6 +18,10 @@
     private boolean mMayDecide;
     private boolean mDrainStarted;
 
+    RoutingState(RetryAllowance retries) {
+        mRetries = retries;
+    }
+
     CallTable calls() {
         return mCalls;
     }
@@ -26,8 +30,8 @@
         return mFleet;
     }
 
-    RetryBudget budget() {
-        return mBudget;
+    RetryAllowance retries() {
+        return mRetries;
     }
 
     RoutingTally tally() {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/SafeRetryPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SafeRetryPolicy.java
@@ -13,7 +13,9 @@
         if (answerBegan) {
             return false;
         }
-        if (outcome instanceof AttemptOutcome.NotRun) {
+        if (outcome instanceof AttemptOutcome.NotRun
+                || outcome instanceof AttemptOutcome.NotSent
+                || outcome instanceof AttemptOutcome.NotHeld) {
             return true;
         }
         return outcome instanceof AttemptOutcome.Failed && call.isIdempotent();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotWriter.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotWriter.java
@@ -24,7 +24,7 @@
                 mState.calls().size(),
                 mState.fleet().targets().size(),
                 mState.fleet().endpoints().size(),
-                mState.budget().retriesLeft(),
+                mState.retries().retriesLeft(),
                 targets(now),
                 endpoints(now),
                 mState.tally().read());
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RetryBudget.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TokenBucketAllowance.java
@@ -1,10 +1,14 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Instant;
+import org.oleanderspring.core.routing.RoutingLimits;
+import org.oleanderspring.core.routing.Target;
+
 /**
  * The retries that a daemon may make: a token bucket filled in percent of the first attempts, so
  * that retries cannot multiply the load on endpoints that already fail.
  */
-final class RetryBudget {
+public final class TokenBucketAllowance implements RetryAllowance {
     /** The bucket starts with this many retries, so that a daemon with few calls can retry. */
     static final int INITIAL_RETRIES = 10;
 
@@ -15,13 +19,19 @@
 
     private long mHundredths = (long) INITIAL_RETRIES * HUNDREDTHS;
 
-    /** Notes a first attempt. */
-    void firstAttempt(int percent) {
-        mHundredths = Math.min(mHundredths + percent, (long) LARGEST_RETRIES * HUNDREDTHS);
+    /** Creates a bucket with the initial retries. */
+    public TokenBucketAllowance() {}
+
+    @Override
+    public void firstAttempt(Target target, RoutingLimits limits, Instant now) {
+        mHundredths =
+                Math.min(
+                        mHundredths + limits.retryBudgetPercent(),
+                        (long) LARGEST_RETRIES * HUNDREDTHS);
     }
 
-    /** Takes one retry out of the bucket if it holds one. */
-    boolean takeRetry() {
+    @Override
+    public boolean takeRetry(Target target, RoutingLimits limits, Instant now) {
         if (mHundredths < HUNDREDTHS) {
             return false;
         }
@@ -29,7 +39,8 @@
         return true;
     }
 
-    int retriesLeft() {
+    @Override
+    public int retriesLeft() {
         return (int) (mHundredths / HUNDREDTHS);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/runner/HeldCopies.java
@@ -0,0 +1,21 @@
+package org.oleanderspring.core.runner;
+
+import java.util.Set;
+import org.oleanderspring.core.fleet.ModelName;
+
+/**
+ * The models whose weights lie near a runner, so that a load does not need the weight store.
+ *
+ * @param inMemory in the memory of the runner's machine
+ * @param onDisk on its disk
+ */
+public record HeldCopies(Set<ModelName> inMemory, Set<ModelName> onDisk) {
+    /** No copies. */
+    public static final HeldCopies NONE = new HeldCopies(Set.of(), Set.of());
+
+    /** Copies the sets. */
+    public HeldCopies {
+        inMemory = Set.copyOf(inMemory);
+        onDisk = Set.copyOf(onDisk);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/runner/RunnerEntry.java
@@ -0,0 +1,49 @@
+package org.oleanderspring.core.runner;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.fleet.ServiceName;
+
+/**
+ * A runner as it registers itself.
+ *
+ * @param id the identity of one run of the runner's process: a restarted runner has another one
+ * @param instance the name that the runner calls itself by; a restarted runner may have the same
+ * @param service the service that it offers
+ * @param address where it listens
+ * @param failureDomain where it runs
+ * @param slots how many requests it runs at once
+ * @param draining whether it is about to leave
+ * @param untilGone how long it still runs at most, or null if it did not say
+ * @param models the models that it holds
+ * @param copies the weights that lie near it
+ * @param orders how many orders it has accepted since its start
+ */
+public record RunnerEntry(
+        EndpointId id,
+        String instance,
+        ServiceName service,
+        Address address,
+        FailureDomain failureDomain,
+        int slots,
+        boolean draining,
+        @Nullable Duration untilGone,
+        List<HeldModel> models,
+        HeldCopies copies,
+        long orders) {
+    /** Copies the models. */
+    public RunnerEntry {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(instance, "instance");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(address, "address");
+        Objects.requireNonNull(failureDomain, "failureDomain");
+        models = List.copyOf(models);
+        Objects.requireNonNull(copies, "copies");
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon;
 
+import org.oleanderspring.daemon.cli.command.GatewayCommand;
 import org.oleanderspring.daemon.cli.command.ServeCommand;
 import org.oleanderspring.daemon.cli.command.SettingsCommand;
 import org.oleanderspring.daemon.cli.query.EntryCommand;
@@ -21,6 +22,7 @@
         description = "Serves a large fleet of rarely used models.",
         subcommands = {
             ServeCommand.class,
+            GatewayCommand.class,
             SettingsCommand.class,
             StatusCommand.class,
             EntryCommand.class
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -0,0 +1,236 @@
+package org.oleanderspring.daemon.cli.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.daemon.gateway.GatewayMember;
+import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.process.command.Gateway;
+import org.oleanderspring.daemon.process.ExitCode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+import sun.misc.Signal;
+
+/** Runs the daemon on a hosted platform until it is told to stop. */
+@Command(
+        name = "gateway",
+        mixinStandardHelpOptions = true,
+        description =
+                "Runs the daemon on a hosted platform. Each flag falls back to an environment"
+                        + " variable, for example --front to OLEANDERSPRING_FRONT.")
+public final class GatewayCommand implements Callable<Integer> {
+    private static final Logger LOGGER = System.getLogger(GatewayCommand.class.getName());
+    private static final int HIGHEST_PORT = 65_535;
+    private static final int PERCENT = 100;
+
+    @Spec private CommandSpec mSpec;
+
+    @Option(
+            names = "--node",
+            paramLabel = "NAME",
+            required = true,
+            description = "Name of this VM.")
+    private String mNode;
+
+    @Option(
+            names = "--failure-domain",
+            paramLabel = "NAME",
+            required = true,
+            description = "Failure domain of this VM.")
+    private String mFailureDomain;
+
+    @Option(
+            names = "--front",
+            paramLabel = "IP:PORT",
+            required = true,
+            description = "Where requests are taken.")
+    private String mFront;
+
+    @Option(
+            names = "--readiness",
+            paramLabel = "IP:PORT",
+            required = true,
+            description = "Where the platform asks whether the daemon is ready.")
+    private String mReadiness;
+
+    @Option(
+            names = "--directory",
+            paramLabel = "IP:PORT",
+            required = true,
+            description = "Where clients ask which addresses to use.")
+    private String mDirectory;
+
+    @Option(
+            names = "--metrics-port",
+            paramLabel = "PORT",
+            required = true,
+            description = "Port for metrics.")
+    private int mMetricsPort;
+
+    @Option(
+            names = "--peer-port",
+            paramLabel = "PORT",
+            required = true,
+            description = "Port for other daemons, TCP and UDP; the same on all VMs.")
+    private int mPeerPort;
+
+    @Option(
+            names = "--store",
+            paramLabel = "IP:PORT",
+            required = true,
+            description = "Metadata store of the platform.")
+    private String mStore;
+
+    @Option(
+            names = "--directory-ttl-seconds",
+            paramLabel = "SECONDS",
+            defaultValue = "2",
+            description = "How long clients may keep a list of addresses.")
+    private int mDirectoryTtlSeconds;
+
+    @Option(
+            names = "--retry-ratio",
+            paramLabel = "RATIO",
+            defaultValue = "0.2",
+            description = "Retries for each request, over all daemons.")
+    private double mRetryRatio;
+
+    @Option(
+            names = "--retry-extra",
+            paramLabel = "COUNT",
+            defaultValue = "0",
+            description = "Further retries in each window, over all daemons.")
+    private int mRetryExtra;
+
+    @Option(
+            names = "--retry-window-seconds",
+            paramLabel = "SECONDS",
+            defaultValue = "10",
+            description = "Length of the window in which retries are counted.")
+    private int mRetryWindowSeconds;
+
+    @Option(
+            names = "--stop-limit-seconds",
+            paramLabel = "SECONDS",
+            defaultValue = "8",
+            description = "How long a planned stop may take.")
+    private int mStopLimitSeconds;
+
+    @Option(
+            names = "--holder-pause-millis",
+            paramLabel = "MILLISECONDS",
+            defaultValue = "3000",
+            description =
+                    "How long after a change of the daemon that gives orders the new one may not"
+                            + " give any.")
+    private int mHolderPauseMillis;
+
+    @Option(
+            names = "--wake-slack-millis",
+            paramLabel = "MILLISECONDS",
+            defaultValue = "300",
+            description = "How long orders of a daemon that was suspended may still arrive.")
+    private int mWakeSlackMillis;
+
+    @Option(
+            names = "--store-loads-at-once",
+            paramLabel = "COUNT",
+            defaultValue = "4",
+            description = "Loads that the weight store serves at once at full speed.")
+    private int mStoreLoadsAtOnce;
+
+    /** Created by the command line parser, which sets the flags. */
+    @SuppressWarnings("NullAway.Init")
+    public GatewayCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        // Without a handler the signal would end the process.
+        Signal.handle(new Signal("HUP"), signal -> LOGGER.log(Level.INFO, "[gateway] reload-requested"));
+        Gateway gateway = new Gateway(check());
+        String failure = gateway.start();
+        if (failure != null) {
+            mSpec.commandLine().getErr().println(failure);
+            return ExitCode.USAGE;
+        }
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    gateway.stop();
+                                    // A planned stop is a success; the signal's code would hide
+                                    // that from a process manager.
+                                    Runtime.getRuntime().halt(ExitCode.SUCCESS);
+                                },
+                                "stop"));
+        new CountDownLatch(1).await();
+        return ExitCode.SUCCESS;
+    }
+
+    private GatewaySettings check() {
+        if (mNode.isBlank() || mNode.contains("@")) {
+            throw invalid("--node", mNode, "a name without @");
+        }
+        if (mFailureDomain.isBlank()) {
+            throw invalid("--failure-domain", mFailureDomain, "a name");
+        }
+        checkRange("--metrics-port", mMetricsPort, HIGHEST_PORT);
+        checkRange("--peer-port", mPeerPort, HIGHEST_PORT);
+        checkRange("--directory-ttl-seconds", mDirectoryTtlSeconds, 60);
+        checkRange("--retry-window-seconds", mRetryWindowSeconds, 3_600);
+        checkRange("--stop-limit-seconds", mStopLimitSeconds, 3_600);
+        checkRange("--store-loads-at-once", mStoreLoadsAtOnce, 1_000);
+        if (mRetryRatio < 0 || mRetryRatio > 1) {
+            throw invalid("--retry-ratio", Double.toString(mRetryRatio), "0 to 1");
+        }
+        if (mRetryExtra < 0) {
+            throw invalid("--retry-extra", Integer.toString(mRetryExtra), "0 or more");
+        }
+        Address front = address("--front", mFront);
+        return new GatewaySettings(
+                GatewayMember.of(mNode, front),
+                new FailureDomain(mFailureDomain),
+                address("--readiness", mReadiness),
+                address("--directory", mDirectory),
+                new Address(front.ip(), mMetricsPort),
+                mPeerPort,
+                address("--store", mStore),
+                Duration.ofSeconds(mDirectoryTtlSeconds),
+                (int) Math.floor(mRetryRatio * PERCENT),
+                mRetryExtra,
+                Duration.ofSeconds(mRetryWindowSeconds),
+                Duration.ofSeconds(mStopLimitSeconds),
+                Duration.ofMillis(mHolderPauseMillis + (long) mWakeSlackMillis),
+                mStoreLoadsAtOnce);
+    }
+
+    private Address address(String flag, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new Address(
+                    text.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException malformed) {
+            throw invalid(flag, text, "IP:PORT");
+        }
+    }
+
+    private void checkRange(String flag, int value, int highest) {
+        if (value < 1 || value > highest) {
+            throw invalid(flag, Integer.toString(value), "1 to " + highest);
+        }
+    }
+
+    private ParameterException invalid(String flag, String value, String allowed) {
+        return new ParameterException(
+                mSpec.commandLine(), ErrorMessage.BAD_FLAG.format(flag, value, allowed));
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/CallerStream.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/CallerStream.java
@@ -31,4 +31,7 @@
      * @param refusal the refusal
      */
     void refuse(Refusal refusal);
+
+    /** Ends the answer without a word, because the caller has left. */
+    void abandon();
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/HttpListener.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/HttpListener.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.daemon.front.command;
 
 import java.util.List;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -11,10 +12,7 @@
 
 /** One HTTP port with its handlers. */
 public final class HttpListener implements AutoCloseable {
-    private static final int HIGHEST_THREADS = 12;
-    private static final int LOWEST_THREADS = 4;
-    private static final int HEADER_LIMIT_BYTES = 16 * 1024;
-    private static final long IDLE_LIMIT_MILLIS = 600_000;
+    private static final int ACCEPT_QUEUE = 512;
 
     private final Server mServer;
 
@@ -26,17 +24,36 @@
      * @param handlers asked in order until one takes a request
      */
     public HttpListener(String name, Address address, List<Handler> handlers) {
-        QueuedThreadPool threads = new QueuedThreadPool(HIGHEST_THREADS, LOWEST_THREADS);
+        this(name, address, handlers, ListenerOptions.DEFAULT);
+    }
+
+    /**
+     * Creates the listener; call {@link #start()} to open the port.
+     *
+     * @param name names the threads
+     * @param address where to listen
+     * @param handlers asked in order until one takes a request
+     * @param options how the listener is set up
+     */
+    public HttpListener(
+            String name, Address address, List<Handler> handlers, ListenerOptions options) {
+        QueuedThreadPool threads =
+                new QueuedThreadPool(options.highestThreads(), options.lowestThreads());
         threads.setName(name);
         mServer = new Server(threads);
         HttpConfiguration configuration = new HttpConfiguration();
         configuration.setSendServerVersion(false);
-        configuration.setRequestHeaderSize(HEADER_LIMIT_BYTES);
+        configuration.setSendDateHeader(false);
+        configuration.setRequestHeaderSize(options.headerBytes());
+        if (options.passesPathsOn()) {
+            configuration.setUriCompliance(UriCompliance.UNSAFE);
+        }
         ServerConnector connector =
                 new ServerConnector(mServer, 1, 1, new HttpConnectionFactory(configuration));
         connector.setHost(address.ip());
         connector.setPort(address.port());
-        connector.setIdleTimeout(IDLE_LIMIT_MILLIS);
+        connector.setIdleTimeout(options.idleTime().toMillis());
+        connector.setAcceptQueueSize(ACCEPT_QUEUE);
         mServer.addConnector(connector);
         mServer.setHandler(new Handler.Sequence(handlers));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyCallerStream.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyCallerStream.java
@@ -4,29 +4,22 @@
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.util.List;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.oleanderspring.core.port.Header;
-import org.oleanderspring.core.routing.WorkState;
 import org.oleanderspring.daemon.front.CallerStream;
 import org.oleanderspring.daemon.front.Refusal;
-import org.oleanderspring.daemon.front.RefusalBody;
-import org.oleanderspring.daemon.front.RefusalStatus;
 
 /** Answers one caller over Jetty. */
-final class JettyCallerStream implements CallerStream {
+public final class JettyCallerStream implements CallerStream {
     /** Names whether the work of a refused call was done. */
-    static final String WORK_HEADER = "X-Work";
 
     private static final Logger LOGGER = System.getLogger(JettyCallerStream.class.getName());
-    private static final String RETRY_AFTER_SECONDS = "1";
-    private static final int TOO_MANY_REQUESTS = 429;
-    private static final int UNAVAILABLE = 503;
 
     private final Response mResponse;
     private final Callback mCallback;
     private final Runnable mCallerLeft;
+    private final RefusalWriter mRefusals;
 
     /**
      * Creates the stream.
@@ -35,17 +28,27 @@
      * @param callback ends the exchange
      * @param callerLeft runs when a part could not be sent
      */
-    JettyCallerStream(Response response, Callback callback, Runnable callerLeft) {
+    /**
+     * Creates the answer.
+     *
+     * @param response the answer
+     * @param callback completed with the answer
+     * @param callerLeft called when the caller has left
+     * @param refusals writes refusals
+     */
+    public JettyCallerStream(
+            Response response, Callback callback, Runnable callerLeft, RefusalWriter refusals) {
         mResponse = response;
         mCallback = callback;
         mCallerLeft = callerLeft;
+        mRefusals = refusals;
     }
 
     @Override
     public void begin(int status, List<Header> headers) {
         mResponse.setStatus(status);
         for (Header header : headers) {
-            mResponse.getHeaders().put(header.name(), header.value());
+            mResponse.getHeaders().add(header.name(), header.value());
         }
     }
 
@@ -74,14 +77,13 @@
             mCallback.failed(new AnswerCutException(refusal.text()));
             return;
         }
-        int status = RefusalStatus.of(refusal.message());
-        mResponse.setStatus(status);
-        mResponse.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        mResponse.getHeaders().put(WORK_HEADER, RefusalBody.nameOf(refusal.workState()));
-        boolean retryable = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
-        if (retryable && refusal.workState() == WorkState.NOT_RUN) {
-            mResponse.getHeaders().put(HttpHeader.RETRY_AFTER, RETRY_AFTER_SECONDS);
-        }
-        mResponse.write(true, ByteBuffer.wrap(RefusalBody.encode(refusal)), mCallback);
+        // An answer that has begun but was not written yet leaves its header fields behind.
+        mResponse.reset();
+        mRefusals.write(mResponse, refusal, mCallback);
+    }
+
+    @Override
+    public void abandon() {
+        mCallback.failed(new AnswerCutException("the caller has left"));
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusPromiseRefusals.java
@@ -0,0 +1,54 @@
+package org.oleanderspring.daemon.gateway.front.command;
+
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.routing.WorkState;
+import org.oleanderspring.daemon.front.Refusal;
+import org.oleanderspring.daemon.front.RefusalBody;
+import org.oleanderspring.daemon.front.command.RefusalWriter;
+
+/**
+ * Refusals whose status says whether the work was done: 503 promises that it was not and never will
+ * be, 502 and 504 promise nothing.
+ */
+public final class StatusPromiseRefusals implements RefusalWriter {
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final String AT_ONCE = "0";
+    private static final String SOON = "0.3";
+
+    /** Creates a writer; it has no state. */
+    public StatusPromiseRefusals() {}
+
+    @Override
+    public void write(Response response, Refusal refusal, Callback callback) {
+        int status = status(refusal);
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        if (status == UNAVAILABLE) {
+            boolean elsewhere = refusal.message() == ErrorMessage.DRAINING;
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, elsewhere ? AT_ONCE : SOON);
+        }
+        if (refusal.message() == ErrorMessage.DRAINING
+                || refusal.message() == ErrorMessage.BODY_TOO_LARGE) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
+        response.write(true, ByteBuffer.wrap(RefusalBody.encode(refusal)), callback);
+    }
+
+    private static int status(Refusal refusal) {
+        return switch (refusal.message()) {
+            case UNKNOWN_PATH, UNKNOWN_TARGET -> NOT_FOUND;
+            case BODY_TOO_LARGE -> TOO_LARGE;
+            case DEADLINE_PASSED ->
+                    refusal.workState() == WorkState.NOT_RUN ? UNAVAILABLE : GATEWAY_TIMEOUT;
+            default -> refusal.workState() == WorkState.NOT_RUN ? UNAVAILABLE : BAD_GATEWAY;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/query/ResolveHandler.java
@@ -0,0 +1,58 @@
+package org.oleanderspring.daemon.gateway.front.query;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.daemon.front.Refusal;
+import org.oleanderspring.daemon.front.query.JsonAnswer;
+
+/** Answers at which addresses clients may connect. */
+public final class ResolveHandler extends Handler.Abstract.NonBlocking {
+    private static final String PATH = "/resolve";
+    private static final int ADDRESS_LIMIT = 64;
+
+    private final Supplier<CompletableFuture<List<String>>> mAddresses;
+    private final Duration mTimeToLive;
+
+    /**
+     * Creates the handler.
+     *
+     * @param addresses asks the duty that knows the daemons
+     * @param timeToLive how long a client may keep the answer
+     */
+    public ResolveHandler(
+            Supplier<CompletableFuture<List<String>>> addresses, Duration timeToLive) {
+        mAddresses = addresses;
+        mTimeToLive = timeToLive;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        if (!Request.getPathInContext(request).equals(PATH)) {
+            return false;
+        }
+        mAddresses
+                .get()
+                .thenAccept(addresses -> answer(JsonAnswer.of(response, callback), addresses));
+        return true;
+    }
+
+    private void answer(JsonAnswer answer, List<String> addresses) {
+        if (addresses.isEmpty()) {
+            answer.refuse(Refusal.notRun(ErrorMessage.NO_AUTHORITY));
+            return;
+        }
+        ObjectNode body = JsonNodeFactory.instance.objectNode();
+        addresses.stream().limit(ADDRESS_LIMIT).forEach(body.putArray("addresses")::add);
+        body.put("ttlS", mTimeToLive.toSeconds());
+        answer.send(body);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -0,0 +1,319 @@
+package org.oleanderspring.daemon.gateway.placement.command;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.port.query.Reading;
+import org.oleanderspring.core.residency.ResidencyOrder;
+import org.oleanderspring.core.residency.ResidencyOrderReply;
+import org.oleanderspring.core.residency.command.ResidencyDecider;
+import org.oleanderspring.core.residency.command.ResidencyDecision;
+import org.oleanderspring.core.residency.command.ResidencyEvent;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.runner.RunnerEntry;
+import org.oleanderspring.core.runner.RunnerState;
+import org.oleanderspring.daemon.gateway.FleetView;
+import org.oleanderspring.daemon.gateway.GatewayKeys;
+import org.oleanderspring.daemon.gateway.GatewayMember;
+import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.process.SuspendAwareClock;
+import org.oleanderspring.duty.command.DutyTimer;
+import org.oleanderspring.duty.command.EventHandler;
+import org.oleanderspring.duty.command.EventSink;
+
+/**
+ * Holds the daemon's leases and, while it holds the one of the placement, gives orders to runners.
+ *
+ * <p>Leases and orders are one duty, so that the lease is checked immediately before each order by
+ * a clock that also sees a suspension of the VM. A new holder waits before its first order for
+ * longer than an order of the holder before may be on its way.
+ */
+public final class ResidencyDuty implements EventHandler<ResidencyInput> {
+    private static final Logger LOGGER = System.getLogger(ResidencyDuty.class.getName());
+    private static final int PLACEMENT_RANKS = 4;
+
+    private final GatewaySettings mSettings;
+    private final DefaultLeaseDecider mLeases;
+    private final ResidencyDecider mDecider;
+    private final ResidencyPorts mPorts;
+    private final SuspendAwareClock mClock;
+    private final DutyTimer mTimer;
+    private final EventSink<ResidencyInput> mOwnRing;
+    private final FleetView mFleet = new FleetView("[placement]");
+    private final Map<EndpointId, RunnerEntry> mRunners = new HashMap<>();
+    private @Nullable CompletableFuture<Boolean> mStopWaiter;
+
+    /**
+     * Creates the duty.
+     *
+     * @param settings the settings of the daemon
+     * @param leases decides on leases
+     * @param decider decides on orders
+     * @param ports what the duty acts through
+     * @param clock the time of all events; used by this duty only
+     * @param timer fires at certain times
+     * @param ownRing takes what the ports report
+     */
+    public ResidencyDuty(
+            GatewaySettings settings,
+            DefaultLeaseDecider leases,
+            ResidencyDecider decider,
+            ResidencyPorts ports,
+            SuspendAwareClock clock,
+            DutyTimer timer,
+            EventSink<ResidencyInput> ownRing) {
+        mSettings = settings;
+        mLeases = leases;
+        mDecider = decider;
+        mPorts = ports;
+        mClock = clock;
+        mTimer = timer;
+        mOwnRing = ownRing;
+    }
+
+    /** Returns the event with which the daemon starts to compete for its leases. */
+    public ResidencyInput firstInput() {
+        int rank = Math.floorMod(mSettings.self().id().hashCode(), PLACEMENT_RANKS);
+        return new ResidencyInput.Lease(
+                new LeaseEvent.CompetitionChanged(
+                        List.of(
+                                new LeaseCandidacy(
+                                        GatewayKeys.membership(mSettings.self().id()), 0),
+                                new LeaseCandidacy(GatewayKeys.PLACEMENT, rank))));
+    }
+
+    @Override
+    public void handle(ResidencyInput input) {
+        if (input instanceof ResidencyInput.Placement placement) {
+            decide(placement.event());
+        } else if (input instanceof ResidencyInput.Lease lease) {
+            decide(lease.event());
+        } else if (input instanceof ResidencyInput.StoreChanged changed) {
+            apply(mFleet.apply(changed.news(), mClock.now()));
+        } else if (input instanceof ResidencyInput.TimerFired) {
+            decide(new LeaseEvent.TimerFired());
+            if (mFleet.expire(mClock.now())) {
+                apply(FleetView.Part.RUNNERS);
+            }
+            decide(new ResidencyEvent.TimerFired());
+        } else if (input instanceof ResidencyInput.StopAsked asked) {
+            mStopWaiter = asked.done();
+            decide(new LeaseEvent.StopRequested());
+        }
+    }
+
+    private void apply(FleetView.Part part) {
+        FleetConfiguration configuration = mFleet.configuration();
+        if (part == FleetView.Part.CONFIGURATION && configuration != null) {
+            decide(new ResidencyEvent.ConfigurationChanged(configuration));
+        } else if (part == FleetView.Part.RUNNERS) {
+            List<RunnerEntry> runners = mFleet.runners();
+            mRunners.clear();
+            runners.forEach(runner -> mRunners.put(runner.id(), runner));
+            decide(new ResidencyEvent.RunnersListed(runners));
+        }
+    }
+
+    private void decide(LeaseEvent event) {
+        for (LeaseDecision decision : mLeases.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+            mPorts.storeCommands()
+                    .grantLease(grant.timeToLive())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    grant.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+            mPorts.storeCommands()
+                    .renewLease(renew.lease())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    renew.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
+            mPorts.storeCommands()
+                    .revokeLease(revoke.lease())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    revoke.operation(), result)));
+        } else if (decision instanceof LeaseDecision.WriteKey write) {
+            mPorts.storeCommands()
+                    .compareAndSwap(write.command())
+                    .thenAccept(
+                            result ->
+                                    offer(
+                                            new LeaseEvent.KeyWriteReplied(
+                                                    write.operation(), result)));
+        } else if (decision instanceof LeaseDecision.ReadKey read) {
+            mPorts.storeQueries()
+                    .read(read.key())
+                    .thenAccept(
+                            result ->
+                                    offer(new LeaseEvent.KeyReadReplied(read.operation(), result)));
+        } else {
+            leaseChanged(decision);
+        }
+    }
+
+    private void leaseChanged(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
+            LOGGER.log(Level.INFO, "[placement] lease-acquired name=" + acquired.name());
+            if (acquired.name().equals(GatewayKeys.PLACEMENT)) {
+                beginTenure();
+            }
+        } else if (decision instanceof LeaseDecision.LeaseLost lost) {
+            LOGGER.log(
+                    Level.INFO,
+                    "[placement] lease-lost name=" + lost.name() + " reason=" + lost.reason());
+            if (lost.name().equals(GatewayKeys.PLACEMENT)) {
+                decide(new ResidencyEvent.TenureEnded());
+            }
+        } else if (decision instanceof LeaseDecision.HandedOver && mStopWaiter != null) {
+            mStopWaiter.complete(true);
+        }
+    }
+
+    private void beginTenure() {
+        FencingToken token = mLeases.token(GatewayKeys.PLACEMENT);
+        Instant ordersFrom = mClock.now().plus(mSettings.holderPause());
+        LOGGER.log(
+                Level.INFO,
+                "[placement] tenure-began token="
+                        + token
+                        + " orders-in-ms="
+                        + mSettings.holderPause().toMillis());
+        decide(new ResidencyEvent.TenureBegan(token, ordersFrom));
+    }
+
+    private void decide(ResidencyEvent event) {
+        for (ResidencyDecision decision : mDecider.decide(event, mClock.now())) {
+            carryOut(decision);
+        }
+    }
+
+    private void carryOut(ResidencyDecision decision) {
+        if (decision instanceof ResidencyDecision.SendOrder send) {
+            send(send);
+        } else if (decision instanceof ResidencyDecision.ReadState read) {
+            read(read.runner());
+        } else if (decision instanceof ResidencyDecision.Publish publish) {
+            publish(publish);
+        } else if (decision instanceof ResidencyDecision.WakeAt wake) {
+            Duration delay = Duration.between(mClock.now(), wake.at());
+            mTimer.after(
+                    delay.isNegative() ? Duration.ZERO : delay,
+                    mOwnRing,
+                    new ResidencyInput.Placement(new ResidencyEvent.TimerFired()));
+        }
+    }
+
+    private void send(ResidencyDecision.SendOrder send) {
+        ResidencyOrder order = send.order();
+        RunnerEntry runner = mRunners.get(order.runner());
+        boolean held =
+                mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())
+                        && mLeases.token(GatewayKeys.PLACEMENT).equals(order.token());
+        LOGGER.log(
+                Level.INFO,
+                "[placement] order order="
+                        + order.number()
+                        + " runner="
+                        + order.runner()
+                        + " kind="
+                        + order.kind()
+                        + " model="
+                        + order.model()
+                        + " expected="
+                        + order.expectedOrders()
+                        + " token="
+                        + order.token()
+                        + " sent="
+                        + (held && runner != null)
+                        + " reason=\""
+                        + send.reason()
+                        + "\"");
+        if (!held || runner == null) {
+            offer(order, ResidencyOrderReply.NOT_SENT);
+            return;
+        }
+        mPorts.orders()
+                .send(
+                        runner.address(),
+                        runner.instance(),
+                        mSettings.self().id().value(),
+                        order)
+                .thenAccept(reply -> offer(order, reply));
+    }
+
+    private void offer(ResidencyOrder order, ResidencyOrderReply reply) {
+        if (reply != ResidencyOrderReply.ACCEPTED) {
+            LOGGER.log(
+                    Level.INFO,
+                    "[placement] order-reply order="
+                            + order.number()
+                            + " runner="
+                            + order.runner()
+                            + " reply="
+                            + reply);
+        }
+        mOwnRing.offer(
+                new ResidencyInput.Placement(
+                        new ResidencyEvent.OrderReplied(order.runner(), order.number(), reply)));
+    }
+
+    private void read(EndpointId id) {
+        RunnerEntry runner = mRunners.get(id);
+        if (runner == null) {
+            return;
+        }
+        mPorts.states()
+                .read(runner.address())
+                .thenAccept(
+                        reading ->
+                                mOwnRing.offer(new ResidencyInput.Placement(event(id, reading))));
+    }
+
+    private static ResidencyEvent event(EndpointId id, Reading<RunnerState> reading) {
+        if (reading instanceof Reading.Found<RunnerState> found) {
+            return new ResidencyEvent.StateRead(id, found.value());
+        }
+        return new ResidencyEvent.StateUnread(
+                id, ((Reading.Unavailable<RunnerState>) reading).reason());
+    }
+
+    private void publish(ResidencyDecision.Publish publish) {
+        mPorts.statements().state(mSettings.self(), publish.residency());
+        for (GatewayMember member : mFleet.members()) {
+            boolean meant =
+                    publish.daemons().isEmpty() || publish.daemons().contains(member.id());
+            if (meant && !member.equals(mSettings.self())) {
+                mPorts.statements().state(member, publish.residency());
+            }
+        }
+    }
+
+    private void offer(LeaseEvent event) {
+        mOwnRing.offer(new ResidencyInput.Lease(event));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyInput.java
@@ -0,0 +1,40 @@
+package org.oleanderspring.daemon.gateway.placement.command;
+
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.core.residency.command.ResidencyEvent;
+import org.oleanderspring.daemon.gateway.StoreNews;
+
+/** What arrives in the ring of the duty that gives orders to runners. */
+public sealed interface ResidencyInput {
+    /**
+     * An event for the placement decider.
+     *
+     * @param event the event
+     */
+    record Placement(ResidencyEvent event) implements ResidencyInput {}
+
+    /**
+     * An event for the lease decider.
+     *
+     * @param event the event
+     */
+    record Lease(LeaseEvent event) implements ResidencyInput {}
+
+    /**
+     * News from the platform's store.
+     *
+     * @param news the news
+     */
+    record StoreChanged(StoreNews news) implements ResidencyInput {}
+
+    /** Time has passed. */
+    record TimerFired() implements ResidencyInput {}
+
+    /**
+     * The daemon stops: give the leases back.
+     *
+     * @param done completed when that is done
+     */
+    record StopAsked(CompletableFuture<Boolean> done) implements ResidencyInput {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyPorts.java
@@ -0,0 +1,32 @@
+package org.oleanderspring.daemon.gateway.placement.command;
+
+import java.util.Objects;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.ValueQueries;
+import org.oleanderspring.core.port.command.ResidencyCommands;
+import org.oleanderspring.core.port.query.RunnerStateQueries;
+
+/**
+ * What the duty that gives orders to runners acts through.
+ *
+ * @param storeCommands changes the store
+ * @param storeQueries reads the store
+ * @param orders gives orders to runners
+ * @param states asks runners for their state
+ * @param statements tells daemons what runners hold
+ */
+public record ResidencyPorts(
+        KeyValueCommands storeCommands,
+        ValueQueries storeQueries,
+        ResidencyCommands orders,
+        RunnerStateQueries states,
+        ResidencyStatements statements) {
+    /** Checks for missing parts. */
+    public ResidencyPorts {
+        Objects.requireNonNull(storeCommands, "storeCommands");
+        Objects.requireNonNull(storeQueries, "storeQueries");
+        Objects.requireNonNull(orders, "orders");
+        Objects.requireNonNull(states, "states");
+        Objects.requireNonNull(statements, "statements");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -0,0 +1,95 @@
+package org.oleanderspring.daemon.gateway.process.command;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.residency.command.ResidencyEvent;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.gateway.front.command.GatewayIntake;
+import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
+import org.oleanderspring.daemon.gateway.routing.command.GatewayInput;
+import org.oleanderspring.daemon.gateway.routing.command.GatewayRequest;
+import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.DutyTimer;
+import org.oleanderspring.duty.command.OfferResult;
+
+/** The threads of the gateway's duties, each with its bounded ring. */
+final class GatewayRings implements GatewayIntake, AutoCloseable {
+    private static final int ROUTING_CAPACITY = 8_192;
+    private static final int PLACEMENT_CAPACITY = 2_048;
+
+    /** Overdue calls end within this time of their deadline, far below what callers notice. */
+    private static final Duration ROUTING_TICK = Duration.ofMillis(100);
+
+    private static final Duration PLACEMENT_TICK = Duration.ofMillis(100);
+    private static final Duration DEMAND_PERIOD = Duration.ofMillis(250);
+
+    private final DutyThread<GatewayInput> mRouting =
+            new DutyThread<>("routing", ROUTING_CAPACITY);
+    private final DutyThread<ResidencyInput> mPlacement =
+            new DutyThread<>("placement", PLACEMENT_CAPACITY);
+    private final DutyTimer mTimer = new DutyTimer();
+
+    DutyThread<GatewayInput> routing() {
+        return mRouting;
+    }
+
+    DutyThread<ResidencyInput> placement() {
+        return mPlacement;
+    }
+
+    DutyTimer timer() {
+        return mTimer;
+    }
+
+    /** Starts the ticks of the duties. */
+    void startTicks() {
+        mTimer.every(
+                ROUTING_TICK,
+                mRouting,
+                () -> new GatewayInput.Event(new RoutingEvent.TimerFired()));
+        mTimer.every(DEMAND_PERIOD, mRouting, GatewayInput.DemandDue::new);
+        mTimer.every(PLACEMENT_TICK, mPlacement, ResidencyInput.TimerFired::new);
+    }
+
+    @Override
+    public OfferResult accept(GatewayRequest request) {
+        return mRouting.offer(new GatewayInput.RequestRead(request));
+    }
+
+    @Override
+    public void callerLeft(CallId call) {
+        mRouting.offer(new GatewayInput.Event(new RoutingEvent.CallerLeft(call)));
+    }
+
+    /** Asks whether the daemon takes requests. */
+    CompletableFuture<Boolean> readiness() {
+        CompletableFuture<Boolean> reply = new CompletableFuture<>();
+        if (mRouting.offer(new GatewayInput.ReadinessAsked(reply)) != OfferResult.ACCEPTED) {
+            reply.complete(false);
+        }
+        return reply;
+    }
+
+    /** Asks where clients may connect. */
+    CompletableFuture<List<String>> addresses() {
+        CompletableFuture<List<String>> reply = new CompletableFuture<>();
+        if (mRouting.offer(new GatewayInput.AddressesAsked(reply)) != OfferResult.ACCEPTED) {
+            reply.complete(List.of());
+        }
+        return reply;
+    }
+
+    /** Passes an event on to the placement. */
+    void placement(ResidencyEvent event) {
+        mPlacement.offer(new ResidencyInput.Placement(event));
+    }
+
+    @Override
+    public void close() {
+        mTimer.close();
+        mPlacement.close();
+        mRouting.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
@@ -0,0 +1,157 @@
+package org.oleanderspring.daemon.gateway.process.command;
+
+import java.time.Duration;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.CellName;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.placement.ModelUse;
+import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.residency.command.ResidencyEvent;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.daemon.gateway.GatewayMember;
+import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.placement.command.ResidencyStatements;
+import org.oleanderspring.daemon.gateway.routing.command.GatewayInput;
+import org.oleanderspring.daemon.gateway.routing.command.PlacementMessages;
+import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.duty.command.OfferResult;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.ReceivedMessage;
+import org.oleanderspring.peer.SendResult;
+import org.oleanderspring.peer.command.PeerSender;
+
+/**
+ * Messages between the gateway's duties on different daemons. On a hosted platform a cell is the
+ * set of a service's runners.
+ */
+final class PeerMessages
+        implements PlacementMessages, ResidencyStatements, EventSink<ReceivedMessage> {
+    private final GatewaySettings mSettings;
+    private final GatewayRings mRings;
+    private final PeerHolder mPeer = new PeerHolder();
+
+    /** Holds the sender, which needs this object to exist first. */
+    private static final class PeerHolder {
+        private volatile @Nullable PeerSender mSender;
+    }
+
+    PeerMessages(GatewaySettings settings, GatewayRings rings) {
+        mSettings = settings;
+        mRings = rings;
+    }
+
+    void connect(PeerSender sender) {
+        mPeer.mSender = sender;
+    }
+
+    @Override
+    public void reportDemand(
+            GatewayMember holder, ServiceName service, List<ModelDemand> demands) {
+        if (holder.equals(mSettings.self())) {
+            mRings.placement(
+                    new ResidencyEvent.DemandReported(holder.id(), service, demands));
+            return;
+        }
+        List<ModelUse> uses =
+                demands.stream()
+                        .map(
+                                demand ->
+                                        new ModelUse(
+                                                new ModelName(demand.model().toString()),
+                                                demand.running(),
+                                                demand.waiting(),
+                                                demand.arrived()))
+                        .toList();
+        send(
+                holder,
+                new PeerMessage.UseReport(
+                        mSettings.self().id(), new CellName(service.value()), uses));
+    }
+
+    @Override
+    public void requestLoad(
+            GatewayMember holder,
+            Target.ServedModelTarget target,
+            int waiting,
+            Duration untilDeadline) {
+        if (holder.equals(mSettings.self())) {
+            mRings.placement(
+                    new ResidencyEvent.LoadRequested(
+                            holder.id(), target, waiting, untilDeadline));
+            return;
+        }
+        send(
+                holder,
+                new PeerMessage.WakeRequest(
+                        mSettings.self().id(),
+                        new CellName(target.service().value()),
+                        new ModelName(target.model().toString()),
+                        untilDeadline,
+                        waiting));
+    }
+
+    @Override
+    public void state(GatewayMember member, Residency residency) {
+        if (member.equals(mSettings.self())) {
+            mRings.routing().offer(new GatewayInput.ResidencyStated(residency));
+            return;
+        }
+        send(member, new PeerMessage.ResidencyStatement(residency));
+    }
+
+    private void send(GatewayMember member, PeerMessage message) {
+        PeerSender sender = mPeer.mSender;
+        if (sender == null) {
+            return;
+        }
+        Address address = new Address(member.front().ip(), mSettings.peerPort());
+        if (sender.sendDatagram(address, message) == SendResult.TOO_LARGE) {
+            sender.send(address, message);
+        }
+    }
+
+    @Override
+    public OfferResult offer(ReceivedMessage received) {
+        PeerMessage message = received.message();
+        if (message instanceof PeerMessage.ResidencyStatement statement) {
+            return mRings.routing()
+                    .offer(new GatewayInput.ResidencyStated(statement.residency()));
+        }
+        if (message instanceof PeerMessage.UseReport report) {
+            mRings.placement(demand(report));
+        } else if (message instanceof PeerMessage.WakeRequest request) {
+            mRings.placement(load(request));
+        }
+        return OfferResult.ACCEPTED;
+    }
+
+    private static ResidencyEvent demand(PeerMessage.UseReport report) {
+        List<ModelDemand> demands =
+                report.uses().stream()
+                        .map(
+                                use ->
+                                        new ModelDemand(
+                                                ModelReference.parse(use.name().value()),
+                                                use.queued(),
+                                                use.inFlight(),
+                                                use.arrived()))
+                        .toList();
+        return new ResidencyEvent.DemandReported(
+                report.daemon(), new ServiceName(report.cell().value()), demands);
+    }
+
+    private static ResidencyEvent load(PeerMessage.WakeRequest request) {
+        return new ResidencyEvent.LoadRequested(
+                request.daemon(),
+                new Target.ServedModelTarget(
+                        new ServiceName(request.cell().value()),
+                        ModelReference.parse(request.model().value())),
+                request.waiting(),
+                request.untilDeadline());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/DemandCounter.java
@@ -0,0 +1,55 @@
+package org.oleanderspring.daemon.gateway.routing.command;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.Target;
+
+/** Counts the use of models between two reports. */
+final class DemandCounter {
+    private final Map<Target.ServedModelTarget, Integer> mArrived = new HashMap<>();
+    private Set<ServiceName> mReported = new HashSet<>();
+
+    void arrived(Target target) {
+        if (target instanceof Target.ServedModelTarget served) {
+            mArrived.merge(served, 1, Integer::sum);
+        }
+    }
+
+    /** Returns the use since the last report; a service without use is reported empty once. */
+    Map<ServiceName, List<ModelDemand>> take(Collection<GatewayCall> calls, Set<CallId> running) {
+        Map<Target.ServedModelTarget, int[]> counts = new LinkedHashMap<>();
+        mArrived.forEach((target, arrived) -> counts.put(target, new int[] {0, 0}));
+        for (GatewayCall call : calls) {
+            if (call.call().target() instanceof Target.ServedModelTarget target) {
+                int[] count = counts.computeIfAbsent(target, key -> new int[] {0, 0});
+                count[running.contains(call.call().id()) ? 1 : 0]++;
+            }
+        }
+        Map<ServiceName, List<ModelDemand>> demands = new HashMap<>();
+        counts.forEach(
+                (target, count) ->
+                        demands.computeIfAbsent(target.service(), key -> new ArrayList<>())
+                                .add(
+                                        new ModelDemand(
+                                                target.model(),
+                                                count[0],
+                                                count[1],
+                                                mArrived.getOrDefault(target, 0))));
+        Set<ServiceName> services = new HashSet<>(demands.keySet());
+        for (ServiceName service : mReported) {
+            demands.putIfAbsent(service, List.of());
+        }
+        mReported = services;
+        mArrived.clear();
+        return demands;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -0,0 +1,56 @@
+package org.oleanderspring.daemon.gateway.routing.command;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.time.Duration;
+import java.util.Locale;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.routing.AttemptOutcome;
+
+/** Counts what the gateway's routing duty does. */
+public final class GatewayMeters {
+    private final MetricRegistry mRegistry;
+    private final Counter mAttempts;
+    private final Counter mCallersLeft;
+    private final Counter mLoadRequests;
+    private final Timer mServed;
+
+    /**
+     * Creates the meters.
+     *
+     * @param registry holds them
+     */
+    public GatewayMeters(MetricRegistry registry) {
+        mRegistry = registry;
+        mAttempts = registry.counter("gateway.attempts.started");
+        mCallersLeft = registry.counter("gateway.callers.left");
+        mLoadRequests = registry.counter("gateway.loads.requested");
+        mServed = registry.timer("gateway.requests.served");
+    }
+
+    void attemptStarted() {
+        mAttempts.inc();
+    }
+
+    void attemptEnded(AttemptOutcome outcome) {
+        String kind = outcome.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        mRegistry.counter("gateway.attempts." + kind).inc();
+    }
+
+    void refused(ErrorMessage message) {
+        mRegistry.counter("gateway.refused." + message.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    void served(Duration time) {
+        mServed.update(time);
+    }
+
+    void callerLeft() {
+        mCallersLeft.inc();
+    }
+
+    void loadRequested() {
+        mLoadRequests.inc();
+    }
+}
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -18,6 +18,7 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
+import org.oleanderspring.core.residency.Residency;
 
 /**
  * A message between daemons.
@@ -159,4 +160,19 @@
      */
     record EndpointNotice(EndpointId endpoint, EndpointCondition condition)
             implements PeerMessage {}
+
+    /**
+     * What a runner holds, from the daemon that gives it orders.
+     *
+     * @param residency what it holds
+     */
+    record ResidencyStatement(Residency residency) implements PeerMessage {}
+
+    /** Returns whether the message may come as a datagram, because a lost one is soon repeated. */
+    default boolean isDatagram() {
+        return this instanceof Membership
+                || this instanceof UseReport
+                || this instanceof WakeRequest
+                || this instanceof ResidencyStatement;
+    }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -66,6 +66,8 @@
             envelope.getEndpointNoticeBuilder()
                     .setEndpoint(notice.endpoint().value())
                     .setCondition(condition(notice.condition()));
+        } else if (message instanceof PeerMessage.ResidencyStatement statement) {
+            envelope.setResidencyStatement(ResidencyCodec.encode(statement.residency()));
         } else {
             encodePlacement(envelope, message);
             encodeDispatch(envelope, message);
@@ -231,6 +233,9 @@
                     new PeerMessage.EndpointNotice(
                             new EndpointId(named(envelope.getEndpointNotice().getEndpoint())),
                             condition(envelope.getEndpointNotice().getCondition()));
+            case RESIDENCY_STATEMENT ->
+                    new PeerMessage.ResidencyStatement(
+                            ResidencyCodec.decode(envelope.getResidencyStatement()));
             case MESSAGE_NOT_SET -> throw new IllegalArgumentException("unknown message");
         };
     }
--- a/peer/src/main/java/org/oleanderspring/peer/command/MessageReceiver.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/MessageReceiver.java
@@ -28,17 +28,17 @@
      * Handles the content of one frame or datagram.
      *
      * @param content the bytes
-     * @param membership whether only membership messages are expected, or only others
+     * @param datagram whether the content came as a datagram
      * @return whether the content was an expected message
      */
-    boolean receive(ByteBuf content, boolean membership) {
+    boolean receive(ByteBuf content, boolean datagram) {
         DecodedFrame decoded = mCodec.decode(content.nioBuffer());
         if (decoded instanceof DecodedFrame.Malformed malformed) {
             reject(malformed.reason());
             return false;
         }
         ReceivedMessage received = ((DecodedFrame.Understood) decoded).received();
-        if (received.message() instanceof PeerMessage.Membership != membership) {
+        if (!isExpected(received.message(), datagram)) {
             reject("the message does not belong on this transport");
             return false;
         }
@@ -49,6 +49,10 @@
         return true;
     }
 
+    private static boolean isExpected(PeerMessage message, boolean datagram) {
+        return datagram ? message.isDatagram() : !(message instanceof PeerMessage.Membership);
+    }
+
     /** Counts content that is not a message. */
     void reject(String reason) {
         mTraffic.malformed();
--- a/peer/src/main/java/org/oleanderspring/peer/command/PeerNode.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerNode.java
@@ -130,6 +130,16 @@
         return result;
     }
 
+    @Override
+    public SendResult sendDatagram(Address receiver, PeerMessage message) {
+        InetAddress ip = parse(receiver.ip());
+        if (ip == null) {
+            return SendResult.INVALID_RECEIVER;
+        }
+        byte[] bytes = mCodec.encode(address(), message);
+        return sendDatagram(new InetSocketAddress(ip, receiver.port()), bytes);
+    }
+
     @Override
     public void close() {
         mClosed = true;
--- a/peer/src/main/java/org/oleanderspring/peer/command/PeerSender.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerSender.java
@@ -15,4 +15,13 @@
      * @return whether it was queued
      */
     SendResult send(Address receiver, PeerMessage message);
+
+    /**
+     * Queues a message as one datagram, which needs no connection that could go silent.
+     *
+     * @param receiver the receiver's peer address
+     * @param message the message
+     * @return whether it was queued; {@link SendResult#TOO_LARGE} if it does not fit
+     */
+    SendResult sendDatagram(Address receiver, PeerMessage message);
 }
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.oleanderspring.coordination.dispatch.ClaimId;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.coordination.dispatch.RecordState;
@@ -21,6 +22,8 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.runner.HeldModel;
 
 /** Messages of every kind and with every enumerated value. */
 final class PeerSamples {
@@ -35,6 +38,17 @@
     private static final IdempotencyKey KEY = new IdempotencyKey("order-17");
     private static final ClaimId CLAIM = new ClaimId(DAEMON, 5);
 
+    private static final Residency RESIDENCY =
+            new Residency(
+                    new EndpointId("runner-7@1733300000000"),
+                    new FencingToken(41),
+                    3,
+                    9,
+                    List.of(
+                            new HeldModel(new ModelName("assistant"), Set.of("a1", "a3")),
+                            new HeldModel(new ModelName("drafts"), Set.of())),
+                    Set.of(new ModelName("drafts")));
+
     private PeerSamples() {}
 
     static Member member(int index, MemberState state) {
@@ -67,6 +81,7 @@
     static List<PeerMessage> framed() {
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
+        samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
         samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
         samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
         samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
