Take a runner's count of orders from its report only

The entry's seq numbers its writes. Read as the count of orders it made every report look older than what was known, so no runner was ever confirmed and no order sent. Ruled out: unreadable reports and a missing lease.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -54,7 +54,6 @@
         mEntry = entry;
         mEngine = engine;
         mCopies = entry.copies();
-        mOrders = entry.orders();
         adoptModels(entry.models());
     }
 
@@ -71,11 +70,8 @@
         mEngine = engine;
         boolean changed = !entry.equals(mEntry);
         mEntry = entry;
-        if (!changed || entry.orders() < mOrders || mUnanswered != null) {
-            return false;
-        }
         ResidencyOrder order = mCarriedOut;
-        if (order == null || entry.orders() > mOrders || !isFulfilled(order, entry.models())) {
+        if (!changed || order == null || !isFulfilled(order, entry.models())) {
             return false;
         }
         mCopies = entry.copies();
--- a/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTable.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTable.java
@@ -76,7 +76,7 @@
                     new Replica(runner.id(), ReplicaState.READY, Math.max(1, runner.slots()));
             add(replicas, new Target.ServiceTarget(service.name()), replica);
             if (service.engine() != null) {
-                addModels(replicas, service.name(), view.open(runner, now), replica);
+                addModels(replicas, service.name(), view.open(runner.id(), now), replica);
             }
         }
         return new RoutingTable(replicas, mKnown);
--- a/core/src/main/java/org/oleanderspring/core/residency/query/ResidencyView.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/ResidencyView.java
@@ -6,9 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.oleanderspring.core.fleet.EndpointId;
-import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.runner.HeldModel;
 import org.oleanderspring.core.runner.RunnerEntry;
@@ -17,15 +15,20 @@
  * Which models of a runner may get calls, from its own entry and from the statements of the daemon
  * that gives it orders.
  *
- * <p>The entry is written some time after a change, and not at once for adapters; a statement comes
- * within milliseconds. Both carry the count of accepted orders, so the one with the higher count is
- * the later one. At equal counts the statement counts, which may know an adapter that has arrived.
+ * <p>A statement comes within milliseconds of a change. An entry is written up to a heartbeat later
+ * and may have been written before a change that a statement already tells. So after a statement,
+ * entries that change within that time are not followed; one that changes later is, because it
+ * shows a change of which no statement came.
  */
 public final class ResidencyView {
+    /** Longer than a heartbeat and the way of an entry through the store. */
+    private static final Duration ENTRY_LAG = Duration.ofMillis(2_000);
+
     /** A model that is still there after this time was not unloaded. */
     private static final Duration CLOSING_VALIDITY = Duration.ofSeconds(4);
 
     private final Map<EndpointId, Statement> mStatements = new HashMap<>();
+    private final Map<EndpointId, Entry> mEntries = new HashMap<>();
 
     /** Creates a view without statements. */
     public ResidencyView() {}
@@ -47,36 +50,50 @@
     }
 
     /**
-     * Forgets runners that are gone.
+     * Takes over the registered runners.
      *
-     * @param present the runners that are there
+     * @param runners the runners
+     * @param now the current time
      */
-    public void retain(Set<EndpointId> present) {
-        mStatements.keySet().retainAll(present);
+    public void listed(List<RunnerEntry> runners, Instant now) {
+        Map<EndpointId, Entry> entries = new HashMap<>();
+        for (RunnerEntry runner : runners) {
+            Entry before = mEntries.get(runner.id());
+            boolean same = before != null && before.models().equals(runner.models());
+            entries.put(runner.id(), same ? before : new Entry(runner.models(), now));
+        }
+        mEntries.clear();
+        mEntries.putAll(entries);
+        mStatements.keySet().retainAll(entries.keySet());
     }
 
     /**
      * Returns the models of a runner that may get calls.
      *
-     * @param entry the runner's entry
+     * @param runner the runner
      * @param now the current time
      */
-    public List<HeldModel> open(RunnerEntry entry, Instant now) {
-        Statement statement = mStatements.get(entry.id());
+    public List<HeldModel> open(EndpointId runner, Instant now) {
+        Entry entry = mEntries.get(runner);
+        Statement statement = mStatements.get(runner);
+        List<HeldModel> listed = entry == null ? List.of() : entry.models();
         if (statement == null) {
-            return entry.models();
+            return listed;
+        }
+        if (entry != null && entry.changedAt().isAfter(statement.at().plus(ENTRY_LAG))) {
+            return listed;
         }
         Residency residency = statement.residency();
-        boolean entryIsLater = entry.orders() > residency.orders();
-        List<HeldModel> models = entryIsLater ? entry.models() : residency.models();
-        if (residency.closing().isEmpty()
-                || statement.at().plus(CLOSING_VALIDITY).isBefore(now)) {
-            return models;
+        if (statement.at().plus(CLOSING_VALIDITY).isBefore(now)) {
+            return residency.models();
         }
+        return without(residency.models(), residency);
+    }
+
+    private static List<HeldModel> without(List<HeldModel> models, Residency residency) {
         List<HeldModel> open = new ArrayList<>();
         for (HeldModel model : models) {
-            ModelName name = model.name();
-            if (!residency.closing().contains(name)) {
+            if (!residency.closing().contains(model.name())) {
                 open.add(model);
             }
         }
@@ -85,4 +102,7 @@
 
     /** A statement and when it came. */
     private record Statement(Residency residency, Instant at) {}
+
+    /** The models of an entry and when they changed. */
+    private record Entry(List<HeldModel> models, Instant changedAt) {}
 }
--- a/core/src/main/java/org/oleanderspring/core/runner/RunnerEntry.java
+++ b/core/src/main/java/org/oleanderspring/core/runner/RunnerEntry.java
@@ -22,7 +22,6 @@
  * @param untilGone how long it still runs at most, or null if it did not say
  * @param models the models that it holds
  * @param copies the weights that lie near it
- * @param orders how many orders it has accepted since its start
  */
 public record RunnerEntry(
         EndpointId id,
@@ -34,8 +33,7 @@
         boolean draining,
         @Nullable Duration untilGone,
         List<HeldModel> models,
-        HeldCopies copies,
-        long orders) {
+        HeldCopies copies) {
     /** Copies the models. */
     public RunnerEntry {
         Objects.requireNonNull(id, "id");
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/AnswerCutException.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/AnswerCutException.java
@@ -1,7 +1,9 @@
 package org.oleanderspring.daemon.front.command;
 
+import org.eclipse.jetty.io.QuietException;
+
 /** Closes the connection of an answer that cannot be completed. */
-final class AnswerCutException extends Exception {
+final class AnswerCutException extends Exception implements QuietException {
     private static final long serialVersionUID = 1L;
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -187,7 +187,7 @@
         List<RunnerEntry> runners = mFleet.runners();
         mRunners.clear();
         runners.forEach(runner -> mRunners.put(runner.id(), runner));
-        mResidency.retain(mRunners.keySet());
+        mResidency.listed(runners, mClock.now());
         decide(
                 new RoutingEvent.TableChanged(
                         mTable.build(runners, mResidency, mClock.now())));
