Plan only as many loads from the weight store as it serves at once

A runner whose load waited for the store was occupied and served no cheap swap, so after eight seconds all thirteen runners waited. Loads that need the store now wait without a runner, and models without any copy are fetched while the store is free. Ruled out: lost replies and stuck reads.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -27,8 +27,8 @@
      * @param storeLoadsAtOnce so many loads the weight store serves at once at full speed
      */
     public DefaultResidencyDecider(int storeLoadsAtOnce) {
-        mOrders = new OrderSequencer(mTenure, mFleet, new LoadPacer(), storeLoadsAtOnce);
-        mLoads = new LoadPlanner(mFleet, mDemand);
+        mOrders = new OrderSequencer(mTenure, new LoadPacer());
+        mLoads = new LoadPlanner(mFleet, mDemand, storeLoadsAtOnce);
         mAdapters = new ResidentAdapterPlanner(mFleet, mDemand, mOrders);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -61,6 +61,11 @@
         use.mRequestedAt = now;
     }
 
+    /** Returns whether no use of any model was reported yet. */
+    boolean isEmpty() {
+        return mUses.isEmpty();
+    }
+
     /** Returns the targets for which calls wait, the most urgent first. */
     List<Target.ServedModelTarget> waiting(Instant now) {
         List<Target.ServedModelTarget> waiting = new ArrayList<>();
@@ -118,6 +123,13 @@
         return rate;
     }
 
+    /** Returns the calls a second for the adapters of a model. */
+    double adapterRate(ServiceName service, ModelName model, Instant now) {
+        Target.ServedModelTarget base =
+                new Target.ServedModelTarget(service, new ModelReference(model, null));
+        return rate(service, model, now) - rate(base, now);
+    }
+
     /** Returns the calls a second for exactly this model or adapter. */
     double rate(Target.ServedModelTarget target, Instant now) {
         Use use = mUses.get(target);
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPacer.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPacer.java
@@ -5,12 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/**
- * Bounds how many loads from the weight store begin in a window of time, and how many run at once.
- *
- * <p>More loads at once than the store serves at full speed would only share its bandwidth: all of
- * them end later, and none ends sooner.
- */
+/** Bounds how many loads from the weight store begin in a window of time. */
 final class LoadPacer {
     private static final Duration WINDOW = Duration.ofSeconds(5);
 
@@ -20,12 +15,12 @@
     private final Deque<Instant> mBegun = new ArrayDeque<>();
 
     /** Returns whether another load may begin. */
-    boolean allows(double loadsPerSecond, int running, int atOnce, Instant now) {
+    boolean allows(double loadsPerSecond, Instant now) {
         while (!mBegun.isEmpty() && mBegun.peekFirst().plus(WINDOW).isBefore(now)) {
             mBegun.removeFirst();
         }
         double limit = Math.max(1, loadsPerSecond * WINDOW.toSeconds() * SAFE_SHARE);
-        return running < atOnce && mBegun.size() < limit;
+        return mBegun.size() < limit;
     }
 
     void began(Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -12,16 +12,28 @@
 import org.oleanderspring.core.route.EngineModel;
 import org.oleanderspring.core.routing.Target;
 
-/** Plans the loads of models for which calls wait and that no runner holds. */
+/**
+ * Plans the loads of models for which calls wait and that no runner holds.
+ *
+ * <p>A load from the weight store takes many times as long as one from a copy, and occupies its
+ * runner meanwhile. More of them at once than the store serves at full speed would only share its
+ * bandwidth: all would end later and none sooner, on more runners that can do nothing else. So only
+ * that many are planned at once, and the others wait without occupying a runner.
+ */
 final class LoadPlanner {
+    /** What it costs a waiting call for an adapter that its runner can take no order. */
+    private static final double BLOCKED_COST = 0.2;
+
     private final RunnerFleet mFleet;
     private final DemandBook mDemand;
     private final ModelEviction mEviction;
+    private final int mStoreLoadsAtOnce;
 
-    LoadPlanner(RunnerFleet fleet, DemandBook demand) {
+    LoadPlanner(RunnerFleet fleet, DemandBook demand, int storeLoadsAtOnce) {
         mFleet = fleet;
         mDemand = demand;
         mEviction = new ModelEviction(fleet, demand);
+        mStoreLoadsAtOnce = storeLoadsAtOnce;
     }
 
     void plan(ResidencyTurn turn) {
@@ -29,12 +41,13 @@
         for (Target.ServedModelTarget target : mDemand.waiting(turn.now())) {
             ModelName model = target.model().base();
             if (seen.add(model)) {
-                planModel(target.service(), model, turn.now());
+                planWaiting(target.service(), model, turn.now());
             }
         }
+        planCopies(turn.now());
     }
 
-    private void planModel(ServiceName service, ModelName model, Instant now) {
+    private void planWaiting(ServiceName service, ModelName model, Instant now) {
         EngineDescription engine = mFleet.engine(service);
         EngineModel description = engine == null ? null : engine.models().get(model);
         if (description == null
@@ -42,15 +55,50 @@
                 || mFleet.isLoading(service, model)) {
             return;
         }
+        boolean fromStore = !mFleet.hasCopyInReach(service, model);
+        if (fromStore && mFleet.storeLoads() >= mStoreLoadsAtOnce) {
+            return;
+        }
+        planBest(service, description, fromStore, "calls wait", now);
+    }
+
+    /** Brings models of which no runner has the weights to one, while the store has nothing else. */
+    private void planCopies(Instant now) {
+        for (ServiceName service : mFleet.services()) {
+            EngineDescription engine = mFleet.engine(service);
+            if (engine == null) {
+                continue;
+            }
+            for (EngineModel model : engine.models().values()) {
+                if (mFleet.storeLoads() >= mStoreLoadsAtOnce) {
+                    return;
+                }
+                if (!mFleet.hasCopy(service, model.name())
+                        && !mFleet.isLoading(service, model.name())) {
+                    planBest(service, model, true, "no runner has a copy", now);
+                }
+            }
+        }
+    }
+
+    private void planBest(
+            ServiceName service,
+            EngineModel model,
+            boolean fromStore,
+            String reason,
+            Instant now) {
         Choice best = null;
         for (RunnerRecord record : mFleet.usable(service)) {
-            Choice choice = choice(record, description, now);
+            if (record.needsStore(model.name()) && !fromStore) {
+                continue;
+            }
+            Choice choice = choice(record, model, now);
             if (choice != null && (best == null || choice.cost() < best.cost())) {
                 best = choice;
             }
         }
         if (best != null) {
-            best.plan(model);
+            best.plan(model.name(), reason);
         }
     }
 
@@ -64,12 +112,25 @@
             return null;
         }
         double seconds = record.loadTime(model).toMillis() / 1_000.0;
-        return new Choice(record, eviction.get(), seconds + eviction.get().cost());
+        double cost = seconds + eviction.get().cost();
+        cost += seconds * blockedRate(record, now) * BLOCKED_COST;
+        return new Choice(record, eviction.get(), cost);
+    }
+
+    /** Returns the calls a second for adapters that only this runner could load. */
+    private double blockedRate(RunnerRecord record, Instant now) {
+        ServiceName service = record.entry().service();
+        double rate = 0;
+        for (ModelName model : record.models()) {
+            int replicas = Math.max(1, mFleet.replicas(service, model));
+            rate += mDemand.adapterRate(service, model, now) / replicas;
+        }
+        return rate;
     }
 
     /** One runner that could load the model. */
     private record Choice(RunnerRecord record, EvictionChoice eviction, double cost) {
-        void plan(ModelName model) {
+        void plan(ModelName model, String reason) {
             for (ModelName victim : eviction.victims()) {
                 record.steps()
                         .addLast(
@@ -82,7 +143,7 @@
             record.steps()
                     .addLast(
                             new ModelStep(
-                                    ResidencyOrderKind.LOAD, model, "calls wait, " + source));
+                                    ResidencyOrderKind.LOAD, model, reason + ", " + source));
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ModelEviction.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ModelEviction.java
@@ -22,6 +22,12 @@
     private static final double LAST_REPLICA_FACTOR = 4.0;
     private static final double RUNNING_COST = 0.15;
 
+    /**
+     * Before any demand is known, a model on many runners is taken for a busy one: the platform
+     * places models so at the start.
+     */
+    private static final double PRIOR_COST = 0.01;
+
     private final RunnerFleet mFleet;
     private final DemandBook mDemand;
 
@@ -76,6 +82,7 @@
                 description == null ? 1 : description.diskLoad().toMillis() / 1_000.0;
         double cost = rate * reload * (replicas == 1 ? LAST_REPLICA_FACTOR : 1);
         cost += mDemand.running(service, model, now) > 0 ? RUNNING_COST : 0;
+        cost += mDemand.isEmpty() ? PRIOR_COST * replicas : 0;
         int adapters = record.adapters(model).size();
         return new Candidate(model, record.megabytes(model, adapters), cost);
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
@@ -34,15 +34,11 @@
     private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
 
     private final Tenure mTenure;
-    private final RunnerFleet mFleet;
     private final LoadPacer mPacer;
-    private final int mStoreLoadsAtOnce;
 
-    OrderSequencer(Tenure tenure, RunnerFleet fleet, LoadPacer pacer, int storeLoadsAtOnce) {
+    OrderSequencer(Tenure tenure, LoadPacer pacer) {
         mTenure = tenure;
-        mFleet = fleet;
         mPacer = pacer;
-        mStoreLoadsAtOnce = storeLoadsAtOnce;
     }
 
     /** Takes the next step of a runner, if it is due. */
@@ -95,9 +91,7 @@
             return;
         }
         if (record.needsStore(step.model())) {
-            double loadsPerSecond = record.engine().loadsPerSecond();
-            if (!mPacer.allows(
-                    loadsPerSecond, mFleet.storeLoads(), mStoreLoadsAtOnce, turn.now())) {
+            if (!mPacer.allows(record.engine().loadsPerSecond(), turn.now())) {
                 return;
             }
             mPacer.began(turn.now());
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidentAdapterPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidentAdapterPlanner.java
@@ -63,14 +63,13 @@
                 repeat(target, record, turn);
                 return;
             }
-            if (record.mayBeOrdered()) {
+            if (record.mayBeOrdered() && !record.isChanging()) {
                 holders.add(record);
             }
         }
         holders.stream()
                 .min(
-                        Comparator.comparing(RunnerRecord::isChanging)
-                                .thenComparing(RunnerRecord::adapterCount)
+                        Comparator.comparing(RunnerRecord::adapterCount)
                                 .thenComparing(record -> record.entry().id()))
                 .ifPresent(record -> load(record, target, turn));
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,6 +43,15 @@
         return usable;
     }
 
+    /** Returns the services that have runners. */
+    Set<ServiceName> services() {
+        Set<ServiceName> services = new LinkedHashSet<>();
+        for (RunnerRecord record : mRecords.values()) {
+            services.add(record.entry().service());
+        }
+        return services;
+    }
+
     /** Returns on how many runners of a service a model is open. */
     int replicas(ServiceName service, ModelName model) {
         int replicas = 0;
@@ -56,19 +66,27 @@
         return usable(service).stream().anyMatch(record -> record.isLoading(model));
     }
 
-    /** Returns how many loads from the weight store are under way. */
+    /** Returns how many loads from the weight store are planned or under way. */
     int storeLoads() {
         int loads = 0;
         for (RunnerRecord record : mRecords.values()) {
-            if (record.carriedOut() != null
-                    && record.isLoading(record.carriedOut().model().base())
-                    && record.needsStore(record.carriedOut().model().base())) {
-                loads++;
-            }
+            loads += record.isLoadingFromStore() ? 1 : 0;
         }
         return loads;
     }
 
+    /** Returns whether any runner of a service that takes part has the weights of a model. */
+    boolean hasCopy(ServiceName service, ModelName model) {
+        return usable(service).stream()
+                .anyMatch(record -> record.models().contains(model) || !record.needsStore(model));
+    }
+
+    /** Returns whether a runner that has the weights of a model will soon be able to load it. */
+    boolean hasCopyInReach(ServiceName service, ModelName model) {
+        return usable(service).stream()
+                .anyMatch(record -> !record.needsStore(model) && !record.isLoadingFromStore());
+    }
+
     @Nullable EngineDescription engine(ServiceName service) {
         if (mConfiguration == null) {
             return null;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -206,6 +206,26 @@
         return false;
     }
 
+    /** Returns whether a load from the weight store is planned or under way. */
+    boolean isLoadingFromStore() {
+        if (isStoreLoad(mCarriedOut) || isStoreLoad(mUnanswered)) {
+            return true;
+        }
+        for (ModelStep step : mSteps) {
+            if (step.kind() == ResidencyOrderKind.LOAD && needsStore(step.model())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean isStoreLoad(@Nullable ResidencyOrder order) {
+        return order != null
+                && order.kind() == ResidencyOrderKind.LOAD
+                && !order.concernsAdapter()
+                && needsStore(order.model().base());
+    }
+
     private static boolean isLoad(ResidencyOrder order, ModelName model) {
         return order.kind() == ResidencyOrderKind.LOAD && order.model().base().equals(model);
     }
