Follow an unload by its load at once, and take the placement over when its key vanishes

The load waited for a report that is 100 ms old, and a new holder waited for its next poll and then for the whole pause. The runner itself says when an unload is done, by accepting the next order; the pause counts from the last order that the holder before can have sent.

--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
@@ -132,6 +132,8 @@
             writeReplied(replied.operation(), replied.result(), now);
         } else if (event instanceof LeaseEvent.KeyReadReplied replied) {
             readReplied(replied.operation(), replied.result(), now);
+        } else if (event instanceof LeaseEvent.KeyFreed freed) {
+            keyFreed(freed.name(), now);
         } else if (event instanceof LeaseEvent.StopRequested) {
             stop(now);
         }
@@ -160,6 +162,16 @@
         }
     }
 
+    private void keyFreed(LeaseName name, Instant now) {
+        CompetedLease lease = mLeases.get(name);
+        if (lease == null || lease.mHeld || lease.mUnsettled || lease.mPending != null) {
+            return;
+        }
+        lease.mRevision = Revision.ABSENT;
+        lease.mWritable = true;
+        lease.mNextStep = now.plus(rankDelay(lease.mRank));
+    }
+
     private void stop(Instant now) {
         mStopping = true;
         mService.stop(now);
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.lease.LeaseName;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.command.LeaseResult;
 import org.oleanderspring.coordination.store.command.WriteResult;
@@ -46,6 +47,13 @@
      */
     record KeyReadReplied(StoreOperationId operation, ReadResult result) implements LeaseEvent {}
 
+    /**
+     * The key of a lease was seen to vanish, so there is no need to wait for the next poll.
+     *
+     * @param name the lease
+     */
+    record KeyFreed(LeaseName name) implements LeaseEvent {}
+
     /** The daemon stops; all leases are handed over. */
     record StopRequested() implements LeaseEvent {}
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
@@ -29,6 +29,7 @@
     /** An adapter takes up to ten milliseconds while few adapters are on their way. */
     static final Duration ADAPTER_TIME = Duration.ofMillis(15);
 
+    private static final Duration FOLLOWER_PAUSE = Duration.ofMillis(40);
     private static final Duration RECHECK = Duration.ofMillis(200);
     private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
     private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
@@ -47,7 +48,8 @@
             record.dropSteps();
             return;
         }
-        if (!record.isConfirmed() || record.isChanging()) {
+        boolean follows = record.mayFollowUnload(turn.now());
+        if (!follows && (!record.isConfirmed() || record.isChanging())) {
             readIfDue(record, turn);
             return;
         }
@@ -127,7 +129,8 @@
         switch (reply) {
             case ACCEPTED -> accepted(record, order, turn);
             case FULFILLED -> fulfilled(record, order, turn);
-            case CONFLICT, UNKNOWN -> record.doubt(turn.now().plus(RETRY_PAUSE));
+            case CONFLICT -> conflict(record, turn);
+            case UNKNOWN -> record.doubt(turn.now().plus(RETRY_PAUSE));
             case NOT_SENT -> record.doubt(turn.now().plus(UNREACHABLE_PAUSE));
             default -> {
                 record.dropSteps();
@@ -136,6 +139,16 @@
         }
     }
 
+    private void conflict(RunnerRecord record, ResidencyTurn turn) {
+        if (!record.isFollowing()) {
+            record.doubt(turn.now().plus(RETRY_PAUSE));
+            return;
+        }
+        Instant nextTry = turn.now().plus(FOLLOWER_PAUSE);
+        record.followerRejected(nextTry);
+        turn.add(new ResidencyDecision.WakeAt(nextTry));
+    }
+
     private void accepted(RunnerRecord record, ResidencyOrder order, ResidencyTurn turn) {
         if (order.concernsAdapter()) {
             Instant heldAt = turn.now().plus(ADAPTER_TIME);
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -34,6 +34,9 @@
  * while the count and the models are known; only then is an order sent.
  */
 final class RunnerRecord {
+    /** An unload that takes longer waits for running requests; its end is then read. */
+    private static final int FOLLOWER_LIMIT = 4;
+
     private RunnerEntry mEntry;
     private EngineDescription mEngine;
     private final Map<ModelName, Set<String>> mHeld = new LinkedHashMap<>();
@@ -49,6 +52,8 @@
     private @Nullable ResidencyOrder mUnanswered;
     private @Nullable ResidencyOrder mCarriedOut;
     private boolean mChanging;
+    private int mRejectedFollowers;
+    private Instant mNextFollower = Instant.MIN;
 
     RunnerRecord(RunnerEntry entry, EngineDescription engine) {
         mEntry = entry;
@@ -266,6 +271,12 @@
                 && !mHeld.containsKey(mCarriedOut.model().base())) {
             used += megabytes(mCarriedOut.model().base(), 0);
         }
+        if (mCarriedOut != null && mCarriedOut.kind() == ResidencyOrderKind.UNLOAD) {
+            // The runner accepts no order before the unload is done.
+            ModelName leaving = mCarriedOut.model().base();
+            Set<String> adapters = mHeld.get(leaving);
+            used -= adapters == null ? 0 : megabytes(leaving, adapters.size());
+        }
         return mEngine.memoryMegabytes() - used;
     }
 
@@ -298,12 +309,53 @@
         mUnanswered = order;
     }
 
-    /** Notes that the runner accepted an order about a model and carries it out. */
+    /**
+     * Notes that the runner accepted an order about a model and carries it out. It accepts none
+     * before the last one is done, so that one is.
+     */
     void accepted(ResidencyOrder order, Instant nextRead) {
         mUnanswered = null;
         mOrders = order.expectedOrders() + 1;
+        ResidencyOrder before = mCarriedOut;
+        if (before != null && before.kind() == ResidencyOrderKind.UNLOAD) {
+            mHeld.remove(before.model().base());
+            mClosing.remove(before.model().base());
+        }
         mCarriedOut = order;
         mNextRead = nextRead;
+        mRejectedFollowers = 0;
+        ModelStep step = mSteps.peekFirst();
+        if (step != null
+                && step.kind() == ResidencyOrderKind.UNLOAD
+                && step.model().equals(order.model().base())) {
+            mSteps.removeFirst();
+        }
+    }
+
+    /** Returns whether the next order may be tried while an unload is carried out. */
+    boolean mayFollowUnload(Instant now) {
+        return mConfirmed
+                && mUnanswered == null
+                && !mReading
+                && mCarriedOut != null
+                && mCarriedOut.kind() == ResidencyOrderKind.UNLOAD
+                && !mSteps.isEmpty()
+                && mRejectedFollowers < FOLLOWER_LIMIT
+                && !now.isBefore(mNextFollower);
+    }
+
+    /** Notes that the runner rejected the order that followed an unload, which is not done yet. */
+    void followerRejected(Instant nextTry) {
+        mUnanswered = null;
+        mRejectedFollowers++;
+        mNextFollower = nextTry;
+    }
+
+    /** Returns whether the unanswered order follows an unload that is still carried out. */
+    boolean isFollowing() {
+        return mUnanswered != null
+                && mCarriedOut != null
+                && mCarriedOut.kind() == ResidencyOrderKind.UNLOAD;
     }
 
     /** Notes that the runner accepted an order about an adapter. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -14,6 +14,8 @@
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.lease.command.LeaseDecision;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.port.query.Reading;
 import org.oleanderspring.core.residency.ResidencyOrder;
@@ -28,6 +30,7 @@
 import org.oleanderspring.daemon.gateway.GatewayKeys;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.StoreNews;
 import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.command.EventHandler;
@@ -53,6 +56,9 @@
     private final EventSink<ResidencyInput> mOwnRing;
     private final FleetView mFleet = new FleetView("[placement]");
     private final Map<EndpointId, RunnerEntry> mRunners = new HashMap<>();
+    private final Duration mSafetyMargin;
+    private boolean mOrdersEnded;
+    private @Nullable Instant mFreedAt;
     private @Nullable CompletableFuture<Boolean> mStopWaiter;
 
     /**
@@ -60,6 +66,7 @@
      *
      * @param settings the settings of the daemon
      * @param leases decides on leases
+     * @param safetyMargin so long before a lease vanishes its holder stops using it
      * @param decider decides on orders
      * @param ports what the duty acts through
      * @param clock the time of all events; used by this duty only
@@ -69,6 +76,7 @@
     public ResidencyDuty(
             GatewaySettings settings,
             DefaultLeaseDecider leases,
+            Duration safetyMargin,
             ResidencyDecider decider,
             ResidencyPorts ports,
             SuspendAwareClock clock,
@@ -76,6 +84,7 @@
             EventSink<ResidencyInput> ownRing) {
         mSettings = settings;
         mLeases = leases;
+        mSafetyMargin = safetyMargin;
         mDecider = decider;
         mPorts = ports;
         mClock = clock;
@@ -101,6 +110,7 @@
         } else if (input instanceof ResidencyInput.Lease lease) {
             decide(lease.event());
         } else if (input instanceof ResidencyInput.StoreChanged changed) {
+            seeFreedLease(changed.news());
             apply(mFleet.apply(changed.news(), mClock.now()));
         } else if (input instanceof ResidencyInput.TimerFired) {
             decide(new LeaseEvent.TimerFired());
@@ -108,12 +118,25 @@
                 apply(FleetView.Part.RUNNERS);
             }
             decide(new ResidencyEvent.TimerFired());
+        } else if (input instanceof ResidencyInput.OrdersEnded) {
+            LOGGER.log(Level.INFO, "[placement] orders-ended");
+            mOrdersEnded = true;
+            decide(new ResidencyEvent.TenureEnded());
         } else if (input instanceof ResidencyInput.StopAsked asked) {
             mStopWaiter = asked.done();
             decide(new LeaseEvent.StopRequested());
         }
     }
 
+    private void seeFreedLease(StoreNews news) {
+        StoreKey key = GatewayKeys.leaseKey(GatewayKeys.PLACEMENT);
+        if (news instanceof StoreNews.Changed changed
+                && changed.changes().contains(new StoreChange.Removed(key))) {
+            mFreedAt = mClock.now();
+            decide(new LeaseEvent.KeyFreed(GatewayKeys.PLACEMENT));
+        }
+    }
+
     private void apply(FleetView.Part part) {
         FleetConfiguration configuration = mFleet.configuration();
         if (part == FleetView.Part.CONFIGURATION && configuration != null) {
@@ -179,7 +202,7 @@
     private void leaseChanged(LeaseDecision decision) {
         if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
             LOGGER.log(Level.INFO, "[placement] lease-acquired name=" + acquired.name());
-            if (acquired.name().equals(GatewayKeys.PLACEMENT)) {
+            if (acquired.name().equals(GatewayKeys.PLACEMENT) && !mOrdersEnded) {
                 beginTenure();
             }
         } else if (decision instanceof LeaseDecision.LeaseLost lost) {
@@ -196,16 +219,31 @@
 
     private void beginTenure() {
         FencingToken token = mLeases.token(GatewayKeys.PLACEMENT);
-        Instant ordersFrom = mClock.now().plus(mSettings.holderPause());
+        Instant ordersFrom = ordersFrom();
         LOGGER.log(
                 Level.INFO,
                 "[placement] tenure-began token="
                         + token
                         + " orders-in-ms="
-                        + mSettings.holderPause().toMillis());
+                        + Duration.between(mClock.now(), ordersFrom).toMillis());
         decide(new ResidencyEvent.TenureBegan(token, ordersFrom));
     }
 
+    /**
+     * The holder before sent its last order a safety margin before its key vanished, and the pause
+     * counts from there. If that was not seen, it counts from now.
+     */
+    private Instant ordersFrom() {
+        Instant now = mClock.now();
+        Instant freedAt = mFreedAt;
+        mFreedAt = null;
+        if (freedAt == null) {
+            return now.plus(mSettings.holderPause());
+        }
+        Instant from = freedAt.minus(mSafetyMargin).plus(mSettings.holderPause());
+        return from.isAfter(now) ? from : now;
+    }
+
     private void decide(ResidencyEvent event) {
         for (ResidencyDecision decision : mDecider.decide(event, mClock.now())) {
             carryOut(decision);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyInput.java
@@ -31,6 +31,9 @@
     /** Time has passed. */
     record TimerFired() implements ResidencyInput {}
 
+    /** The daemon will stop: it gives no more orders, but still holds its leases. */
+    record OrdersEnded() implements ResidencyInput {}
+
     /**
      * The daemon stops: give the leases back.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -82,15 +82,15 @@
             new ListenerOptions(6, 3, 16 * 1024, Duration.ofSeconds(30), false);
 
     /**
-     * A holder that is cut off stops giving orders a second before its lease lapses at the store.
+     * A holder that is cut off stops giving orders a safety margin before its lease lapses.
      */
     private static final LeaseSettings LEASES =
             new LeaseSettings(
-                    Duration.ofSeconds(4),
-                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(3),
+                    GatewayStop.SAFETY_MARGIN,
                     Duration.ofMillis(800),
                     Duration.ofMillis(200),
-                    Duration.ofMillis(300));
+                    Duration.ofMillis(100));
 
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
@@ -193,6 +193,7 @@
                 new ResidencyDuty(
                         mSettings,
                         leases,
+                        LEASES.safetyMargin(),
                         new DefaultResidencyDecider(mSettings.storeLoadsAtOnce()),
                         ports,
                         new SuspendAwareClock(Clock.systemUTC()),
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
@@ -19,8 +19,14 @@
 final class GatewayStop {
     private static final Logger LOGGER = System.getLogger(GatewayStop.class.getName());
 
-    /** Clients keep a list of addresses for this long; most have asked again by then. */
-    private static final Duration ACCEPTING = Duration.ofMillis(2_500);
+    /**
+     * Between the last order and the release of the lease; another daemon counts on it, which cannot
+     * tell a lease that was given back from one that lapsed.
+     */
+    static final Duration SAFETY_MARGIN = Duration.ofMillis(800);
+
+    /** Clients keep a list of addresses for two seconds; most have asked again by then. */
+    private static final Duration ACCEPTING = Duration.ofMillis(2_000);
 
     /** Left at the end, so that the process is gone before it would be killed. */
     private static final Duration MARGIN = Duration.ofMillis(700);
@@ -37,6 +43,8 @@
         long end = System.nanoTime() + mLimit.minus(MARGIN).toNanos();
         LOGGER.log(Level.INFO, "[gateway] stop-began limit-ms=" + mLimit.toMillis());
         mRings.routing().offer(new GatewayInput.LeaveBegan());
+        mRings.placement().offer(new ResidencyInput.OrdersEnded());
+        pause(SAFETY_MARGIN);
         CompletableFuture<Boolean> handedOver = new CompletableFuture<>();
         mRings.placement().offer(new ResidencyInput.StopAsked(handedOver));
         pause(ACCEPTING);
