--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -58,8 +58,7 @@
         } else if (event instanceof ResidencyEvent.RunnersListed listed) {
             publishAll(mFleet.list(listed.runners(), turn.now()), turn);
         } else if (event instanceof ResidencyEvent.DemandReported reported) {
-            mDemand.reported(
-                    reported.daemon(), reported.service(), reported.demands(), turn.now());
+            mDemand.reported(reported.daemon(), reported.service(), reported.demands(), turn.now());
         } else if (event instanceof ResidencyEvent.LoadRequested requested) {
             mDemand.requested(
                     requested.daemon(),
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -27,12 +27,10 @@
     private final Map<Target.ServedModelTarget, Use> mUses = new HashMap<>();
 
     /** Replaces what a daemon reported before of a service. */
-    void reported(
-            MemberId daemon, ServiceName service, List<ModelDemand> demands, Instant now) {
+    void reported(MemberId daemon, ServiceName service, List<ModelDemand> demands, Instant now) {
         Set<Target.ServedModelTarget> seen = new HashSet<>();
         for (ModelDemand demand : demands) {
-            Target.ServedModelTarget target =
-                    new Target.ServedModelTarget(service, demand.model());
+            Target.ServedModelTarget target = new Target.ServedModelTarget(service, demand.model());
             seen.add(target);
             use(target).report(daemon, demand, now);
         }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -62,7 +62,9 @@
         planBest(service, description, fromStore, "calls wait", now);
     }
 
-    /** Brings models of which no runner has the weights to one, while the store has nothing else. */
+    /**
+     * Brings models of which no runner has the weights to one, while the store has nothing else.
+     */
     private void planCopies(Instant now) {
         for (ServiceName service : mFleet.services()) {
             EngineDescription engine = mFleet.engine(service);
@@ -82,11 +84,7 @@
     }
 
     private void planBest(
-            ServiceName service,
-            EngineModel model,
-            boolean fromStore,
-            String reason,
-            Instant now) {
+            ServiceName service, EngineModel model, boolean fromStore, String reason, Instant now) {
         Choice best = null;
         for (RunnerRecord record : mFleet.usable(service)) {
             if (record.needsStore(model.name()) && !fromStore) {
@@ -106,8 +104,7 @@
         if (!record.isFree()) {
             return null;
         }
-        Optional<EvictionChoice> eviction =
-                mEviction.choose(record, model.weightMegabytes(), now);
+        Optional<EvictionChoice> eviction = mEviction.choose(record, model.weightMegabytes(), now);
         if (eviction.isEmpty()) {
             return null;
         }
@@ -141,9 +138,7 @@
             }
             String source = record.needsStore(model) ? "from the weight store" : "from a copy";
             record.steps()
-                    .addLast(
-                            new ModelStep(
-                                    ResidencyOrderKind.LOAD, model, reason + ", " + source));
+                    .addLast(new ModelStep(ResidencyOrderKind.LOAD, model, reason + ", " + source));
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ModelEviction.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ModelEviction.java
@@ -8,14 +8,11 @@
 import java.util.Optional;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ServiceName;
-import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.route.EngineModel;
 
 /** Chooses the models whose unload costs the callers least. */
 final class ModelEviction {
-    /**
-     * A model that was just loaded serves the calls that waited for it before it may go again.
-     */
+    /** A model that was just loaded serves the calls that waited for it before it may go again. */
     private static final Duration LEAST_STAY = Duration.ofMillis(1_500);
 
     private static final Duration RECENT_USE = Duration.ofMillis(800);
@@ -78,8 +75,7 @@
         int replicas = Math.max(1, mFleet.replicas(service, model));
         double rate = mDemand.rate(service, model, now) / replicas;
         EngineModel description = record.engine().models().get(model);
-        double reload =
-                description == null ? 1 : description.diskLoad().toMillis() / 1_000.0;
+        double reload = description == null ? 1 : description.diskLoad().toMillis() / 1_000.0;
         double cost = rate * reload * (replicas == 1 ? LAST_REPLICA_FACTOR : 1);
         cost += mDemand.running(service, model, now) > 0 ? RUNNING_COST : 0;
         cost += mDemand.isEmpty() ? PRIOR_COST * replicas : 0;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
@@ -9,8 +9,8 @@
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.residency.ResidencyOrderReply;
-import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.runner.RunnerEntry;
 import org.oleanderspring.core.runner.RunnerState;
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidentAdapterPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidentAdapterPlanner.java
@@ -95,8 +95,7 @@
                 record.adapterCount() < record.engine().adapterSlots()
                         && model.adapterMegabytes() <= record.freeMegabytes();
         if (room) {
-            mOrders.send(
-                    record, ResidencyOrderKind.LOAD, target.model(), "calls wait", turn);
+            mOrders.send(record, ResidencyOrderKind.LOAD, target.model(), "calls wait", turn);
             return;
         }
         victim(record, turn.now())
@@ -116,8 +115,7 @@
         for (ModelName model : record.models()) {
             for (String adapter : record.adapters(model)) {
                 ModelReference reference = new ModelReference(model, adapter);
-                Instant lastUse =
-                        mDemand.lastUse(new Target.ServedModelTarget(service, reference));
+                Instant lastUse = mDemand.lastUse(new Target.ServedModelTarget(service, reference));
                 if (lastUse.equals(Instant.MIN) || lastUse.plus(RECENT_USE).isBefore(now)) {
                     candidates.add(reference);
                 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -86,8 +86,7 @@
     }
 
     private static boolean isFulfilled(ResidencyOrder order, List<HeldModel> models) {
-        boolean held =
-                models.stream().anyMatch(model -> model.name().equals(order.model().base()));
+        boolean held = models.stream().anyMatch(model -> model.name().equals(order.model().base()));
         return held == (order.kind() == ResidencyOrderKind.LOAD);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTable.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTable.java
@@ -97,8 +97,7 @@
         }
     }
 
-    private static void add(
-            Map<Target, List<Replica>> replicas, Target target, Replica replica) {
+    private static void add(Map<Target, List<Replica>> replicas, Target target, Replica replica) {
         replicas.computeIfAbsent(target, key -> new ArrayList<>()).add(replica);
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/route/query/RouteIndex.java
+++ b/core/src/main/java/org/oleanderspring/core/route/query/RouteIndex.java
@@ -21,8 +21,7 @@
      */
     public RouteIndex(FleetConfiguration configuration) {
         for (Route route : configuration.routes()) {
-            mByHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>())
-                    .add(route);
+            mByHost.computeIfAbsent(normalized(route.host()), host -> new ArrayList<>()).add(route);
         }
         Comparator<Route> longestFirst =
                 Comparator.comparingInt((Route route) -> route.prefix().length()).reversed();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -19,8 +19,7 @@
         call.started(slot, turn.now(), trial);
         mState.tally().started(call.attempts());
         if (call.attempts() == 1) {
-            mState.retries()
-                    .firstAttempt(call.request().target(), mState.limits(), turn.now());
+            mState.retries().firstAttempt(call.request().target(), mState.limits(), turn.now());
         }
         turn.add(
                 new RoutingDecision.StartAttempt(
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -154,7 +154,8 @@
     @Override
     public Integer call() throws Exception {
         // Without a handler the signal would end the process.
-        Signal.handle(new Signal("HUP"), signal -> LOGGER.log(Level.INFO, "[gateway] reload-requested"));
+        Signal.handle(
+                new Signal("HUP"), signal -> LOGGER.log(Level.INFO, "[gateway] reload-requested"));
         Gateway gateway = new Gateway(check());
         String failure = gateway.start();
         if (failure != null) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/CallHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/CallHandler.java
@@ -63,10 +63,7 @@
         CallId id = new CallId(mNextCall.getAndIncrement());
         JettyCallerStream stream =
                 new JettyCallerStream(
-                        response,
-                        callback,
-                        () -> mIntake.callerLeft(id),
-                        new WorkHeaderRefusals());
+                        response, callback, () -> mIntake.callerLeft(id), new WorkHeaderRefusals());
         if (modelCall && !HttpMethod.POST.is(request.getMethod())) {
             stream.refuse(
                     Refusal.notRun(ErrorMessage.METHOD_NOT_ALLOWED, request.getMethod(), "POST"));
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyCallerStream.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyCallerStream.java
@@ -13,7 +13,6 @@
 /** Answers one caller over Jetty. */
 public final class JettyCallerStream implements CallerStream {
     /** Names whether the work of a refused call was done. */
-
     private static final Logger LOGGER = System.getLogger(JettyCallerStream.class.getName());
 
     private final Response mResponse;
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/ListenerOptions.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/ListenerOptions.java
@@ -10,7 +10,8 @@
  * @param lowestThreads at least this many threads
  * @param headerBytes the largest head of a request
  * @param idleTime how long a connection may stay idle
- * @param passesPathsOn whether paths are passed on as they are, so that none is refused for its form
+ * @param passesPathsOn whether paths are passed on as they are, so that none is refused for its
+ *     form
  */
 public record ListenerOptions(
         int highestThreads,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayHandler.java
@@ -79,11 +79,7 @@
     }
 
     private void accept(
-            CallId id,
-            Request request,
-            byte[] body,
-            CallerStream stream,
-            CallerCloseWatch watch) {
+            CallId id, Request request, byte[] body, CallerStream stream, CallerCloseWatch watch) {
         List<Header> headers = headers(request);
         GatewayRequest taken =
                 new GatewayRequest(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -296,11 +296,7 @@
             return;
         }
         mPorts.orders()
-                .send(
-                        runner.address(),
-                        runner.instance(),
-                        mSettings.self().id().value(),
-                        order)
+                .send(runner.address(), runner.instance(), mSettings.self().id().value(), order)
                 .thenAccept(reply -> offer(order, reply));
     }
 
@@ -343,8 +339,7 @@
     private void publish(ResidencyDecision.Publish publish) {
         mPorts.statements().state(mSettings.self(), publish.residency());
         for (GatewayMember member : mFleet.members()) {
-            boolean meant =
-                    publish.daemons().isEmpty() || publish.daemons().contains(member.id());
+            boolean meant = publish.daemons().isEmpty() || publish.daemons().contains(member.id());
             if (meant && !member.equals(mSettings.self())) {
                 mPorts.statements().state(member, publish.residency());
             }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -81,9 +81,7 @@
     private static final ListenerOptions AUXILIARY =
             new ListenerOptions(6, 3, 16 * 1024, Duration.ofSeconds(30), false);
 
-    /**
-     * A holder that is cut off stops giving orders a safety margin before its lease lapses.
-     */
+    /** A holder that is cut off stops giving orders a safety margin before its lease lapses. */
     private static final LeaseSettings LEASES =
             new LeaseSettings(
                     Duration.ofSeconds(3),
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -25,8 +25,7 @@
     private static final Duration PLACEMENT_TICK = Duration.ofMillis(100);
     private static final Duration DEMAND_PERIOD = Duration.ofMillis(250);
 
-    private final DutyThread<GatewayInput> mRouting =
-            new DutyThread<>("routing", ROUTING_CAPACITY);
+    private final DutyThread<GatewayInput> mRouting = new DutyThread<>("routing", ROUTING_CAPACITY);
     private final DutyThread<ResidencyInput> mPlacement =
             new DutyThread<>("placement", PLACEMENT_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
@@ -13,15 +13,15 @@
 
 /**
  * A planned stop. First the daemon gives its leases back and says that it is not ready, while it
- * still takes requests of clients that do not know yet; then it refuses new requests, which have not
- * run, and waits for those in progress.
+ * still takes requests of clients that do not know yet; then it refuses new requests, which have
+ * not run, and waits for those in progress.
  */
 final class GatewayStop {
     private static final Logger LOGGER = System.getLogger(GatewayStop.class.getName());
 
     /**
-     * Between the last order and the release of the lease; another daemon counts on it, which cannot
-     * tell a lease that was given back from one that lapsed.
+     * Between the last order and the release of the lease; another daemon counts on it, which
+     * cannot tell a lease that was given back from one that lapsed.
      */
     static final Duration SAFETY_MARGIN = Duration.ofMillis(800);
 
@@ -55,7 +55,10 @@
         boolean released = await(handedOver, end);
         LOGGER.log(
                 Level.INFO,
-                "[gateway] stop-ended all-requests-ended=" + ended + " leases-released=" + released);
+                "[gateway] stop-ended all-requests-ended="
+                        + ended
+                        + " leases-released="
+                        + released);
     }
 
     private static void pause(Duration duration) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
@@ -50,11 +50,9 @@
     }
 
     @Override
-    public void reportDemand(
-            GatewayMember holder, ServiceName service, List<ModelDemand> demands) {
+    public void reportDemand(GatewayMember holder, ServiceName service, List<ModelDemand> demands) {
         if (holder.equals(mSettings.self())) {
-            mRings.placement(
-                    new ResidencyEvent.DemandReported(holder.id(), service, demands));
+            mRings.placement(new ResidencyEvent.DemandReported(holder.id(), service, demands));
             return;
         }
         List<ModelUse> uses =
@@ -81,8 +79,7 @@
             Duration untilDeadline) {
         if (holder.equals(mSettings.self())) {
             mRings.placement(
-                    new ResidencyEvent.LoadRequested(
-                            holder.id(), target, waiting, untilDeadline));
+                    new ResidencyEvent.LoadRequested(holder.id(), target, waiting, untilDeadline));
             return;
         }
         send(
@@ -119,8 +116,7 @@
     public OfferResult offer(ReceivedMessage received) {
         PeerMessage message = received.message();
         if (message instanceof PeerMessage.ResidencyStatement statement) {
-            return mRings.routing()
-                    .offer(new GatewayInput.ResidencyStated(statement.residency()));
+            return mRings.routing().offer(new GatewayInput.ResidencyStated(statement.residency()));
         }
         if (message instanceof PeerMessage.UseReport report) {
             mRings.placement(demand(report));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCall.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCall.java
@@ -12,8 +12,7 @@
  * @param call what routing knows of it
  * @param answer the part of the answer that was passed on
  */
-record GatewayCall(
-        GatewayRequest request, Route route, CallRequest call, CallerAnswer answer) {
+record GatewayCall(GatewayRequest request, Route route, CallRequest call, CallerAnswer answer) {
     GatewayCall {
         Objects.requireNonNull(request, "request");
         Objects.requireNonNull(route, "route");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCalls.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCalls.java
@@ -21,8 +21,7 @@
     private GatewayCalls() {}
 
     /** Returns the call that a request makes on its route. */
-    static GatewayCall call(
-            GatewayRequest request, Route route, FleetConfiguration configuration) {
+    static GatewayCall call(GatewayRequest request, Route route, FleetConfiguration configuration) {
         ServiceName service = route.serviceOf(request.head().attemptName().hashCode());
         Duration time = route.timeout();
         Duration clientTime = request.head().timeToAnswer();
@@ -44,9 +43,7 @@
     }
 
     private static Target target(
-            ServiceName service,
-            @Nullable ModelReference model,
-            FleetConfiguration configuration) {
+            ServiceName service, @Nullable ModelReference model, FleetConfiguration configuration) {
         ServiceDescription description = configuration.services().get(service);
         boolean hasEngine = description != null && description.engine() != null;
         if (model == null || !hasEngine) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -17,7 +17,6 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.message.ErrorMessage;
-import org.oleanderspring.core.port.EndpointCall;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.residency.query.HostedRoutingTable;
 import org.oleanderspring.core.residency.query.ResidencyView;
@@ -188,9 +187,7 @@
         mRunners.clear();
         runners.forEach(runner -> mRunners.put(runner.id(), runner));
         mResidency.listed(runners, mClock.now());
-        decide(
-                new RoutingEvent.TableChanged(
-                        mTable.build(runners, mResidency, mClock.now())));
+        decide(new RoutingEvent.TableChanged(mTable.build(runners, mResidency, mClock.now())));
     }
 
     /**
@@ -408,9 +405,7 @@
         call.answer()
                 .refuse(
                         new Refusal(
-                                message,
-                                message.format(call.call().target()),
-                                refuse.workState()));
+                                message, message.format(call.call().target()), refuse.workState()));
     }
 
     private void finish(CallId id, Instant now) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
@@ -57,9 +57,7 @@
     /** It is time to report the use of models. */
     record DemandDue() implements GatewayInput {}
 
-    /**
-     * A planned stop has begun: clients should go elsewhere.
-     */
+    /** A planned stop has begun: clients should go elsewhere. */
     record LeaveBegan() implements GatewayInput {}
 
     /**
--- a/peer/src/main/java/org/oleanderspring/peer/codec/ResidencyCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/ResidencyCodec.java
@@ -27,10 +27,7 @@
                     .setName(model.name().value())
                     .addAllAdapters(model.adapters().stream().sorted().toList());
         }
-        residency.closing().stream()
-                .map(ModelName::value)
-                .sorted()
-                .forEach(statement::addClosing);
+        residency.closing().stream().map(ModelName::value).sorted().forEach(statement::addClosing);
         return statement.build();
     }
 
