--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -20,6 +20,7 @@
     private final OrderSequencer mOrders;
     private final LoadPlanner mLoads;
     private final ResidentAdapterPlanner mAdapters;
+    private final ReadinessEstimator mEstimates;
 
     /**
      * Creates a decider that gives no orders before its tenure begins.
@@ -30,6 +31,7 @@
         mOrders = new OrderSequencer(mTenure, new LoadPacer());
         mLoads = new LoadPlanner(mFleet, mDemand, storeLoadsAtOnce);
         mAdapters = new ResidentAdapterPlanner(mFleet, mDemand, mOrders);
+        mEstimates = new ReadinessEstimator(mFleet, mDemand, mLoads, storeLoadsAtOnce);
     }
 
     @Override
@@ -49,6 +51,7 @@
         for (RunnerRecord record : mFleet.records()) {
             mOrders.advance(record, turn);
         }
+        mEstimates.tell(turn);
         return turn.decisions();
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -94,9 +94,15 @@
         return daemons;
     }
 
-    int waiting(Target.ServedModelTarget target, Instant now) {
-        Use use = mUses.get(target);
-        return use == null ? 0 : use.waiting(now);
+    /** Returns the calls that wait, those for the model's adapters included. */
+    int waiting(ServiceName service, ModelName model, Instant now) {
+        int waiting = 0;
+        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
+            if (concerns(entry.getKey(), service, model)) {
+                waiting += entry.getValue().waiting(now);
+            }
+        }
+        return waiting;
     }
 
     /** Returns the calls that run, those for the model's adapters included. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -1,7 +1,10 @@
 package org.oleanderspring.core.residency.command;
 
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -13,17 +16,25 @@
 import org.oleanderspring.core.routing.Target;
 
 /**
- * Plans the loads of models for which calls wait and that no runner holds.
+ * Plans the loads of models that no runner holds.
  *
  * <p>A load from the weight store takes many times as long as one from a copy, and occupies its
  * runner meanwhile. More of them at once than the store serves at full speed would only share its
  * bandwidth: all would end later and none sooner, on more runners that can do nothing else. So only
- * that many are planned at once, and the others wait without occupying a runner.
+ * that many are planned at once, those with the most demand first, and the others wait without
+ * occupying a runner. While the store would be idle, models of which no runner has a copy are
+ * fetched before they are asked for.
  */
 final class LoadPlanner {
     /** What it costs a waiting call for an adapter that its runner can take no order. */
     private static final double BLOCKED_COST = 0.2;
 
+    /** The arrivals of so many seconds count as much as calls that wait now. */
+    private static final double RATE_SECONDS = 4;
+
+    /** A model that is in use does not make way for one that nobody asked for yet. */
+    private static final double PREFETCH_COST_LIMIT = 0.05;
+
     private final RunnerFleet mFleet;
     private final DemandBook mDemand;
     private final ModelEviction mEviction;
@@ -41,50 +52,84 @@
         for (Target.ServedModelTarget target : mDemand.waiting(turn.now())) {
             ModelName model = target.model().base();
             if (seen.add(model)) {
-                planWaiting(target.service(), model, turn.now());
+                planFromCopy(target.service(), model, turn.now());
+            }
+        }
+        for (StoreCandidate candidate : storeCandidates(turn.now())) {
+            if (mFleet.storeLoads() >= mStoreLoadsAtOnce) {
+                return;
             }
+            planFromStore(candidate, turn.now());
         }
-        planCopies(turn.now());
     }
 
-    private void planWaiting(ServiceName service, ModelName model, Instant now) {
+    private void planFromCopy(ServiceName service, ModelName model, Instant now) {
         EngineDescription engine = mFleet.engine(service);
         EngineModel description = engine == null ? null : engine.models().get(model);
         if (description == null
                 || mFleet.replicas(service, model) > 0
-                || mFleet.isLoading(service, model)) {
+                || mFleet.isLoading(service, model)
+                || !mFleet.hasCopyInReach(service, model)) {
             return;
         }
-        boolean fromStore = !mFleet.hasCopyInReach(service, model);
-        if (fromStore && mFleet.storeLoads() >= mStoreLoadsAtOnce) {
-            return;
+        Choice best = best(service, description, false, now);
+        if (best != null) {
+            best.plan(model, "calls wait");
         }
-        planBest(service, description, fromStore, "calls wait", now);
     }
 
-    /**
-     * Brings models of which no runner has the weights to one, while the store has nothing else.
-     */
-    private void planCopies(Instant now) {
+    /** Returns the models that only the weight store can bring, those with most demand first. */
+    List<StoreCandidate> storeCandidates(Instant now) {
+        List<StoreCandidate> candidates = new ArrayList<>();
         for (ServiceName service : mFleet.services()) {
             EngineDescription engine = mFleet.engine(service);
             if (engine == null) {
                 continue;
             }
             for (EngineModel model : engine.models().values()) {
-                if (mFleet.storeLoads() >= mStoreLoadsAtOnce) {
-                    return;
-                }
-                if (!mFleet.hasCopy(service, model.name())
-                        && !mFleet.isLoading(service, model.name())) {
-                    planBest(service, model, true, "no runner has a copy", now);
+                StoreCandidate candidate = candidate(service, model, now);
+                if (candidate != null) {
+                    candidates.add(candidate);
                 }
             }
         }
+        candidates.sort(
+                Comparator.comparingDouble(StoreCandidate::demand)
+                        .reversed()
+                        .thenComparing(candidate -> candidate.model().name()));
+        return candidates;
     }
 
-    private void planBest(
-            ServiceName service, EngineModel model, boolean fromStore, String reason, Instant now) {
+    private @Nullable StoreCandidate candidate(
+            ServiceName service, EngineModel model, Instant now) {
+        ModelName name = model.name();
+        if (mFleet.replicas(service, name) > 0
+                || mFleet.isLoading(service, name)
+                || mFleet.hasCopyInReach(service, name)) {
+            return null;
+        }
+        int waiting = mDemand.waiting(service, name, now);
+        if (waiting == 0 && mFleet.hasCopy(service, name)) {
+            return null;
+        }
+        double demand = waiting + RATE_SECONDS * mDemand.rate(service, name, now);
+        return new StoreCandidate(service, model, waiting, demand);
+    }
+
+    private void planFromStore(StoreCandidate candidate, Instant now) {
+        Choice best = best(candidate.service(), candidate.model(), true, now);
+        if (best == null) {
+            return;
+        }
+        if (candidate.waiting() > 0) {
+            best.plan(candidate.model().name(), "calls wait");
+        } else if (best.eviction().cost() <= PREFETCH_COST_LIMIT + candidate.demand()) {
+            best.plan(candidate.model().name(), "no runner has a copy");
+        }
+    }
+
+    private @Nullable Choice best(
+            ServiceName service, EngineModel model, boolean fromStore, Instant now) {
         Choice best = null;
         for (RunnerRecord record : mFleet.usable(service)) {
             if (record.needsStore(model.name()) && !fromStore) {
@@ -95,16 +140,15 @@
                 best = choice;
             }
         }
-        if (best != null) {
-            best.plan(model.name(), reason);
-        }
+        return best;
     }
 
     private @Nullable Choice choice(RunnerRecord record, EngineModel model, Instant now) {
         if (!record.isFree()) {
             return null;
         }
-        Optional<EvictionChoice> eviction = mEviction.choose(record, model.weightMegabytes(), now);
+        Optional<EvictionChoice> eviction =
+                mEviction.choose(record, model.weightMegabytes(), now);
         if (eviction.isEmpty()) {
             return null;
         }
@@ -125,6 +169,17 @@
         return rate;
     }
 
+    /**
+     * A model that only the weight store can bring.
+     *
+     * @param service the service
+     * @param model the model
+     * @param waiting how many calls wait for it
+     * @param demand the calls that wait and will soon arrive
+     */
+    record StoreCandidate(
+            ServiceName service, EngineModel model, int waiting, double demand) {}
+
     /** One runner that could load the model. */
     private record Choice(RunnerRecord record, EvictionChoice eviction, double cost) {
         void plan(ModelName model, String reason) {
@@ -138,7 +193,9 @@
             }
             String source = record.needsStore(model) ? "from the weight store" : "from a copy";
             record.steps()
-                    .addLast(new ModelStep(ResidencyOrderKind.LOAD, model, reason + ", " + source));
+                    .addLast(
+                            new ModelStep(
+                                    ResidencyOrderKind.LOAD, model, reason + ", " + source));
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
@@ -29,6 +29,9 @@
     /** An adapter takes up to ten milliseconds while few adapters are on their way. */
     static final Duration ADAPTER_TIME = Duration.ofMillis(15);
 
+    /** An unload of a model that runs no request takes about this long. */
+    private static final Duration UNLOAD_TIME = Duration.ofMillis(60);
+
     private static final Duration FOLLOWER_PAUSE = Duration.ofMillis(40);
     private static final Duration RECHECK = Duration.ofMillis(200);
     private static final Duration RETRY_PAUSE = Duration.ofMillis(300);
@@ -162,8 +165,13 @@
             time = model == null ? Duration.ZERO : record.loadTime(model);
         }
         Instant nextRead = turn.now().plus(time).plus(REPORT_LAG);
-        record.accepted(order, nextRead);
+        Instant firstFollower = turn.now().plus(UNLOAD_TIME);
+        record.accepted(order, nextRead, firstFollower);
+        record.loadEnd(nextRead);
         turn.add(new ResidencyDecision.WakeAt(nextRead));
+        if (order.kind() == ResidencyOrderKind.UNLOAD) {
+            turn.add(new ResidencyDecision.WakeAt(firstFollower));
+        }
     }
 
     private void fulfilled(RunnerRecord record, ResidencyOrder order, ResidencyTurn turn) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyDecision.java
@@ -1,11 +1,13 @@
 package org.oleanderspring.core.residency.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Set;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.ResidencyOrder;
+import org.oleanderspring.core.routing.Target;
 
 /** What the placement of models decided; the daemon carries it out. */
 public sealed interface ResidencyDecision {
@@ -37,6 +39,22 @@
         }
     }
 
+    /**
+     * Tell daemons how long calls for a model or adapter have to wait.
+     *
+     * @param target the model or adapter
+     * @param readyAfter how long it takes until a runner holds it
+     * @param daemons the daemons at which calls wait
+     */
+    record EstimateReadiness(
+            Target.ServedModelTarget target, Duration readyAfter, Set<MemberId> daemons)
+            implements ResidencyDecision {
+        /** Copies the set. */
+        public EstimateReadiness {
+            daemons = Set.copyOf(daemons);
+        }
+    }
+
     /**
      * Fire the timer at a certain time, besides its regular times.
      *
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -70,7 +70,7 @@
     int storeLoads() {
         int loads = 0;
         for (RunnerRecord record : mRecords.values()) {
-            loads += record.isLoadingFromStore() ? 1 : 0;
+            loads += record.isUsable() && record.isLoadingFromStore() ? 1 : 0;
         }
         return loads;
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -52,6 +52,7 @@
     private @Nullable ResidencyOrder mUnanswered;
     private @Nullable ResidencyOrder mCarriedOut;
     private boolean mChanging;
+    private Instant mLoadEnd = Instant.MIN;
     private int mRejectedFollowers;
     private Instant mNextFollower = Instant.MIN;
 
@@ -234,6 +235,17 @@
         return order.kind() == ResidencyOrderKind.LOAD && order.model().base().equals(model);
     }
 
+    /** Returns when the load that is under way is expected to end, or null if there is none. */
+    @Nullable Instant loadEnd() {
+        boolean loads =
+                mCarriedOut != null && mCarriedOut.kind() == ResidencyOrderKind.LOAD;
+        return loads ? mLoadEnd : null;
+    }
+
+    void loadEnd(Instant end) {
+        mLoadEnd = end;
+    }
+
     /** Returns how long a load of a model takes here, alone. */
     Duration loadTime(EngineModel model) {
         if (mCopies.inMemory().contains(model.name())) {
@@ -312,7 +324,7 @@
      * Notes that the runner accepted an order about a model and carries it out. It accepts none
      * before the last one is done, so that one is.
      */
-    void accepted(ResidencyOrder order, Instant nextRead) {
+    void accepted(ResidencyOrder order, Instant nextRead, Instant firstFollower) {
         mUnanswered = null;
         mOrders = order.expectedOrders() + 1;
         ResidencyOrder before = mCarriedOut;
@@ -323,6 +335,7 @@
         mCarriedOut = order;
         mNextRead = nextRead;
         mRejectedFollowers = 0;
+        mNextFollower = firstFollower;
         ModelStep step = mSteps.peekFirst();
         if (step != null
                 && step.kind() == ResidencyOrderKind.UNLOAD
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
@@ -5,6 +5,7 @@
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.WorkState;
 
 /** Admits or refuses calls as they arrive. */
@@ -37,6 +38,20 @@
         admit(call, turn);
     }
 
+    /** Refuses waiting calls that a new estimate leaves no hope. */
+    void reconsider(Target target, CallCloser closer, Turn turn) {
+        TargetState state = mState.fleet().target(target);
+        if (state.capacity() > 0) {
+            return;
+        }
+        for (CallState call : state.queue().calls()) {
+            RefusalReason refusal = refusalByEstimate(call, turn.now());
+            if (refusal != null) {
+                closer.refuse(call, refusal, turn);
+            }
+        }
+    }
+
     private void refuse(CallRequest request, RefusalReason reason, Turn turn) {
         mState.tally().refused(reason);
         turn.add(new RoutingDecision.Refuse(request.id(), reason, WorkState.NOT_RUN));
@@ -69,12 +84,17 @@
         if (target.admitted() >= limit) {
             return RefusalReason.QUEUE_FULL;
         }
+        return refusalByEstimate(call, now);
+    }
+
+    private @Nullable RefusalReason refusalByEstimate(CallState call, Instant now) {
+        TargetState target = call.target();
         int before = target.queue().countBefore(call) + target.claiming();
         OverloadSituation situation =
                 new OverloadSituation(
                         now,
                         target.admitted(),
-                        limit,
+                        mState.limits().queueLimit(),
                         target.capacity() > 0,
                         target.estimatedWait(before, now));
         OverloadAction action = mPolicy.decide(call.request(), situation);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
@@ -37,6 +37,11 @@
         return index < 0 ? -index - 1 : index;
     }
 
+    /** Returns the waiting calls, in order, as they are now. */
+    List<CallState> calls() {
+        return List.copyOf(mCalls);
+    }
+
     int size() {
         return mCalls.size();
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -86,6 +86,9 @@
             handleFleetEvent(event, turn);
         }
         expireOverdue(turn);
+        if (mState.isDrainEnding()) {
+            refuseWaiting(turn);
+        }
         mDispatcher.dispatchTouched(turn);
         return turn.decisions();
     }
@@ -128,12 +131,16 @@
             fleet.loadSeen(seen.endpoint(), seen.callsOfOthers(), seen.seenAt());
         } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
             fleet.estimated(estimated.target(), estimated.readyAt(), turn.now());
+            mAdmission.reconsider(estimated.target(), mCloser, turn);
         } else if (event instanceof RoutingEvent.LimitsChanged changed) {
             limitsChanged(changed.limits(), turn);
         } else if (event instanceof RoutingEvent.AuthorityChanged changed) {
             authorityChanged(changed.mayDecide(), turn);
         } else if (event instanceof RoutingEvent.DrainStarted) {
             mState.drainStarted();
+        } else if (event instanceof RoutingEvent.DrainEnding) {
+            mState.drainStarted();
+            mState.drainEnding();
         }
     }
 
@@ -239,6 +246,12 @@
         }
     }
 
+    private void refuseWaiting(Turn turn) {
+        for (CallState call : mState.calls().withoutAttempt()) {
+            mCloser.refuse(call, RefusalReason.DRAINING, turn);
+        }
+    }
+
     private void expireOverdue(Turn turn) {
         CallState call = mState.calls().firstOverdue(turn.now());
         while (call != null) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -106,6 +106,9 @@
     /** The daemon takes no new calls from now on. */
     record DrainStarted() implements RoutingEvent {}
 
+    /** The daemon is about to end: calls that wait are refused, and none is started any more. */
+    record DrainEnding() implements RoutingEvent {}
+
     /** Time has passed. */
     record TimerFired() implements RoutingEvent {}
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -17,6 +17,7 @@
     private RoutingLimits mLimits = RoutingLimits.DEFAULT;
     private boolean mMayDecide;
     private boolean mDrainStarted;
+    private boolean mDrainEnding;
 
     RoutingState(RetryAllowance retries) {
         mRetries = retries;
@@ -54,6 +55,14 @@
         mMayDecide = mayDecide;
     }
 
+    boolean isDrainEnding() {
+        return mDrainEnding;
+    }
+
+    void drainEnding() {
+        mDrainEnding = true;
+    }
+
     boolean isDrainStarted() {
         return mDrainStarted;
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -16,6 +16,7 @@
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.query.StoreChange;
+import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.port.query.Reading;
 import org.oleanderspring.core.residency.ResidencyOrder;
@@ -257,6 +258,8 @@
             read(read.runner());
         } else if (decision instanceof ResidencyDecision.Publish publish) {
             publish(publish);
+        } else if (decision instanceof ResidencyDecision.EstimateReadiness estimate) {
+            tell(estimate);
         } else if (decision instanceof ResidencyDecision.WakeAt wake) {
             Duration delay = Duration.between(mClock.now(), wake.at());
             mTimer.after(
@@ -336,6 +339,25 @@
                 id, ((Reading.Unavailable<RunnerState>) reading).reason());
     }
 
+    private void tell(ResidencyDecision.EstimateReadiness estimate) {
+        LOGGER.log(
+                Level.INFO,
+                "[placement] estimate target=\""
+                        + estimate.target()
+                        + "\" ready-in-ms="
+                        + estimate.readyAfter().toMillis());
+        for (MemberId daemon : estimate.daemons()) {
+            GatewayMember.parse(daemon)
+                    .ifPresent(
+                            member ->
+                                    mPorts.statements()
+                                            .estimate(
+                                                    member,
+                                                    estimate.target(),
+                                                    estimate.readyAfter()));
+        }
+    }
+
     private void publish(ResidencyDecision.Publish publish) {
         mPorts.statements().state(mSettings.self(), publish.residency());
         for (GatewayMember member : mFleet.members()) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -22,7 +22,7 @@
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.LeastLoadedSelector;
 import org.oleanderspring.core.routing.command.PrefixAffinitySelector;
-import org.oleanderspring.core.routing.command.QueueUntilDeadlinePolicy;
+import org.oleanderspring.core.routing.command.RefuseHopelessPolicy;
 import org.oleanderspring.core.routing.command.ResumingRetryPolicy;
 import org.oleanderspring.core.routing.command.SafeRetryPolicy;
 import org.oleanderspring.core.routing.command.WindowedRetryAllowance;
@@ -156,7 +156,7 @@
                 new DefaultRoutingDecider(
                         new PrefixAffinitySelector(
                                 new LeastLoadedSelector(mSettings.self().id().hashCode())),
-                        new QueueUntilDeadlinePolicy(),
+                        new RefuseHopelessPolicy(),
                         new ResumingRetryPolicy(new SafeRetryPolicy()),
                         new WindowedRetryAllowance());
         GatewayPorts ports =
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
@@ -31,6 +31,9 @@
     /** Left at the end, so that the process is gone before it would be killed. */
     private static final Duration MARGIN = Duration.ofMillis(700);
 
+    /** So long before the end, requests that still wait for a runner are refused. */
+    private static final Duration WAITING_MARGIN = Duration.ofMillis(900);
+
     private final GatewayRings mRings;
     private final Duration mLimit;
 
@@ -51,7 +54,11 @@
         mRings.routing().offer(new GatewayInput.Event(new RoutingEvent.DrainStarted()));
         CompletableFuture<Boolean> quiet = new CompletableFuture<>();
         mRings.routing().offer(new GatewayInput.QuietAsked(quiet));
-        boolean ended = await(quiet, end);
+        boolean ended = await(quiet, end - WAITING_MARGIN.toNanos());
+        if (!ended) {
+            mRings.routing().offer(new GatewayInput.Event(new RoutingEvent.DrainEnding()));
+            ended = await(quiet, end);
+        }
         boolean released = await(handedOver, end);
         LOGGER.log(
                 Level.INFO,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
@@ -101,6 +101,25 @@
         send(member, new PeerMessage.ResidencyStatement(residency));
     }
 
+    @Override
+    public void estimate(
+            GatewayMember member, Target.ServedModelTarget target, Duration readyAfter) {
+        if (member.equals(mSettings.self())) {
+            estimated(target, readyAfter);
+            return;
+        }
+        send(
+                member,
+                new PeerMessage.ReadyNotice(
+                        new CellName(target.service().value()),
+                        new ModelName(target.model().toString()),
+                        readyAfter));
+    }
+
+    private void estimated(Target.ServedModelTarget target, Duration readyAfter) {
+        mRings.routing().offer(new GatewayInput.ReadinessEstimated(target, readyAfter));
+    }
+
     private void send(GatewayMember member, PeerMessage message) {
         PeerSender sender = mPeer.mSender;
         if (sender == null) {
@@ -118,7 +137,9 @@
         if (message instanceof PeerMessage.ResidencyStatement statement) {
             return mRings.routing().offer(new GatewayInput.ResidencyStated(statement.residency()));
         }
-        if (message instanceof PeerMessage.UseReport report) {
+        if (message instanceof PeerMessage.ReadyNotice notice) {
+            estimated(target(notice.cell(), notice.model()), notice.readyAfter());
+        } else if (message instanceof PeerMessage.UseReport report) {
             mRings.placement(demand(report));
         } else if (message instanceof PeerMessage.WakeRequest request) {
             mRings.placement(load(request));
@@ -144,10 +165,13 @@
     private static ResidencyEvent load(PeerMessage.WakeRequest request) {
         return new ResidencyEvent.LoadRequested(
                 request.daemon(),
-                new Target.ServedModelTarget(
-                        new ServiceName(request.cell().value()),
-                        ModelReference.parse(request.model().value())),
+                target(request.cell(), request.model()),
                 request.waiting(),
                 request.untilDeadline());
     }
+
+    private static Target.ServedModelTarget target(CellName cell, ModelName model) {
+        return new Target.ServedModelTarget(
+                new ServiceName(cell.value()), ModelReference.parse(model.value()));
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -115,6 +115,10 @@
             if (mResidency.stated(stated.residency(), mClock.now())) {
                 changeTable();
             }
+        } else if (input instanceof GatewayInput.ReadinessEstimated estimated) {
+            decide(
+                    new RoutingEvent.ReadinessEstimated(
+                            estimated.target(), mClock.now().plus(estimated.readyAfter())));
         } else if (input instanceof GatewayInput.DemandDue) {
             reportDemand();
         } else {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
@@ -1,10 +1,12 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.routing.AttemptId;
+import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.command.RoutingEvent;
 import org.oleanderspring.daemon.gateway.StoreNews;
 
@@ -54,6 +56,15 @@
      */
     record ResidencyStated(Residency residency) implements GatewayInput {}
 
+    /**
+     * The daemon that gives orders told how long calls have to wait.
+     *
+     * @param target the model or adapter that they wait for
+     * @param readyAfter how long
+     */
+    record ReadinessEstimated(Target.ServedModelTarget target, Duration readyAfter)
+            implements GatewayInput {}
+
     /** It is time to report the use of models. */
     record DemandDue() implements GatewayInput {}
 
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -173,6 +173,7 @@
         return this instanceof Membership
                 || this instanceof UseReport
                 || this instanceof WakeRequest
+                || this instanceof ReadyNotice
                 || this instanceof ResidencyStatement;
     }
 }
