--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -32,6 +32,16 @@
     /** The arrivals of so many seconds count as much as calls that wait now. */
     private static final double RATE_SECONDS = 4;
 
+    /** A model with so many calls a second has copies on two runners, because one may leave. */
+    private static final double BUSY_RATE = 0.5;
+
+    private static final int BUSY_COPIES = 2;
+
+    /** Each replica of a busy model takes about so many calls a second with their adapters. */
+    private static final double RATE_PER_REPLICA = 3;
+
+    private static final int MOST_REPLICAS = 3;
+
     /** A model that is in use does not make way for one that nobody asked for yet. */
     private static final double PREFETCH_COST_LIMIT = 0.05;
 
@@ -55,6 +65,7 @@
                 planFromCopy(target.service(), model, turn.now());
             }
         }
+        planReplicas(turn.now());
         for (StoreCandidate candidate : storeCandidates(turn.now())) {
             if (mFleet.storeLoads() >= mStoreLoadsAtOnce) {
                 return;
@@ -72,13 +83,39 @@
                 || !mFleet.hasCopyInReach(service, model)) {
             return;
         }
-        Choice best = best(service, description, false, now);
+        Choice best = best(service, description, Source.COPY, now);
         if (best != null) {
             best.plan(model, "calls wait");
         }
     }
 
-    /** Returns the models that only the weight store can bring, those with most demand first. */
+    /** Gives busy models more replicas on runners that have their weights near. */
+    private void planReplicas(Instant now) {
+        for (ServiceName service : mFleet.services()) {
+            EngineDescription engine = mFleet.engine(service);
+            if (engine == null) {
+                continue;
+            }
+            for (EngineModel model : engine.models().values()) {
+                planReplica(service, model, now);
+            }
+        }
+    }
+
+    private void planReplica(ServiceName service, EngineModel model, Instant now) {
+        double rate = mDemand.rate(service, model.name(), now);
+        int replicas = mFleet.replicas(service, model.name());
+        long wanted = Math.min(MOST_REPLICAS, Math.round(Math.ceil(rate / RATE_PER_REPLICA)));
+        if (replicas == 0 || replicas >= wanted || mFleet.isLoading(service, model.name())) {
+            return;
+        }
+        Choice best = best(service, model, Source.COPY, now);
+        if (best != null && best.eviction().cost() < rate / (replicas + 1)) {
+            best.plan(model.name(), "busy model");
+        }
+    }
+
+    /** Returns the models that the weight store should bring, those with most demand first. */
     List<StoreCandidate> storeCandidates(Instant now) {
         List<StoreCandidate> candidates = new ArrayList<>();
         for (ServiceName service : mFleet.services()) {
@@ -103,36 +140,44 @@
     private @Nullable StoreCandidate candidate(
             ServiceName service, EngineModel model, Instant now) {
         ModelName name = model.name();
-        if (mFleet.replicas(service, name) > 0
-                || mFleet.isLoading(service, name)
-                || mFleet.hasCopyInReach(service, name)) {
+        if (mFleet.isLoading(service, name)) {
             return null;
         }
-        int waiting = mDemand.waiting(service, name, now);
-        if (waiting == 0 && mFleet.hasCopy(service, name)) {
+        int copies = mFleet.copies(service, name);
+        double rate = mDemand.rate(service, name, now);
+        boolean reachable =
+                mFleet.replicas(service, name) > 0 || mFleet.hasCopyInReach(service, name);
+        int waiting = reachable ? 0 : mDemand.waiting(service, name, now);
+        boolean wanted = copies == 0 || waiting > 0;
+        if (!wanted && (rate < BUSY_RATE || copies >= BUSY_COPIES)) {
             return null;
         }
-        double demand = waiting + RATE_SECONDS * mDemand.rate(service, name, now);
+        double demand = waiting + RATE_SECONDS * rate / (1 + copies);
         return new StoreCandidate(service, model, waiting, demand);
     }
 
     private void planFromStore(StoreCandidate candidate, Instant now) {
-        Choice best = best(candidate.service(), candidate.model(), true, now);
+        Choice best = best(candidate.service(), candidate.model(), Source.STORE, now);
         if (best == null) {
             return;
         }
         if (candidate.waiting() > 0) {
             best.plan(candidate.model().name(), "calls wait");
         } else if (best.eviction().cost() <= PREFETCH_COST_LIMIT + candidate.demand()) {
-            best.plan(candidate.model().name(), "no runner has a copy");
+            best.plan(candidate.model().name(), "too few copies");
         }
     }
 
     private @Nullable Choice best(
-            ServiceName service, EngineModel model, boolean fromStore, Instant now) {
+            ServiceName service, EngineModel model, Source source, Instant now) {
         Choice best = null;
         for (RunnerRecord record : mFleet.usable(service)) {
-            if (record.needsStore(model.name()) && !fromStore) {
+            boolean fits =
+                    source == Source.STORE
+                            ? !record.hasCopy(model.name())
+                            : !record.needsStore(model.name())
+                                    && !record.models().contains(model.name());
+            if (!fits) {
                 continue;
             }
             Choice choice = choice(record, model, now);
@@ -169,6 +214,14 @@
         return rate;
     }
 
+    /** Where the weights of a load come from. */
+    private enum Source {
+        /** The weight store. */
+        STORE,
+        /** The runner's memory or disk. */
+        COPY
+    }
+
     /**
      * A model that only the weight store can bring.
      *
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -75,10 +75,13 @@
         return loads;
     }
 
-    /** Returns whether any runner of a service that takes part has the weights of a model. */
-    boolean hasCopy(ServiceName service, ModelName model) {
-        return usable(service).stream()
-                .anyMatch(record -> record.models().contains(model) || !record.needsStore(model));
+    /** Returns how many runners of a service that take part have the weights of a model. */
+    int copies(ServiceName service, ModelName model) {
+        int copies = 0;
+        for (RunnerRecord record : usable(service)) {
+            copies += record.hasCopy(model) ? 1 : 0;
+        }
+        return copies;
     }
 
     /** Returns whether a runner that has the weights of a model will soon be able to load it. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -259,6 +259,11 @@
         return !mCopies.inMemory().contains(model) && !mCopies.onDisk().contains(model);
     }
 
+    /** Returns whether the runner holds a model or has its weights near. */
+    boolean hasCopy(ModelName model) {
+        return mHeld.containsKey(model) || !needsStore(model);
+    }
+
     int adapterCount() {
         int count = mIncoming.size();
         for (Set<String> adapters : mHeld.values()) {
