--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/store/PrefixMirrorTest.java
@@ -0,0 +1,77 @@
+package org.oleanderspring.coordination.store;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.coordination.store.command.PrefixMirror;
+import org.oleanderspring.coordination.store.query.StoreChange;
+
+class PrefixMirrorTest {
+    private static final Instant START = Instant.EPOCH;
+    private static final StoreKey A = new StoreKey("/servers/a");
+
+    private final PrefixMirror<String> mMirror =
+            new PrefixMirror<>(Duration.ofSeconds(2), PrefixMirrorTest::decode);
+
+    private static Optional<String> decode(StoredValue value) {
+        String text = new String(value.bytes(), StandardCharsets.UTF_8);
+        return text.equals("broken") ? Optional.empty() : Optional.of(text);
+    }
+
+    private static StoredValue value(StoreKey key, String text) {
+        return new StoredValue(key, text.getBytes(StandardCharsets.UTF_8), new Revision(1));
+    }
+
+    private void remove(Instant now) {
+        mMirror.changed(List.of(new StoreChange.Removed(A)), now);
+    }
+
+    /** Guards against a runner that gets requests after its entry was removed. */
+    @Test
+    void removalCountsAtOnceWhileTheStoreIsThere() {
+        mMirror.listed(List.of(value(A, "one")), START);
+        remove(START.plusSeconds(60));
+        assertThat(mMirror.values(), is(List.of()));
+    }
+
+    /** Guards against a fleet that loses all its runners when the store comes back. */
+    @Test
+    void entryThatLapsedInAnOutageIsKeptForTheGraceTime() {
+        mMirror.listed(List.of(value(A, "one")), START);
+        mMirror.interrupted();
+        mMirror.resumed(START.plusSeconds(30));
+        remove(START.plusMillis(30_100));
+        assertThat(mMirror.expire(START.plusSeconds(31)), is(false));
+        assertThat(mMirror.values(), is(List.of("one")));
+        assertThat(mMirror.expire(START.plusSeconds(32)), is(true));
+        assertThat(mMirror.values(), is(List.of()));
+    }
+
+    /** Guards against a runner that is dropped although it registered again in time. */
+    @Test
+    void entryThatIsWrittenAgainStays() {
+        mMirror.listed(List.of(value(A, "one")), START);
+        mMirror.interrupted();
+        mMirror.resumed(START.plusSeconds(30));
+        mMirror.listed(List.of(), START.plusSeconds(30));
+        mMirror.changed(List.of(new StoreChange.Written(value(A, "two"))), START.plusSeconds(31));
+        assertThat(mMirror.expire(START.plusSeconds(40)), is(false));
+        assertThat(mMirror.values(), is(List.of("two")));
+    }
+
+    /** Guards against an unreadable entry that takes the others with it, or that stays in use. */
+    @Test
+    void unreadableEntryNamesNothing() {
+        mMirror.listed(
+                List.of(value(A, "one"), value(new StoreKey("/servers/b"), "broken")), START);
+        assertThat(mMirror.values(), is(List.of("one")));
+        mMirror.changed(List.of(new StoreChange.Written(value(A, "broken"))), START);
+        assertThat(mMirror.values(), is(List.of()));
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -192,8 +192,7 @@
         if (!record.isFree()) {
             return null;
         }
-        Optional<EvictionChoice> eviction =
-                mEviction.choose(record, model.weightMegabytes(), now);
+        Optional<EvictionChoice> eviction = mEviction.choose(record, model.weightMegabytes(), now);
         if (eviction.isEmpty()) {
             return null;
         }
@@ -230,8 +229,7 @@
      * @param waiting how many calls wait for it
      * @param demand the calls that wait and will soon arrive
      */
-    record StoreCandidate(
-            ServiceName service, EngineModel model, int waiting, double demand) {}
+    record StoreCandidate(ServiceName service, EngineModel model, int waiting, double demand) {}
 
     /** One runner that could load the model. */
     private record Choice(RunnerRecord record, EvictionChoice eviction, double cost) {
@@ -246,9 +244,7 @@
             }
             String source = record.needsStore(model) ? "from the weight store" : "from a copy";
             record.steps()
-                    .addLast(
-                            new ModelStep(
-                                    ResidencyOrderKind.LOAD, model, reason + ", " + source));
+                    .addLast(new ModelStep(ResidencyOrderKind.LOAD, model, reason + ", " + source));
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -237,8 +237,7 @@
 
     /** Returns when the load that is under way is expected to end, or null if there is none. */
     @Nullable Instant loadEnd() {
-        boolean loads =
-                mCarriedOut != null && mCarriedOut.kind() == ResidencyOrderKind.LOAD;
+        boolean loads = mCarriedOut != null && mCarriedOut.kind() == ResidencyOrderKind.LOAD;
         return loads ? mLoadEnd : null;
     }
 
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/ResidencyFuzz.java
@@ -0,0 +1,22 @@
+package org.oleanderspring.core.residency.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class ResidencyFuzz {
+    /**
+     * Guards against an order that a runner has no room for, against orders outside of a tenure,
+     * and against calls whose model is never loaded, under late orders, lost replies and changes of
+     * the holder.
+     */
+    @Property(seed = "20261204", tries = 60)
+    void runnersNeverOverflowAndEveryModelIsLoaded(@ForAll long seed) {
+        ResidencyWorld world = new ResidencyWorld(seed);
+        world.run(600);
+        world.settle();
+        assertThat("orders", world.orders(), greaterThan(10));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/residency/query/ResidencyViewTest.java
@@ -0,0 +1,101 @@
+package org.oleanderspring.core.residency.query;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.runner.HeldCopies;
+import org.oleanderspring.core.runner.HeldModel;
+import org.oleanderspring.core.runner.RunnerEntry;
+
+class ResidencyViewTest {
+    private static final EndpointId RUNNER = new EndpointId("r1@5");
+    private static final Instant START = Instant.EPOCH;
+
+    private final ResidencyView mView = new ResidencyView();
+
+    private static List<HeldModel> models(String... names) {
+        return Arrays.stream(names)
+                .map(name -> new HeldModel(new ModelName(name), Set.of()))
+                .toList();
+    }
+
+    private void entry(Instant now, String... names) {
+        mView.listed(
+                List.of(
+                        new RunnerEntry(
+                                RUNNER,
+                                "r1",
+                                new ServiceName("assistant"),
+                                new Address("10.0.0.1", 80),
+                                new FailureDomain("east"),
+                                4,
+                                false,
+                                null,
+                                models(names),
+                                HeldCopies.NONE)),
+                now);
+    }
+
+    private boolean state(Instant now, long token, long number, String closing, String... names) {
+        Set<ModelName> closed = closing.isEmpty() ? Set.of() : Set.of(new ModelName(closing));
+        return mView.stated(
+                new Residency(RUNNER, new FencingToken(token), number, 3, models(names), closed),
+                now);
+    }
+
+    /** Guards against calls for a model that the runner is about to unload. */
+    @Test
+    void closingModelGetsNoCalls() {
+        entry(START, "a", "b");
+        state(START.plusMillis(100), 7, 1, "b", "a", "b");
+        assertThat(mView.open(RUNNER, START.plusMillis(200)), is(models("a")));
+    }
+
+    /** Guards against a model that stays closed for good when its holder died before the unload. */
+    @Test
+    void modelThatWasNotUnloadedOpensAgain() {
+        entry(START, "a", "b");
+        state(START, 7, 1, "b", "a", "b");
+        assertThat(mView.open(RUNNER, START.plusSeconds(5)), is(models("a", "b")));
+    }
+
+    /** Guards against an entry from before a change that hides the change. */
+    @Test
+    void entryWrittenBeforeTheStatementIsNotFollowed() {
+        entry(START, "a");
+        state(START.plusMillis(100), 7, 1, "", "a", "b");
+        entry(START.plusMillis(900), "a", "c");
+        assertThat(mView.open(RUNNER, START.plusSeconds(1)), is(models("a", "b")));
+    }
+
+    /** Guards against a statement that hides what the runner itself says much later. */
+    @Test
+    void entryThatChangesMuchLaterIsFollowed() {
+        entry(START, "a");
+        state(START.plusMillis(100), 7, 1, "", "a", "b");
+        entry(START.plusSeconds(9), "c");
+        assertThat(mView.open(RUNNER, START.plusSeconds(9)), is(models("c")));
+    }
+
+    /** Guards against a late statement of a holder before that replaces one of its successor. */
+    @Test
+    void statementOfAnEarlierTenureIsIgnored() {
+        entry(START, "a");
+        assertThat(state(START, 9, 1, "", "b"), is(true));
+        assertThat(state(START, 7, 50, "", "c"), is(false));
+        assertThat(state(START, 9, 1, "", "d"), is(false));
+        assertThat(mView.open(RUNNER, START), is(models("b")));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/route/query/RouteIndexTest.java
@@ -0,0 +1,84 @@
+package org.oleanderspring.core.route.query;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.route.CallKind;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.route.IngressLimits;
+import org.oleanderspring.core.route.Route;
+import org.oleanderspring.core.route.ServiceShare;
+
+class RouteIndexTest {
+    private static final ServiceName NEW = new ServiceName("new");
+    private static final ServiceName OLD = new ServiceName("old");
+
+    private static Route route(String name, String host, String prefix, ServiceShare... shares) {
+        return new Route(
+                name,
+                host,
+                prefix,
+                CallKind.IDEMPOTENT,
+                Duration.ofSeconds(1),
+                Duration.ofMillis(100),
+                0,
+                List.of(shares),
+                1,
+                false);
+    }
+
+    private static Optional<String> find(String host, String path) {
+        FleetConfiguration configuration =
+                new FleetConfiguration(
+                        1,
+                        List.of(
+                                route("short", "a.example", "/x/", new ServiceShare(OLD, 1)),
+                                route("long", "a.example", "/x/y/", new ServiceShare(OLD, 1)),
+                                route("other", "b.example", "/x/", new ServiceShare(OLD, 1))),
+                        Map.of(),
+                        IngressLimits.DEFAULT);
+        return new RouteIndex(configuration).find(host, path).map(Route::name);
+    }
+
+    /** Guards against a request that goes to the service of a shorter prefix or another host. */
+    @Test
+    void longestPrefixOfTheHostIsChosen() {
+        assertThat(find("a.example", "/x/y/z"), is(Optional.of("long")));
+        assertThat(find("a.example", "/x/yy/z"), is(Optional.of("short")));
+        assertThat(find("B.example:8080", "/x/y/z"), is(Optional.of("other")));
+    }
+
+    /** Guards against a prefix that is taken for a path without its last slash. */
+    @Test
+    void pathOutsideOfAllPrefixesHasNoRoute() {
+        assertThat(find("a.example", "/x"), is(Optional.empty()));
+        assertThat(find("a.example", "/z/"), is(Optional.empty()));
+        assertThat(find("c.example", "/x/y/z"), is(Optional.empty()));
+    }
+
+    /** Guards against a service of weight 0 that still gets requests, as a drained one would. */
+    @Test
+    void requestsAreSharedByWeight() {
+        Route route =
+                route(
+                        "split",
+                        "a.example",
+                        "/x/",
+                        new ServiceShare(OLD, 3),
+                        new ServiceShare(new ServiceName("drained"), 0),
+                        new ServiceShare(NEW, 1));
+        int toNew = 0;
+        for (int ticket = -200; ticket < 200; ticket++) {
+            ServiceName service = route.serviceOf(ticket);
+            assertThat(service.equals(NEW) || service.equals(OLD), is(true));
+            toNew += service.equals(NEW) ? 1 : 0;
+        }
+        assertThat(toNew, is(100));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -0,0 +1,217 @@
+package org.oleanderspring.core.routing.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.routing.AttemptId;
+import org.oleanderspring.core.routing.AttemptOutcome;
+import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.DeadlineScope;
+import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.Repetition;
+import org.oleanderspring.core.routing.Replica;
+import org.oleanderspring.core.routing.ReplicaState;
+import org.oleanderspring.core.routing.RoutingLimits;
+import org.oleanderspring.core.routing.RoutingTable;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.routing.WorkState;
+
+/** The decisions that only calls of a hosted platform need. */
+class HostedRoutingTest {
+    private static final ServiceName SERVICE = new ServiceName("assistant");
+    private static final Target.ServedModelTarget MODEL =
+            new Target.ServedModelTarget(SERVICE, ModelReference.parse("m1"));
+    private static final EndpointId FIRST = new EndpointId("r1");
+    private static final EndpointId SECOND = new EndpointId("r2");
+    private static final CallId CALL = new CallId(1);
+    private static final Instant START = Instant.EPOCH;
+
+    private final DefaultRoutingDecider mDecider =
+            new DefaultRoutingDecider(
+                    new LeastLoadedSelector(1),
+                    new RefuseHopelessPolicy(),
+                    new ResumingRetryPolicy(new SafeRetryPolicy()),
+                    new WindowedRetryAllowance());
+
+    @BeforeEach
+    void limits() {
+        decide(new RoutingEvent.AuthorityChanged(true), START);
+        decide(
+                new RoutingEvent.LimitsChanged(
+                        new RoutingLimits(
+                                10, 8, 20, Duration.ofMillis(200), 10, Duration.ofSeconds(10))),
+                START);
+    }
+
+    private List<RoutingDecision> decide(RoutingEvent event, Instant now) {
+        return mDecider.decide(event, now);
+    }
+
+    private void table(EndpointId... endpoints) {
+        List<Replica> replicas = new ArrayList<>();
+        for (EndpointId endpoint : endpoints) {
+            replicas.add(new Replica(endpoint, ReplicaState.READY, 4));
+        }
+        decide(
+                new RoutingEvent.TableChanged(
+                        new RoutingTable(
+                                replicas.isEmpty() ? Map.of() : Map.of(MODEL, replicas),
+                                Set.of(MODEL))),
+                START);
+    }
+
+    private List<RoutingDecision> arrive(Repetition repetition, int attempts) {
+        return decide(
+                new RoutingEvent.CallArrived(
+                        new CallRequest(
+                                CALL,
+                                MODEL,
+                                null,
+                                0,
+                                START.plusSeconds(10),
+                                0,
+                                repetition,
+                                attempts,
+                                DeadlineScope.WHOLE_ANSWER)),
+                START);
+    }
+
+    private static RoutingDecision.StartAttempt started(List<RoutingDecision> decisions) {
+        for (RoutingDecision decision : decisions) {
+            if (decision instanceof RoutingDecision.StartAttempt start) {
+                return start;
+            }
+        }
+        throw new AssertionError("no attempt in " + decisions);
+    }
+
+    private static RoutingDecision refused(RefusalReason reason, WorkState work) {
+        return new RoutingDecision.Refuse(CALL, reason, work);
+    }
+
+    private static RoutingEvent ended(int attempt, AttemptOutcome outcome) {
+        return new RoutingEvent.AttemptFinished(new AttemptId(CALL, attempt), outcome);
+    }
+
+    /** Guards against an endless answer: the deadline bounds its end, not only its beginning. */
+    @Test
+    void answerThatLastsTooLongIsCutOff() {
+        table(FIRST);
+        arrive(Repetition.AT_MOST_ONCE, 1);
+        decide(new RoutingEvent.ResponseBegan(new AttemptId(CALL, 1)), START.plusSeconds(1));
+        assertThat(decide(new RoutingEvent.TimerFired(), START.plusSeconds(9)), is(empty()));
+        List<RoutingDecision> late = decide(new RoutingEvent.TimerFired(), START.plusSeconds(10));
+        assertThat(late, hasItem(refused(RefusalReason.DEADLINE_PASSED, WorkState.UNKNOWN)));
+    }
+
+    /** Guards against a stream that ends with its runner although another could go on. */
+    @Test
+    void brokenStreamGoesOnAtAnotherRunner() {
+        table(FIRST, SECOND);
+        EndpointId first = started(arrive(Repetition.RESUMABLE, 2)).endpoint();
+        decide(new RoutingEvent.ResponseBegan(new AttemptId(CALL, 1)), START.plusSeconds(1));
+        List<RoutingDecision> next =
+                decide(ended(1, new AttemptOutcome.Failed("reset", true)), START.plusSeconds(2));
+        assertThat(started(next).endpoint(), is(not(first)));
+    }
+
+    /** Guards against a second run of a call that may run once. */
+    @Test
+    void brokenCallThatMayRunOnceIsNotRepeated() {
+        table(FIRST, SECOND);
+        arrive(Repetition.AT_MOST_ONCE, 3);
+        List<RoutingDecision> next =
+                decide(ended(1, new AttemptOutcome.Failed("reset", false)), START.plusSeconds(1));
+        assertThat(next, is(List.of(refused(RefusalReason.ATTEMPTS_EXHAUSTED, WorkState.UNKNOWN))));
+    }
+
+    /** Guards against a call that is given up although no runner has seen it yet. */
+    @Test
+    void attemptThatWasNotSentIsNotCounted() {
+        table(FIRST, SECOND);
+        EndpointId first = started(arrive(Repetition.AT_MOST_ONCE, 1)).endpoint();
+        List<RoutingDecision> next =
+                decide(ended(1, new AttemptOutcome.NotSent("refused")), START.plusMillis(5));
+        assertThat(started(next).endpoint(), is(not(first)));
+    }
+
+    /** Guards against a runner that is asked again and again for a model that it does not hold. */
+    @Test
+    void runnerWithoutTheModelIsLeftOut() {
+        table(FIRST, SECOND);
+        EndpointId first = started(arrive(Repetition.REPEATABLE, 3)).endpoint();
+        List<RoutingDecision> next =
+                decide(ended(1, new AttemptOutcome.NotHeld("421")), START.plusMillis(5));
+        assertThat(started(next).endpoint(), is(not(first)));
+        EndpointId second = started(next).endpoint();
+        List<RoutingDecision> none =
+                decide(ended(2, new AttemptOutcome.NotHeld("421")), START.plusMillis(9));
+        assertThat(none, is(empty()));
+        assertThat(second, is(not(first)));
+    }
+
+    /** Guards against a model that nobody is asked to load. */
+    @Test
+    void waitingCallAsksForItsModel() {
+        table();
+        assertThat(
+                arrive(Repetition.REPEATABLE, 2),
+                hasItem(new RoutingDecision.RequestLoad(MODEL, START.plusSeconds(10), 1)));
+    }
+
+    /** Guards against a call that is kept waiting although it cannot be served in time. */
+    @Test
+    void callThatCannotWaitForItsModelIsRefusedAtOnce() {
+        table();
+        arrive(Repetition.REPEATABLE, 2);
+        assertThat(
+                decide(
+                        new RoutingEvent.ReadinessEstimated(MODEL, START.plusSeconds(9)),
+                        START.plusMillis(50)),
+                is(empty()));
+        assertThat(
+                decide(
+                        new RoutingEvent.ReadinessEstimated(MODEL, START.plusSeconds(12)),
+                        START.plusMillis(90)),
+                is(List.of(refused(RefusalReason.DEADLINE_TOO_SHORT, WorkState.NOT_RUN))));
+    }
+
+    /** Guards against a planned stop that leaves a waiting call without an answer. */
+    @Test
+    void waitingCallIsRefusedBeforeTheDaemonEnds() {
+        table();
+        arrive(Repetition.REPEATABLE, 2);
+        assertThat(decide(new RoutingEvent.DrainStarted(), START.plusSeconds(3)), is(empty()));
+        assertThat(
+                decide(new RoutingEvent.DrainEnding(), START.plusSeconds(6)),
+                is(List.of(refused(RefusalReason.DRAINING, WorkState.NOT_RUN))));
+    }
+
+    /** Guards against a retry that is started while the daemon ends. */
+    @Test
+    void callThatFailsWhileTheDaemonEndsIsRefused() {
+        table(FIRST, SECOND);
+        arrive(Repetition.REPEATABLE, 3);
+        decide(new RoutingEvent.DrainEnding(), START.plusSeconds(6));
+        List<RoutingDecision> next =
+                decide(ended(1, new AttemptOutcome.Failed("reset", false)), START.plusSeconds(6));
+        assertThat(next, not(hasItem(instanceOf(RoutingDecision.StartAttempt.class))));
+        assertThat(next, hasItem(refused(RefusalReason.DRAINING, WorkState.UNKNOWN)));
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -1,8 +1,9 @@
 package org.oleanderspring.daemon.cli.command;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.oleanderspring.coordination.membership.Address;
@@ -11,7 +12,12 @@
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.process.command.Gateway;
+import org.oleanderspring.daemon.gateway.process.command.SettingsReload;
+import org.oleanderspring.daemon.process.EnvironmentDefaults;
 import org.oleanderspring.daemon.process.ExitCode;
+import org.oleanderspring.daemon.process.NodeFile;
+import org.oleanderspring.daemon.process.command.RingLogHandler;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -25,9 +31,9 @@
         mixinStandardHelpOptions = true,
         description =
                 "Runs the daemon on a hosted platform. Each flag falls back to an environment"
-                        + " variable, for example --front to OLEANDERSPRING_FRONT.")
+                        + " variable, for example --front to OLEANDERSPRING_FRONT, and to the same"
+                        + " name in the file that OLEANDERSPRING_NODE_FILE names.")
 public final class GatewayCommand implements Callable<Integer> {
-    private static final Logger LOGGER = System.getLogger(GatewayCommand.class.getName());
     private static final int HIGHEST_PORT = 65_535;
     private static final int PERCENT = 100;
 
@@ -153,10 +159,10 @@
 
     @Override
     public Integer call() throws Exception {
-        // Without a handler the signal would end the process.
-        Signal.handle(
-                new Signal("HUP"), signal -> LOGGER.log(Level.INFO, "[gateway] reload-requested"));
-        Gateway gateway = new Gateway(check());
+        RingLogHandler log = RingLogHandler.install();
+        GatewaySettings settings = check();
+        Gateway gateway = new Gateway(settings);
+        followSettings(gateway, settings);
         String failure = gateway.start();
         if (failure != null) {
             mSpec.commandLine().getErr().println(failure);
@@ -167,6 +173,7 @@
                         new Thread(
                                 () -> {
                                     gateway.stop();
+                                    log.close();
                                     // A planned stop is a success; the signal's code would hide
                                     // that from a process manager.
                                     Runtime.getRuntime().halt(ExitCode.SUCCESS);
@@ -176,6 +183,32 @@
         return ExitCode.SUCCESS;
     }
 
+    private void followSettings(Gateway gateway, GatewaySettings settings) {
+        Optional<Path> file = NodeFile.location();
+        if (file.isEmpty()) {
+            // Without a handler the signal would end the process.
+            Signal.handle(new Signal("HUP"), signal -> {});
+            return;
+        }
+        SettingsReload reload = new SettingsReload(file.get(), settings, this::readAgain, gateway);
+        Signal.handle(new Signal("HUP"), signal -> reload.request());
+        reload.start(gateway.timer());
+    }
+
+    /** Reads all flags, variables and the file again, as at the start of the process. */
+    private SettingsReload.Outcome readAgain() {
+        GatewayCommand again = new GatewayCommand();
+        CommandLine commandLine = new CommandLine(again);
+        commandLine.setDefaultValueProvider(new EnvironmentDefaults());
+        List<String> arguments = mSpec.commandLine().getParseResult().originalArgs();
+        try {
+            commandLine.parseArgs(arguments.toArray(new String[0]));
+            return new SettingsReload.Outcome(again.check(), null);
+        } catch (ParameterException wrong) {
+            return new SettingsReload.Outcome(null, wrong.getMessage());
+        }
+    }
+
     private GatewaySettings check() {
         if (mNode.isBlank() || mNode.contains("@")) {
             throw invalid("--node", mNode, "a name without @");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -38,11 +38,13 @@
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyDuty;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyPorts;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayDuty;
+import org.oleanderspring.daemon.gateway.routing.command.GatewayInput;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayMeters;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayPorts;
 import org.oleanderspring.daemon.operator.query.TextMetricsHandler;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.SuspendAwareClock;
+import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.query.RingUsage;
 import org.oleanderspring.peer.PeerLimits;
 import org.oleanderspring.peer.command.PeerNode;
@@ -58,7 +60,7 @@
 import org.oleanderspring.platform.http.SharedHttpClient;
 
 /** One daemon on a hosted platform: its duties, ports and adapters. */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
     private static final Logger LOGGER = System.getLogger(Gateway.class.getName());
 
     private static final Duration STORE_LIMIT = Duration.ofMillis(800);
@@ -271,9 +273,37 @@
         return null;
     }
 
+    /** Returns the timer of the daemon's duties. */
+    public DutyTimer timer() {
+        return mRings.timer();
+    }
+
+    /**
+     * Takes over changed settings. Addresses, ports and names stay as they were until a restart.
+     *
+     * @param settings the settings
+     */
+    public void reconfigure(GatewaySettings settings) {
+        mRings.routing().offer(new GatewayInput.SettingsChanged(settings));
+    }
+
     /** Stops the daemon without cutting off a request that can end in time. */
     public void stop() {
         new GatewayStop(mRings, mSettings.stopLimit()).run();
         LOGGER.log(Level.INFO, "[gateway] stopped daemon=" + mSettings.self().id());
     }
+
+    /** Closes all parts at once, without regard to requests in progress. */
+    @Override
+    public void close() {
+        for (AutoCloseable part : List.copyOf(mParts)) {
+            try {
+                part.close();
+            } catch (Exception failure) {
+                LOGGER.log(Level.WARNING, "[gateway] part-not-closed", failure);
+            }
+        }
+        mRings.close();
+        mClient.close();
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
@@ -33,20 +33,16 @@
         implements PlacementMessages, ResidencyStatements, EventSink<ReceivedMessage> {
     private final GatewaySettings mSettings;
     private final GatewayRings mRings;
-    private final PeerHolder mPeer = new PeerHolder();
-
-    /** Holds the sender, which needs this object to exist first. */
-    private static final class PeerHolder {
-        private volatile @Nullable PeerSender mSender;
-    }
+    private volatile @Nullable PeerSender mSender;
 
     PeerMessages(GatewaySettings settings, GatewayRings rings) {
         mSettings = settings;
         mRings = rings;
     }
 
+    /** Sets the sender, which itself needs this object to deliver what it receives. */
     void connect(PeerSender sender) {
-        mPeer.mSender = sender;
+        mSender = sender;
     }
 
     @Override
@@ -121,7 +117,7 @@
     }
 
     private void send(GatewayMember member, PeerMessage message) {
-        PeerSender sender = mPeer.mSender;
+        PeerSender sender = mSender;
         if (sender == null) {
             return;
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
@@ -16,6 +16,7 @@
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private int mLineLength;
     private boolean mAfterReturn;
+    private boolean mEndedByReturn;
 
     /**
      * Takes bytes and returns those that complete events, with what was kept before them.
@@ -43,21 +44,30 @@
     private int endOfLastEvent(byte[] bytes) {
         int end = 0;
         for (int index = 0; index < bytes.length; index++) {
-            byte next = bytes[index];
-            boolean secondOfPair = next == '\n' && mAfterReturn;
-            mAfterReturn = next == '\r';
-            if (secondOfPair) {
-                end = mLineLength == 0 && end == index ? index + 1 : end;
-            } else if (next == '\n' || next == '\r') {
-                end = mLineLength == 0 ? index + 1 : end;
-                mLineLength = 0;
-            } else {
-                mLineLength++;
+            if (endsEvent(bytes[index])) {
+                end = index + 1;
             }
         }
         return end;
     }
 
+    /** Takes one byte; a line ends with a return, a line feed, or both in this order. */
+    private boolean endsEvent(byte next) {
+        boolean secondOfPair = next == '\n' && mAfterReturn;
+        mAfterReturn = next == '\r';
+        if (secondOfPair) {
+            return mEndedByReturn;
+        }
+        if (next != '\n' && next != '\r') {
+            mLineLength++;
+            return false;
+        }
+        boolean empty = mLineLength == 0;
+        mLineLength = 0;
+        mEndedByReturn = empty && mAfterReturn;
+        return empty;
+    }
+
     /**
      * Returns the identity of the last event that has one.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -56,7 +56,7 @@
     private static final Duration WAKE_REPEAT = Duration.ofMillis(200);
     private static final int OK = 200;
 
-    private final GatewaySettings mSettings;
+    private final GatewayMember mSelf;
     private final DefaultRoutingDecider mDecider;
     private final GatewayPorts mPorts;
     private final GatewayMeters mMeters;
@@ -72,6 +72,7 @@
     private final List<CompletableFuture<Boolean>> mQuietWaiters = new ArrayList<>();
     private @Nullable RouteIndex mRoutes;
     private @Nullable HostedRoutingTable mTable;
+    private GatewaySettings mSettings;
     private boolean mLeaving;
 
     private record Running(RunningAttempt attempt, GatewayRelay relay, EndpointId endpoint) {}
@@ -93,6 +94,7 @@
             GatewayMeters meters,
             MonotonicClock clock,
             EventSink<GatewayInput> ownRing) {
+        mSelf = settings.self();
         mSettings = settings;
         mDecider = decider;
         mPorts = ports;
@@ -143,6 +145,9 @@
             mQuietWaiters.add(asked.reply());
         } else if (input instanceof GatewayInput.LeaveBegan) {
             mLeaving = true;
+        } else if (input instanceof GatewayInput.SettingsChanged changed) {
+            mSettings = changed.settings();
+            changeLimits();
         }
     }
 
@@ -153,12 +158,12 @@
     private List<String> addresses() {
         List<String> addresses = new ArrayList<>();
         for (GatewayMember member : mFleet.members()) {
-            if (!member.equals(mSettings.self())) {
+            if (!member.equals(mSelf)) {
                 addresses.add(text(member));
             }
         }
         if (!mLeaving && isReady()) {
-            addresses.add(text(mSettings.self()));
+            addresses.add(text(mSelf));
         }
         return addresses;
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayInput.java
@@ -8,6 +8,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.StoreNews;
 
 /** What arrives in the ring of the gateway's routing duty. */
@@ -65,6 +66,13 @@
     record ReadinessEstimated(Target.ServedModelTarget target, Duration readyAfter)
             implements GatewayInput {}
 
+    /**
+     * The settings of the daemon changed.
+     *
+     * @param settings the settings
+     */
+    record SettingsChanged(GatewaySettings settings) implements GatewayInput {}
+
     /** It is time to report the use of models. */
     record DemandDue() implements GatewayInput {}
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/EnvironmentDefaults.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/EnvironmentDefaults.java
@@ -18,7 +18,9 @@
         if (!(argument instanceof OptionSpec option)) {
             return null;
         }
-        return System.getenv(variableOf(option.longestName()));
+        String variable = variableOf(option.longestName());
+        String value = System.getenv(variable);
+        return value == null ? NodeFile.value(variable) : value;
     }
 
     /**
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/NodeFile.java
@@ -0,0 +1,46 @@
+package org.oleanderspring.daemon.process;
+
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.Properties;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A file with settings of this VM, one variable a line, for platforms that hand settings over as a
+ * file. An environment variable of the same name goes before it.
+ */
+public final class NodeFile {
+    private static final String LOCATION = "OLEANDERSPRING_NODE_FILE";
+
+    private NodeFile() {}
+
+    /** Returns where the file is, or nothing if the environment names none. */
+    public static Optional<Path> location() {
+        return Optional.ofNullable(System.getenv(LOCATION)).map(Path::of);
+    }
+
+    /**
+     * Returns the value of a variable, or null if the file has none.
+     *
+     * @param variable the variable
+     */
+    static @Nullable String value(String variable) {
+        Optional<Path> location = location();
+        return location.isEmpty() ? null : read(location.get()).getProperty(variable);
+    }
+
+    /** Reads a file; one that cannot be read has no values, and the missing flags say so. */
+    static Properties read(Path file) {
+        Properties properties = new Properties();
+        try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
+            properties.load(reader);
+        } catch (IOException | IllegalArgumentException unreadable) {
+            properties.clear();
+        }
+        return properties;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/command/RingLogHandler.java
@@ -0,0 +1,135 @@
+package org.oleanderspring.daemon.process.command;
+
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.ErrorManager;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.OfferResult;
+
+/**
+ * Writes log lines to the standard output on a thread of its own, so that no duty ever waits for
+ * the output. Lines beyond the capacity of the ring or beyond a number a second are dropped and
+ * counted; the count is written with the next line.
+ */
+public final class RingLogHandler extends Handler {
+    private static final int CAPACITY = 4_096;
+
+    /** A daemon decides some hundred times a second at its usual load. */
+    private static final int LINES_PER_SECOND = 2_000;
+
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS").withZone(ZoneOffset.UTC);
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private final DutyThread<LogRecord> mRing = new DutyThread<>("log", CAPACITY);
+    private final AtomicLong mDropped = new AtomicLong();
+    private final SimpleFormatter mMessages = new SimpleFormatter();
+    private final OutputStream mOutput;
+    private long mSecond;
+    private int mLinesInSecond;
+
+    /**
+     * Creates a handler.
+     *
+     * @param output where the lines go
+     */
+    public RingLogHandler(OutputStream output) {
+        mOutput = new BufferedOutputStream(output);
+        mRing.start(this::write);
+    }
+
+    /** Makes a handler for the standard output the only one of this process. */
+    public static RingLogHandler install() {
+        LogManager.getLogManager().reset();
+        RingLogHandler handler = new RingLogHandler(new FileOutputStream(FileDescriptor.out));
+        Logger root = Logger.getLogger("");
+        root.addHandler(handler);
+        root.setLevel(Level.INFO);
+        Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
+        return handler;
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+        if (isLoggable(record) && mRing.offer(record) != OfferResult.ACCEPTED) {
+            mDropped.incrementAndGet();
+        }
+    }
+
+    /** Returns how many lines were dropped and are not yet reported. */
+    long dropped() {
+        return mDropped.get();
+    }
+
+    private void write(LogRecord record) {
+        long second = record.getMillis() / MILLIS_PER_SECOND;
+        if (second != mSecond) {
+            mSecond = second;
+            mLinesInSecond = 0;
+        }
+        mLinesInSecond++;
+        if (mLinesInSecond > LINES_PER_SECOND) {
+            mDropped.incrementAndGet();
+            return;
+        }
+        StringBuilder line = new StringBuilder();
+        long dropped = mDropped.getAndSet(0);
+        if (dropped > 0) {
+            append(
+                    line,
+                    record.getInstant(),
+                    Level.WARNING,
+                    "[log] lines-dropped count=" + dropped);
+        }
+        append(line, record.getInstant(), record.getLevel(), mMessages.formatMessage(record));
+        if (record.getThrown() != null) {
+            line.append(record.getThrown()).append('\n');
+        }
+        print(line.toString());
+    }
+
+    private static void append(StringBuilder line, Instant time, Level level, String message) {
+        line.append(TIME.format(time)).append(' ').append(level.getName());
+        line.append(' ').append(message).append('\n');
+    }
+
+    private void print(String text) {
+        try {
+            mOutput.write(text.getBytes(StandardCharsets.UTF_8));
+            if (mRing.used() <= 1) {
+                mOutput.flush();
+            }
+        } catch (IOException failure) {
+            reportError("cannot write a log line", failure, ErrorManager.WRITE_FAILURE);
+        }
+    }
+
+    /** Does nothing: the thread of the handler flushes when no line waits. */
+    @Override
+    public void flush() {}
+
+    /** Writes the lines that wait and ends the thread. */
+    @Override
+    public void close() {
+        mRing.close();
+        try {
+            mOutput.flush();
+        } catch (IOException failure) {
+            reportError("cannot write the last log lines", failure, ErrorManager.FLUSH_FAILURE);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -0,0 +1,190 @@
+package org.oleanderspring.daemon.gateway;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.daemon.gateway.process.command.Gateway;
+import org.oleanderspring.standin.hosted.HostedRunnerStandin;
+import org.oleanderspring.standin.hosted.HostedStoreStandin;
+
+/** A daemon on a small hosted platform on loopback. */
+final class GatewayFixture implements AutoCloseable {
+    static final String IP = "127.0.0.1";
+    static final String HOST = "a.example";
+
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final String CONFIGURATION =
+            """
+            {"version":%d,"routes":[
+              {"name":"stream","host":"a.example","prefix":"/stream/","routeType":"streaming",
+               "timeoutMs":9000,"targetLatencyMs":500,"priority":1,"service":"engine",
+               "maxAttempts":3,"sticky":true,"resumable":true},
+              {"name":"order","host":"a.example","prefix":"/order/","routeType":"unsafe",
+               "timeoutMs":3000,"targetLatencyMs":150,"priority":2,"service":"%s",
+               "maxAttempts":1}],
+             "services":[
+              {"name":"engine","healthPath":"/healthz","maxConnections":100,
+               "engine":{"slots":4,"kvCapacityTokens":1000,"weightsMb":100,"adapterSlots":2,
+                "loadsPerS":50,"models":[
+                 {"name":"m1","weightsMb":60,"loadS":0.15,"adapters":0,"adapterMb":1},
+                 {"name":"m2","weightsMb":60,"loadS":0.15,"adapters":0,"adapterMb":1}]}},
+              {"name":"ledger","healthPath":"/healthz","maxConnections":100},
+              {"name":"archive","healthPath":"/healthz","maxConnections":100}],
+             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
+              "idleTimeoutMs":15000}}
+            """;
+
+    static {
+        // Requests name the host of their route, not the daemon's address.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    private final HostedStoreStandin mStore = new HostedStoreStandin(IP, 0);
+    private final List<HostedRunnerStandin> mRunners = new ArrayList<>();
+    private final HttpClient mClient = HttpClient.newHttpClient();
+    private final GatewaySettings mSettings;
+    private final Gateway mGateway;
+
+    GatewayFixture() throws IOException {
+        mSettings =
+                new GatewaySettings(
+                        GatewayMember.of("vm-1", unusedAddress()),
+                        new FailureDomain("east"),
+                        unusedAddress(),
+                        unusedAddress(),
+                        unusedAddress(),
+                        unusedAddress().port(),
+                        new Address(IP, mStore.port()),
+                        Duration.ofSeconds(2),
+                        20,
+                        50,
+                        Duration.ofSeconds(10),
+                        Duration.ofSeconds(5),
+                        Duration.ofMillis(50),
+                        2);
+        mGateway = new Gateway(mSettings);
+        String failure = mGateway.start();
+        if (failure != null) {
+            throw new AssertionError(failure);
+        }
+    }
+
+    private static Address unusedAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
+            return new Address(IP, socket.getLocalPort());
+        }
+    }
+
+    HostedStoreStandin store() {
+        return mStore;
+    }
+
+    Gateway gateway() {
+        return mGateway;
+    }
+
+    Address front() {
+        return mSettings.self().front();
+    }
+
+    /** Puts a configuration in force whose orders go to a service. */
+    void configure(int version, String orderService) {
+        mStore.put("op/config", CONFIGURATION.formatted(version, orderService));
+    }
+
+    HostedRunnerStandin runner(String instance, String service, String... models) {
+        HostedRunnerStandin runner =
+                new HostedRunnerStandin(IP, instance, service, List.of(models));
+        mRunners.add(runner);
+        mStore.put("servers/" + instance, runner.entry(IP, "ready"));
+        return runner;
+    }
+
+    void awaitReady() {
+        await("the daemon is ready", () -> get(mSettings.readiness(), "/readyz") == 200);
+    }
+
+    int get(Address address, String path) {
+        return send(HttpRequest.newBuilder(uri(address, path)).build()).statusCode();
+    }
+
+    String resolve() {
+        return send(HttpRequest.newBuilder(
+                                uri(mSettings.directory(), "/resolve?name=a.example&zone=east"))
+                        .build())
+                .body();
+    }
+
+    HttpResponse<String> order(String id) {
+        return send(request("/order/1", id).POST(body("x")).build());
+    }
+
+    CompletableFuture<HttpResponse<String>> stream(String id, String model) {
+        return mClient.sendAsync(
+                request("/stream/1", id).header("Model", model).POST(body("prompt")).build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> post(String path, String content) {
+        return send(request(path, "p").POST(body(content)).build());
+    }
+
+    private HttpRequest.Builder request(String path, String id) {
+        return HttpRequest.newBuilder(uri(front(), path))
+                .header("Host", HOST)
+                .header("Attempt-Id", id)
+                .header("Deadline-Ms", "8000");
+    }
+
+    private static HttpRequest.BodyPublisher body(String text) {
+        return HttpRequest.BodyPublishers.ofString(text);
+    }
+
+    private static URI uri(Address address, String path) {
+        return URI.create("http://" + address.ip() + ":" + address.port() + path);
+    }
+
+    private HttpResponse<String> send(HttpRequest request) {
+        try {
+            return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException failure) {
+            throw new AssertionError(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError(interrupted);
+        }
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long end = System.nanoTime() + LIMIT.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("not in time: " + what);
+            }
+            try {
+                Thread.sleep(20);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new AssertionError(interrupted);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        mGateway.close();
+        mRunners.forEach(HostedRunnerStandin::close);
+        mStore.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
@@ -0,0 +1,241 @@
+package org.oleanderspring.daemon.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.standin.hosted.HostedRunnerStandin;
+
+/** The whole path of the daemon on a hosted platform, against stand-ins of its protocol. */
+class GatewayTest {
+    private static final Pattern PIECE = Pattern.compile("data: piece (\\d+)");
+    private static final List<Integer> ALL_PIECES = List.of(1, 2, 3, 4, 5, 6, 7, 8);
+
+    @SuppressWarnings("NullAway.Init")
+    private GatewayFixture mFixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        mFixture = new GatewayFixture();
+    }
+
+    @AfterEach
+    void stop() {
+        mFixture.close();
+    }
+
+    private static List<Integer> pieces(String stream) {
+        List<Integer> pieces = new ArrayList<>();
+        Matcher matcher = PIECE.matcher(stream);
+        while (matcher.find()) {
+            pieces.add(Integer.valueOf(matcher.group(1)));
+        }
+        return pieces;
+    }
+
+    /** Guards against requests that are lost or denied before the daemon knows a configuration. */
+    @Test
+    void daemonWithoutConfigurationRefusesTruthfully() {
+        HttpResponse<String> answer = mFixture.order("c1");
+        assertThat(answer.statusCode(), is(503));
+        assertThat(answer.headers().firstValue("Retry-After").isPresent(), is(true));
+        mFixture.configure(1, "ledger");
+        mFixture.awaitReady();
+        assertThat(mFixture.resolve(), containsString(":" + mFixture.front().port() + "\""));
+    }
+
+    /** Guards against an answer that is changed on its way, and against a route taken wrongly. */
+    @Test
+    void plainRequestIsPassedOnAndBack() {
+        mFixture.configure(1, "ledger");
+        HostedRunnerStandin ledger = mFixture.runner("i-1", "ledger");
+        mFixture.awaitReady();
+        HttpResponse<String> answer = mFixture.order("c1");
+        assertThat(answer.statusCode(), is(200));
+        assertThat(answer.headers().firstValue("Server-Seal"), is(Optional.of("sealed-by-i-1")));
+        assertThat(answer.body(), containsString("\"/order/1\""));
+        assertThat(ledger.runs(), is(List.of("c1")));
+        assertThat(mFixture.post("/elsewhere/", "x").statusCode(), is(404));
+        assertThat(mFixture.post("/order/1", "x".repeat(1_001)).statusCode(), is(413));
+    }
+
+    /** Guards against a change of the configuration that does not come into force. */
+    @Test
+    void changedRouteGoesToItsNewService() {
+        mFixture.configure(3, "ledger");
+        mFixture.runner("i-1", "ledger");
+        mFixture.runner("i-2", "archive");
+        mFixture.awaitReady();
+        assertThat(mFixture.order("c1").body(), containsString("i-1"));
+        mFixture.configure(8, "archive");
+        GatewayFixture.await(
+                "the new configuration", () -> mFixture.order("c2").body().contains("i-2"));
+        mFixture.configure(5, "ledger");
+        mFixture.store().compact();
+        mFixture.runner("i-3", "engine");
+        assertThat(mFixture.order("c3").body(), containsString("i-2"));
+    }
+
+    /** Guards against a model that is never loaded when somebody calls it. */
+    @Test
+    void calledModelIsLoaded() throws Exception {
+        mFixture.configure(1, "ledger");
+        mFixture.runner("i-1", "engine", "m2");
+        mFixture.awaitReady();
+        String stream = mFixture.stream("c1", "m1").get(15, TimeUnit.SECONDS).body();
+        assertThat(pieces(stream), is(ALL_PIECES));
+    }
+
+    /** Guards against a piece that is lost or comes twice when a runner breaks in an event. */
+    @Test
+    void brokenStreamGoesOnWithinTheSameAnswer() throws Exception {
+        mFixture.configure(1, "ledger");
+        HostedRunnerStandin first = mFixture.runner("i-1", "engine", "m1");
+        HostedRunnerStandin second = mFixture.runner("i-2", "engine", "m1");
+        mFixture.awaitReady();
+        GatewayFixture.await(
+                "both runners",
+                () -> {
+                    mFixture.stream("warm", "m1").join();
+                    return !first.runs().isEmpty() && !second.runs().isEmpty();
+                });
+        first.breakAfter(3);
+        second.breakAfter(5);
+        String stream = mFixture.stream("c1", "m1").get(15, TimeUnit.SECONDS).body();
+        assertThat(pieces(stream), is(ALL_PIECES));
+        assertThat(stream, not(containsString("id: 4\nda\n")));
+    }
+
+    /** Guards against work that goes on at a runner after its caller has left. */
+    @Test
+    void leavingCallerEndsTheRun() throws Exception {
+        mFixture.configure(1, "ledger");
+        HostedRunnerStandin runner = mFixture.runner("i-1", "engine", "m1");
+        mFixture.awaitReady();
+        try (Socket socket = new Socket(GatewayFixture.IP, mFixture.front().port())) {
+            String head =
+                    "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c1\r\n"
+                            + "Model: m1\r\nDeadline-Ms: 8000\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            GatewayFixture.await("the run", () -> runner.runs().contains("c1"));
+        }
+        GatewayFixture.await("the end of the run", () -> runner.abandoned() == 1);
+    }
+
+    /** Guards against a request that is lost because it arrives while another is answered. */
+    @Test
+    void requestSentBehindAnotherIsAnswered() throws Exception {
+        mFixture.configure(1, "ledger");
+        mFixture.runner("i-1", "engine", "m1");
+        mFixture.runner("i-2", "ledger");
+        mFixture.awaitReady();
+        try (Socket socket = new Socket(GatewayFixture.IP, mFixture.front().port())) {
+            socket.setSoTimeout(15_000);
+            String first =
+                    "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c1\r\n"
+                            + "Model: m1\r\nContent-Length: 0\r\n\r\n";
+            String second =
+                    "POST /order/7 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c2\r\n"
+                            + "Connection: close\r\nContent-Length: 0\r\n\r\n";
+            socket.getOutputStream().write(first.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            Thread.sleep(60);
+            socket.getOutputStream().write(second.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            InputStream input = socket.getInputStream();
+            String answers = new String(input.readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(pieces(answers), is(ALL_PIECES));
+            assertThat(answers, containsString("\"/order/7\""));
+        }
+    }
+
+    /** Guards against a runner that gets requests after it said that it leaves. */
+    @Test
+    void drainingRunnerGetsNoNewRequest() {
+        mFixture.configure(1, "ledger");
+        HostedRunnerStandin leaving = mFixture.runner("i-1", "ledger");
+        mFixture.runner("i-2", "ledger");
+        mFixture.awaitReady();
+        mFixture.store().put("servers/i-1", leaving.entry(GatewayFixture.IP, "draining"));
+        GatewayFixture.await(
+                "the entry",
+                () -> {
+                    int before = leaving.runs().size();
+                    for (int call = 0; call < 8; call++) {
+                        mFixture.order("c" + call);
+                    }
+                    return leaving.runs().size() == before;
+                });
+        int before = leaving.runs().size();
+        for (int call = 0; call < 20; call++) {
+            mFixture.order("d" + call);
+        }
+        assertThat(leaving.runs().size(), is(before));
+    }
+
+    /** Guards against an entry that no runner wrote and that stops the daemon or gets requests. */
+    @Test
+    void unreadableEntryHarmsNobody() {
+        mFixture.configure(1, "ledger");
+        mFixture.runner("i-1", "ledger");
+        mFixture.store().put("servers/i-9", "{\"service\":17");
+        mFixture.awaitReady();
+        for (int call = 0; call < 10; call++) {
+            assertThat(mFixture.order("c" + call).statusCode(), is(200));
+        }
+    }
+
+    /** Guards against a daemon that stops serving while the store is away. */
+    @Test
+    void requestsAreServedWhileTheStoreIsDown() {
+        mFixture.configure(1, "ledger");
+        mFixture.runner("i-1", "ledger");
+        mFixture.awaitReady();
+        assertThat(mFixture.order("c1").statusCode(), is(200));
+        mFixture.store().setDown(true);
+        mFixture.store().remove("servers/i-1");
+        for (int call = 0; call < 10; call++) {
+            assertThat(mFixture.order("d" + call).statusCode(), is(200));
+        }
+        mFixture.store().setDown(false);
+        assertThat(mFixture.order("e1").statusCode(), is(200));
+    }
+
+    /**
+     * Guards against a planned stop that cuts a stream off or leaves the daemon in the directory.
+     */
+    @Test
+    void plannedStopLetsARunningStreamEnd() throws Exception {
+        mFixture.configure(1, "ledger");
+        HostedRunnerStandin runner = mFixture.runner("i-1", "engine", "m1");
+        mFixture.awaitReady();
+        CompletableFuture<HttpResponse<String>> stream = mFixture.stream("c1", "m1");
+        GatewayFixture.await("the run", () -> runner.runs().contains("c1"));
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(mFixture.gateway()::stop);
+        assertThat(pieces(stream.get(15, TimeUnit.SECONDS).body()), is(ALL_PIECES));
+        GatewayFixture.await(
+                "the directory",
+                () -> !mFixture.resolve().contains(":" + mFixture.front().port() + "\""));
+        stop.get(15, TimeUnit.SECONDS);
+        HttpResponse<String> late = mFixture.order("c2");
+        assertThat(late.statusCode(), is(503));
+        assertThat(late.headers().firstValue("Connection"), is(Optional.of("close")));
+        assertThat(late.body(), not(containsString("sealed")));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitterProperties.java
@@ -0,0 +1,58 @@
+package org.oleanderspring.daemon.gateway.routing.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+class EventStreamSplitterProperties {
+    private static final String[] LINE_ENDS = {"\n", "\r\n", "\r"};
+
+    /** Guards against an event that is passed on in part, or lost, for how its bytes arrive. */
+    @Property(seed = "20261204", tries = 500)
+    void onlyWholeEventsPass(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        String end = LINE_ENDS[random.nextInt(LINE_ENDS.length)];
+        StringBuilder stream = new StringBuilder();
+        int events = random.nextInt(1, 8);
+        for (int event = 1; event <= events; event++) {
+            stream.append("id: ").append(event).append(end);
+            stream.append("data: ").append("x".repeat(random.nextInt(9))).append(end).append(end);
+        }
+        String torn = "id: " + (events + 1) + end + "data: y";
+        byte[] bytes = (stream + torn).getBytes(StandardCharsets.UTF_8);
+        EventStreamSplitter splitter = new EventStreamSplitter();
+        StringBuilder passed = new StringBuilder();
+        String lastId = null;
+        int position = 0;
+        while (position < bytes.length) {
+            int length = Math.min(random.nextInt(1, 12), bytes.length - position);
+            byte[] part = new byte[length];
+            System.arraycopy(bytes, position, part, 0, length);
+            byte[] whole = splitter.take(part);
+            if (whole.length > 0) {
+                String id = EventStreamSplitter.lastId(whole);
+                lastId = id == null ? lastId : id;
+                passed.append(new String(whole, StandardCharsets.UTF_8));
+            }
+            position += length;
+        }
+        assertThat(passed.toString().strip(), is(stream.toString().strip()));
+        assertThat(splitter.isInsideEvent(), is(true));
+        assertThat(lastId, is(Integer.toString(events)));
+    }
+
+    /** Guards against a line within an event that is taken for its identity. */
+    @Example
+    void identityIsFoundAtTheStartOfALineOnly() {
+        byte[] events = "id: 4\ndata: id: 9\n\ndata: valid: 7\n\n".getBytes(StandardCharsets.UTF_8);
+        assertThat(EventStreamSplitter.lastId(events), is("4"));
+        byte[] without = "data: a\n\n".getBytes(StandardCharsets.UTF_8);
+        assertThat(EventStreamSplitter.lastId(without), is(nullValue()));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedItem.java
@@ -0,0 +1,24 @@
+package org.oleanderspring.standin.hosted;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.oleanderspring.standin.http.Json;
+
+/**
+ * An item of the store.
+ *
+ * @param key the key
+ * @param value the value in base64
+ * @param revision the revision of its last change
+ * @param created the revision of its creation
+ * @param lease the lease that it is bound to; 0 for none
+ */
+record HostedItem(String key, String value, long revision, long created, long lease) {
+    ObjectNode document() {
+        return Json.object()
+                .put("key", key)
+                .put("value", value)
+                .put("revision", revision)
+                .put("created", created)
+                .put("lease", lease);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -0,0 +1,228 @@
+package org.oleanderspring.standin.hosted;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.http.ChunkWriter;
+import org.oleanderspring.standin.http.Exchange;
+import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.ResourceServer;
+import org.oleanderspring.standin.http.Routes;
+
+/**
+ * A runner that speaks the hosted platform's protocol. Requests for a model are answered by a
+ * stream of events, all others by a short text. It writes down which requests it ran.
+ */
+public final class HostedRunnerStandin implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int CONFLICT = 409;
+    private static final int MISDIRECTED = 421;
+    private static final int EVENTS = 8;
+    private static final long EVENT_MILLIS = 30;
+    private static final long LOAD_MILLIS = 150;
+
+    private final String mInstance;
+    private final String mService;
+    private final Set<String> mModels = new TreeSet<>();
+    private final List<String> mRuns = new ArrayList<>();
+    private final AtomicInteger mAbandoned = new AtomicInteger();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "hosted-runner");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+    private final ResourceServer mServer;
+    private int mOrders;
+    private boolean mBusy;
+    private int mBreakAfter = Integer.MAX_VALUE;
+
+    /**
+     * Starts a runner.
+     *
+     * @param ip the IP number to listen on
+     * @param instance its name
+     * @param service the service that it offers
+     * @param models the models that it holds
+     */
+    public HostedRunnerStandin(String ip, String instance, String service, List<String> models) {
+        mInstance = instance;
+        mService = service;
+        mModels.addAll(models);
+        Routes routes =
+                new Routes()
+                        .add("GET", "/report", this::report)
+                        .add("POST", "/order", this::order)
+                        .add("*", "/*", this::run);
+        mServer = new ResourceServer("hosted-runner", ip, 0, routes);
+        mServer.start();
+    }
+
+    /** Returns the port on which the runner listens. */
+    public int port() {
+        return mServer.port();
+    }
+
+    /**
+     * Returns the runner's entry for the store.
+     *
+     * @param ip the IP number on which it listens
+     * @param state its state
+     */
+    public synchronized String entry(String ip, String state) {
+        ObjectNode entry = Json.object();
+        entry.put("service", mService)
+                .put("address", ip + ":" + port())
+                .put("zone", "east")
+                .put("version", "v1")
+                .put("slots", 4)
+                .put("state", state)
+                .put("seq", 1)
+                .put("born", 1);
+        models(entry.putArray("models"));
+        available(entry);
+        return Json.write(entry);
+    }
+
+    /**
+     * Makes the runner break its next stream that gets so far.
+     *
+     * @param events after so many events, in the middle of the next one
+     */
+    public synchronized void breakAfter(int events) {
+        mBreakAfter = events;
+    }
+
+    /** Returns the names of the requests that it ran. */
+    public synchronized List<String> runs() {
+        return List.copyOf(mRuns);
+    }
+
+    /** Returns how many streams were left by their reader. */
+    public int abandoned() {
+        return mAbandoned.get();
+    }
+
+    private synchronized void report(Exchange exchange) {
+        ObjectNode report = Json.object();
+        report.put("busy", mBusy).put("seq", mOrders).put("queued", 0).put("active", 0);
+        models(report.putArray("models"));
+        available(report);
+        exchange.reply(OK, report);
+    }
+
+    private void models(ArrayNode array) {
+        for (String model : mModels) {
+            array.addObject().put("name", model).put("version", 1).putArray("adapters");
+        }
+    }
+
+    private static void available(ObjectNode document) {
+        ObjectNode available = document.putObject("available");
+        available.putArray("inMemory");
+        available.putArray("onDisk");
+    }
+
+    private synchronized void order(Exchange exchange) {
+        JsonNode order = exchange.json();
+        if (mBusy || order.path("expected").asInt(mOrders) != mOrders) {
+            exchange.reply(CONFLICT, Json.object());
+            return;
+        }
+        String model = order.path("model").asText();
+        boolean load = order.path("operation").asText().equals("load");
+        mOrders++;
+        mBusy = true;
+        mTimer.schedule(() -> done(model, load), LOAD_MILLIS, TimeUnit.MILLISECONDS);
+        exchange.reply(ACCEPTED, Json.object());
+    }
+
+    private synchronized void done(String model, boolean load) {
+        mBusy = false;
+        if (load) {
+            mModels.add(model);
+        } else {
+            mModels.remove(model);
+        }
+    }
+
+    private void run(Exchange exchange) {
+        String instance = exchange.header("Expect-Instance");
+        String model = exchange.header("Model");
+        synchronized (this) {
+            boolean other = instance != null && !instance.equals(mInstance);
+            if (other || model != null && !mModels.contains(model)) {
+                exchange.withHeader("Instance-Id", mInstance);
+                exchange.replyError(MISDIRECTED, "misdirected", "not here");
+                return;
+            }
+            mRuns.add(String.valueOf(exchange.header("Attempt-Id")));
+        }
+        exchange.withHeader("Attempt-Id", String.valueOf(exchange.header("Attempt-Id")));
+        exchange.withHeader("Server-Seal", "sealed-by-" + mInstance);
+        if (model == null) {
+            exchange.reply(OK, Json.object().put("from", mInstance).put("path", exchange.path()));
+            return;
+        }
+        stream(exchange);
+    }
+
+    private void stream(Exchange exchange) {
+        String last = exchange.header("Last-Event-Id");
+        AtomicInteger next = new AtomicInteger(last == null ? 1 : Integer.parseInt(last) + 1);
+        ChunkWriter writer = exchange.stream("text/event-stream");
+        AtomicReference<@Nullable ScheduledFuture<?>> task = new AtomicReference<>();
+        task.set(
+                mTimer.scheduleAtFixedRate(
+                        () -> {
+                            if (!step(writer, next.getAndIncrement())) {
+                                ScheduledFuture<?> running = task.get();
+                                if (running != null) {
+                                    running.cancel(false);
+                                }
+                            }
+                        },
+                        EVENT_MILLIS,
+                        EVENT_MILLIS,
+                        TimeUnit.MILLISECONDS));
+    }
+
+    /** Sends one event; returns whether the stream goes on. */
+    private synchronized boolean step(ChunkWriter writer, int number) {
+        if (writer.isClosed()) {
+            mAbandoned.incrementAndGet();
+            return false;
+        }
+        if (number > EVENTS) {
+            writer.end();
+            return false;
+        }
+        if (number > mBreakAfter) {
+            mBreakAfter = Integer.MAX_VALUE;
+            writer.send("id: " + number + "\nda");
+            mTimer.schedule(writer::abort, EVENT_MILLIS, TimeUnit.MILLISECONDS);
+            return false;
+        }
+        writer.send("id: " + number + "\ndata: piece " + number + "\n\n");
+        return true;
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        mServer.close();
+    }
+}
--- a/standin/src/main/java/org/oleanderspring/standin/http/Exchange.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/Exchange.java
@@ -72,6 +72,16 @@
         return value == null ? fallback : Long.parseLong(value);
     }
 
+    /**
+     * Returns a text from the query; empty if it is missing.
+     *
+     * @param name the name
+     */
+    public String queryText(String name) {
+        String value = Request.extractQueryParameters(mRequest).getValue(name);
+        return value == null ? "" : value;
+    }
+
     /** Returns the body; not to be changed. */
     public byte[] body() {
         return mBody;
