--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.residency.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +15,8 @@
  * before cannot exceed the memory together with its own.
  */
 public final class DefaultResidencyDecider implements ResidencyDecider {
+    private static final Duration OVERVIEW_PERIOD = Duration.ofMillis(100);
+
     private final Tenure mTenure = new Tenure();
     private final RunnerFleet mFleet = new RunnerFleet();
     private final DemandBook mDemand = new DemandBook();
@@ -21,6 +24,7 @@
     private final LoadPlanner mLoads;
     private final ResidentAdapterPlanner mAdapters;
     private final ReadinessEstimator mEstimates;
+    private Instant mNextOverview = Instant.MIN;
 
     /**
      * Creates a decider that gives no orders before its tenure begins.
@@ -46,15 +50,34 @@
                 mAdapters.settled(record, adapter, turn);
             }
         }
-        mAdapters.plan(turn);
-        mLoads.plan(turn);
+        plan(event, turn);
         for (RunnerRecord record : mFleet.records()) {
             mOrders.advance(record, turn);
         }
-        mEstimates.tell(turn);
         return turn.decisions();
     }
 
+    /**
+     * Plans for waiting calls with each event that may concern them, and looks over the whole fleet
+     * from time to time only, because that takes a time that grows with models and runners.
+     */
+    private void plan(ResidencyEvent event, ResidencyTurn turn) {
+        boolean urgent =
+                event instanceof ResidencyEvent.LoadRequested
+                        || event instanceof ResidencyEvent.StateRead
+                        || event instanceof ResidencyEvent.OrderReplied;
+        boolean due = !turn.now().isBefore(mNextOverview);
+        if (urgent || due) {
+            mAdapters.plan(turn);
+            mLoads.planWaiting(turn);
+        }
+        if (due) {
+            mNextOverview = turn.now().plus(OVERVIEW_PERIOD);
+            mLoads.planOverview(turn);
+            mEstimates.tell(turn);
+        }
+    }
+
     private void handle(ResidencyEvent event, ResidencyTurn turn) {
         if (event instanceof ResidencyEvent.ConfigurationChanged changed) {
             publishAll(mFleet.configure(changed.configuration(), turn.now()), turn);
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -26,6 +26,9 @@
 
     private final Map<Target.ServedModelTarget, Use> mUses = new HashMap<>();
 
+    /** The same uses by the model without its adapters, which most questions are about. */
+    private final Map<Target.ServedModelTarget, List<Use>> mByModel = new HashMap<>();
+
     /** Replaces what a daemon reported before of a service. */
     void reported(MemberId daemon, ServiceName service, List<ModelDemand> demands, Instant now) {
         Set<Target.ServedModelTarget> seen = new HashSet<>();
@@ -97,10 +100,8 @@
     /** Returns the calls that wait, those for the model's adapters included. */
     int waiting(ServiceName service, ModelName model, Instant now) {
         int waiting = 0;
-        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
-            if (concerns(entry.getKey(), service, model)) {
-                waiting += entry.getValue().waiting(now);
-            }
+        for (Use use : usesOf(service, model)) {
+            waiting += use.waiting(now);
         }
         return waiting;
     }
@@ -108,10 +109,8 @@
     /** Returns the calls that run, those for the model's adapters included. */
     int running(ServiceName service, ModelName model, Instant now) {
         int running = 0;
-        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
-            if (concerns(entry.getKey(), service, model)) {
-                running += entry.getValue().running(now);
-            }
+        for (Use use : usesOf(service, model)) {
+            running += use.running(now);
         }
         return running;
     }
@@ -119,10 +118,8 @@
     /** Returns the calls a second for a model, those for its adapters included. */
     double rate(ServiceName service, ModelName model, Instant now) {
         double rate = 0;
-        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
-            if (concerns(entry.getKey(), service, model)) {
-                rate += entry.getValue().rate(now);
-            }
+        for (Use use : usesOf(service, model)) {
+            rate += use.rate(now);
         }
         return rate;
     }
@@ -143,11 +140,8 @@
     /** Returns when calls last arrived for a model or its adapters; the distant past if never. */
     Instant lastUse(ServiceName service, ModelName model) {
         Instant last = Instant.MIN;
-        for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
-            if (concerns(entry.getKey(), service, model)
-                    && entry.getValue().mLastUse.isAfter(last)) {
-                last = entry.getValue().mLastUse;
-            }
+        for (Use use : usesOf(service, model)) {
+            last = use.mLastUse.isAfter(last) ? use.mLastUse : last;
         }
         return last;
     }
@@ -158,14 +152,21 @@
         return use == null ? Instant.MIN : use.mLastUse;
     }
 
-    private static boolean concerns(
-            Target.ServedModelTarget target, ServiceName service, ModelName model) {
-        ModelReference reference = target.model();
-        return target.service().equals(service) && reference.base().equals(model);
+    private List<Use> usesOf(ServiceName service, ModelName model) {
+        return mByModel.getOrDefault(
+                new Target.ServedModelTarget(service, new ModelReference(model, null)), List.of());
     }
 
     private Use use(Target.ServedModelTarget target) {
-        return mUses.computeIfAbsent(target, key -> new Use());
+        Use use = mUses.get(target);
+        if (use == null) {
+            use = new Use();
+            mUses.put(target, use);
+            Target.ServedModelTarget model =
+                    new Target.ServedModelTarget(target.service(), target.model().withoutAdapter());
+            mByModel.computeIfAbsent(model, key -> new ArrayList<>()).add(use);
+        }
+        return use;
     }
 
     /** What one daemon reported of one target. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/LoadPlanner.java
@@ -57,7 +57,8 @@
         mStoreLoadsAtOnce = storeLoadsAtOnce;
     }
 
-    void plan(ResidencyTurn turn) {
+    /** Plans loads from copies for calls that wait. */
+    void planWaiting(ResidencyTurn turn) {
         Set<ModelName> seen = new HashSet<>();
         for (Target.ServedModelTarget target : mDemand.waiting(turn.now())) {
             ModelName model = target.model().base();
@@ -65,6 +66,10 @@
                 planFromCopy(target.service(), model, turn.now());
             }
         }
+    }
+
+    /** Plans replicas of busy models and loads from the weight store. */
+    void planOverview(ResidencyTurn turn) {
         planReplicas(turn.now());
         for (StoreCandidate candidate : storeCandidates(turn.now())) {
             if (mFleet.storeLoads() >= mStoreLoadsAtOnce) {
@@ -97,7 +102,9 @@
                 continue;
             }
             for (EngineModel model : engine.models().values()) {
-                planReplica(service, model, now);
+                if (mDemand.rate(service, model.name(), now) > RATE_PER_REPLICA) {
+                    planReplica(service, model, now);
+                }
             }
         }
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -36,13 +36,17 @@
     List<RunnerRecord> usable(ServiceName service) {
         List<RunnerRecord> usable = new ArrayList<>();
         for (RunnerRecord record : mRecords.values()) {
-            if (record.isUsable() && record.entry().service().equals(service)) {
+            if (serves(record, service)) {
                 usable.add(record);
             }
         }
         return usable;
     }
 
+    private static boolean serves(RunnerRecord record, ServiceName service) {
+        return record.isUsable() && record.entry().service().equals(service);
+    }
+
     /** Returns the services that have runners. */
     Set<ServiceName> services() {
         Set<ServiceName> services = new LinkedHashSet<>();
@@ -55,15 +59,20 @@
     /** Returns on how many runners of a service a model is open. */
     int replicas(ServiceName service, ModelName model) {
         int replicas = 0;
-        for (RunnerRecord record : usable(service)) {
-            replicas += record.isOpen(model) ? 1 : 0;
+        for (RunnerRecord record : mRecords.values()) {
+            replicas += serves(record, service) && record.isOpen(model) ? 1 : 0;
         }
         return replicas;
     }
 
     /** Returns whether a load of a model is planned or under way on any runner of a service. */
     boolean isLoading(ServiceName service, ModelName model) {
-        return usable(service).stream().anyMatch(record -> record.isLoading(model));
+        for (RunnerRecord record : mRecords.values()) {
+            if (serves(record, service) && record.isLoading(model)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns how many loads from the weight store are planned or under way. */
@@ -78,16 +87,22 @@
     /** Returns how many runners of a service that take part have the weights of a model. */
     int copies(ServiceName service, ModelName model) {
         int copies = 0;
-        for (RunnerRecord record : usable(service)) {
-            copies += record.hasCopy(model) ? 1 : 0;
+        for (RunnerRecord record : mRecords.values()) {
+            copies += serves(record, service) && record.hasCopy(model) ? 1 : 0;
         }
         return copies;
     }
 
     /** Returns whether a runner that has the weights of a model will soon be able to load it. */
     boolean hasCopyInReach(ServiceName service, ModelName model) {
-        return usable(service).stream()
-                .anyMatch(record -> !record.needsStore(model) && !record.isLoadingFromStore());
+        for (RunnerRecord record : mRecords.values()) {
+            if (serves(record, service)
+                    && !record.needsStore(model)
+                    && !record.isLoadingFromStore()) {
+                return true;
+            }
+        }
+        return false;
     }
 
     @Nullable EngineDescription engine(ServiceName service) {
