--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -323,7 +323,19 @@
         if (call == null) {
             return;
         }
-        LOGGER.log(Level.INFO, "[gateway] caller-left request=" + call.name());
+        Duration held = Duration.between(call.request().arrivedAt(), mClock.now());
+        LOGGER.log(
+                Level.INFO,
+                "[gateway] caller-left request="
+                        + call.name()
+                        + " route="
+                        + call.route().name()
+                        + " target=\""
+                        + call.call().target()
+                        + "\" answer-begun="
+                        + call.answer().hasBegun()
+                        + " held-ms="
+                        + held.toMillis());
         mMeters.callerLeft();
         call.answer().abandon();
     }
