Share the lease calls of both duties, and remove what nothing reads

LeaseDuty and ResidencyDuty carried out the same five store calls of the lease decider; LeaseCalls now serves both.

Behaviour is unchanged.

--- a/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
@@ -99,11 +99,6 @@
         return mListed;
     }
 
-    /** Returns whether the service is away. */
-    public boolean isInterrupted() {
-        return mInterrupted;
-    }
-
     /**
      * Forgets vanished values whose grace time is over.
      *
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -87,11 +87,7 @@
             mDemand.reported(reported.daemon(), reported.service(), reported.demands(), turn.now());
         } else if (event instanceof ResidencyEvent.LoadRequested requested) {
             mDemand.requested(
-                    requested.daemon(),
-                    requested.target(),
-                    requested.waiting(),
-                    requested.untilDeadline(),
-                    turn.now());
+                    requested.daemon(), requested.target(), requested.waiting(), turn.now());
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
             mTenure.begin(began.token(), began.ordersFrom());
             mFleet.records().forEach(record -> record.unconfirm(began.ordersFrom()));
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -45,20 +45,11 @@
     }
 
     /** Notes that calls wait at a daemon. */
-    void requested(
-            MemberId daemon,
-            Target.ServedModelTarget target,
-            int waiting,
-            Duration untilDeadline,
-            Instant now) {
+    void requested(MemberId daemon, Target.ServedModelTarget target, int waiting, Instant now) {
         Use use = use(target);
         Report before = use.mReports.get(daemon);
         int running = before == null ? 0 : before.running();
         use.mReports.put(daemon, new Report(waiting, running, now));
-        Instant deadline = now.plus(untilDeadline);
-        if (use.waiting(now) == waiting || deadline.isBefore(use.mDeadline)) {
-            use.mDeadline = deadline;
-        }
         use.mRequestedAt = now;
     }
 
@@ -182,7 +173,6 @@
         private double mRate;
         private Instant mRateAt = Instant.MIN;
         private Instant mLastUse = Instant.MIN;
-        private Instant mDeadline = Instant.MAX;
         private Instant mRequestedAt = Instant.MAX;
 
         void report(MemberId daemon, ModelDemand demand, Instant now) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -32,6 +32,7 @@
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.StoreNews;
+import org.oleanderspring.daemon.lease.command.LeaseCalls;
 import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.command.EventHandler;
@@ -52,6 +53,7 @@
     private final DefaultLeaseDecider mLeases;
     private final ResidencyDecider mDecider;
     private final ResidencyPorts mPorts;
+    private final LeaseCalls mLeaseCalls;
     private final SuspendAwareClock mClock;
     private final DutyTimer mTimer;
     private final EventSink<ResidencyInput> mOwnRing;
@@ -88,6 +90,7 @@
         mSafetyMargin = safetyMargin;
         mDecider = decider;
         mPorts = ports;
+        mLeaseCalls = new LeaseCalls(ports.storeCommands(), ports.storeQueries(), this::offer);
         mClock = clock;
         mTimer = timer;
         mOwnRing = ownRing;
@@ -152,51 +155,9 @@
 
     private void decide(LeaseEvent event) {
         for (LeaseDecision decision : mLeases.decide(event, mClock.now())) {
-            carryOut(decision);
-        }
-    }
-
-    private void carryOut(LeaseDecision decision) {
-        if (decision instanceof LeaseDecision.GrantServiceLease grant) {
-            mPorts.storeCommands()
-                    .grantLease(grant.timeToLive())
-                    .thenAccept(
-                            result ->
-                                    offer(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    grant.operation(), result)));
-        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
-            mPorts.storeCommands()
-                    .renewLease(renew.lease())
-                    .thenAccept(
-                            result ->
-                                    offer(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    renew.operation(), result)));
-        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
-            mPorts.storeCommands()
-                    .revokeLease(revoke.lease())
-                    .thenAccept(
-                            result ->
-                                    offer(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    revoke.operation(), result)));
-        } else if (decision instanceof LeaseDecision.WriteKey write) {
-            mPorts.storeCommands()
-                    .compareAndSwap(write.command())
-                    .thenAccept(
-                            result ->
-                                    offer(
-                                            new LeaseEvent.KeyWriteReplied(
-                                                    write.operation(), result)));
-        } else if (decision instanceof LeaseDecision.ReadKey read) {
-            mPorts.storeQueries()
-                    .read(read.key())
-                    .thenAccept(
-                            result ->
-                                    offer(new LeaseEvent.KeyReadReplied(read.operation(), result)));
-        } else {
-            leaseChanged(decision);
+            if (!mLeaseCalls.carryOut(decision)) {
+                leaseChanged(decision);
+            }
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseCalls.java
@@ -0,0 +1,80 @@
+package org.oleanderspring.daemon.lease.command;
+
+import java.util.function.Consumer;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.ValueQueries;
+
+/** Carries out those lease decisions that are calls to the key-value service. */
+public final class LeaseCalls {
+    private final KeyValueCommands mCommands;
+    private final ValueQueries mQueries;
+    private final Consumer<LeaseEvent> mReplies;
+
+    /**
+     * Creates the calls.
+     *
+     * @param commands changes the service
+     * @param queries reads the service
+     * @param replies takes the replies, on a thread of the adapters; must not block
+     */
+    public LeaseCalls(
+            KeyValueCommands commands, ValueQueries queries, Consumer<LeaseEvent> replies) {
+        mCommands = commands;
+        mQueries = queries;
+        mReplies = replies;
+    }
+
+    /**
+     * Carries out a decision.
+     *
+     * @param decision the decision
+     * @return whether it is a call to the service; others are left to the caller
+     */
+    public boolean carryOut(LeaseDecision decision) {
+        if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+            mCommands
+                    .grantLease(grant.timeToLive())
+                    .thenAccept(
+                            result ->
+                                    mReplies.accept(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    grant.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+            mCommands
+                    .renewLease(renew.lease())
+                    .thenAccept(
+                            result ->
+                                    mReplies.accept(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    renew.operation(), result)));
+        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
+            mCommands
+                    .revokeLease(revoke.lease())
+                    .thenAccept(
+                            result ->
+                                    mReplies.accept(
+                                            new LeaseEvent.ServiceLeaseReplied(
+                                                    revoke.operation(), result)));
+        } else if (decision instanceof LeaseDecision.WriteKey write) {
+            mCommands
+                    .compareAndSwap(write.command())
+                    .thenAccept(
+                            result ->
+                                    mReplies.accept(
+                                            new LeaseEvent.KeyWriteReplied(
+                                                    write.operation(), result)));
+        } else if (decision instanceof LeaseDecision.ReadKey read) {
+            mQueries.read(read.key())
+                    .thenAccept(
+                            result ->
+                                    mReplies.accept(
+                                            new LeaseEvent.KeyReadReplied(
+                                                    read.operation(), result)));
+        } else {
+            return false;
+        }
+        return true;
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseDuty.java
@@ -33,8 +33,7 @@
 
     private final MemberId mSelf;
     private final DefaultLeaseDecider mDecider;
-    private final KeyValueCommands mCommands;
-    private final KeyValueQueries mQueries;
+    private final LeaseCalls mCalls;
     private final LeaseListener mListener;
     private final MonotonicClock mClock;
     private final EventSink<LeaseInput> mOwnRing;
@@ -64,8 +63,7 @@
             EventSink<LeaseInput> ownRing) {
         mSelf = self;
         mDecider = decider;
-        mCommands = commands;
-        mQueries = queries;
+        mCalls = new LeaseCalls(commands, queries, this::reply);
         mListener = listener;
         mClock = clock;
         mOwnRing = ownRing;
@@ -108,50 +106,9 @@
 
     private void decide(LeaseEvent event) {
         for (LeaseDecision decision : mDecider.decide(event, mClock.now())) {
-            carryOut(decision);
-        }
-    }
-
-    private void carryOut(LeaseDecision decision) {
-        if (decision instanceof LeaseDecision.GrantServiceLease grant) {
-            mCommands
-                    .grantLease(grant.timeToLive())
-                    .thenAccept(
-                            result ->
-                                    reply(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    grant.operation(), result)));
-        } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
-            mCommands
-                    .renewLease(renew.lease())
-                    .thenAccept(
-                            result ->
-                                    reply(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    renew.operation(), result)));
-        } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
-            mCommands
-                    .revokeLease(revoke.lease())
-                    .thenAccept(
-                            result ->
-                                    reply(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    revoke.operation(), result)));
-        } else if (decision instanceof LeaseDecision.WriteKey write) {
-            mCommands
-                    .compareAndSwap(write.command())
-                    .thenAccept(
-                            result ->
-                                    reply(
-                                            new LeaseEvent.KeyWriteReplied(
-                                                    write.operation(), result)));
-        } else if (decision instanceof LeaseDecision.ReadKey read) {
-            mQueries.read(read.key())
-                    .thenAccept(
-                            result ->
-                                    reply(new LeaseEvent.KeyReadReplied(read.operation(), result)));
-        } else {
-            inform(decision);
+            if (!mCalls.carryOut(decision)) {
+                inform(decision);
+            }
         }
     }
 
