Hand the placement over with the ages of the last orders

The pause is needed per runner and per last order only.

A daemon that stops by plan now writes a free mark that tells how long ago it ordered which runner, once all its orders were replied to. Ruled out: a shorter pause, because two daemons must not order a runner within 3 s.

OrderHistoryTest and LeaseHandoverTest guard it.

--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMark.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMark.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.coordination.lease;
 
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 
@@ -11,12 +12,18 @@
  * @param serviceLease the service lease that the key is bound to; {@link StoreLeaseId#NONE} if the
  *     writer freed the lease
  * @param writeNumber the writer's number of this write
+ * @param handover what a holder that gave the lease up tells the next one, or null if it says
+ *     nothing
  */
-public record LeaseMark(MemberId writer, StoreLeaseId serviceLease, long writeNumber) {
+public record LeaseMark(
+        MemberId writer, StoreLeaseId serviceLease, long writeNumber, @Nullable String handover) {
     /** Checks for missing parts. */
     public LeaseMark {
         Objects.requireNonNull(writer, "writer");
         Objects.requireNonNull(serviceLease, "serviceLease");
+        if (handover != null && !serviceLease.equals(StoreLeaseId.NONE)) {
+            throw new IllegalArgumentException("a lease that is held has no handover");
+        }
     }
 
     /** Returns whether the writer gave the lease up. */
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMarkCodec.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseMarkCodec.java
@@ -8,11 +8,13 @@
 
 /**
  * The encoding of a lease's key: format version, service lease, write number and writer, separated
- * by single spaces. The writer comes last because it may contain spaces.
+ * by single spaces. The writer comes last because it may contain spaces. A handover follows on a
+ * line of its own.
  */
 public final class LeaseMarkCodec {
     private static final String FORMAT_VERSION = "1";
     private static final int FIELDS = 4;
+    private static final String HANDOVER_SEPARATOR = "\n";
 
     private LeaseMarkCodec() {}
 
@@ -29,6 +31,9 @@
                         Long.toString(mark.serviceLease().value()),
                         Long.toString(mark.writeNumber()),
                         mark.writer().value());
+        if (mark.handover() != null) {
+            text += HANDOVER_SEPARATOR + mark.handover();
+        }
         return text.getBytes(UTF_8);
     }
 
@@ -39,15 +44,18 @@
      * @return the mark, or empty if the content has another format
      */
     public static Optional<LeaseMark> decode(byte[] bytes) {
-        String[] fields = new String(bytes, UTF_8).split(" ", FIELDS);
+        String[] lines = new String(bytes, UTF_8).split(HANDOVER_SEPARATOR, 2);
+        String[] fields = lines[0].split(" ", FIELDS);
         if (fields.length != FIELDS || !fields[0].equals(FORMAT_VERSION) || fields[3].isBlank()) {
             return Optional.empty();
         }
         try {
             StoreLeaseId serviceLease = new StoreLeaseId(Long.parseLong(fields[1]));
             long writeNumber = Long.parseLong(fields[2]);
-            return Optional.of(new LeaseMark(new MemberId(fields[3]), serviceLease, writeNumber));
-        } catch (NumberFormatException malformed) {
+            String handover = lines.length > 1 ? lines[1] : null;
+            return Optional.of(
+                    new LeaseMark(new MemberId(fields[3]), serviceLease, writeNumber, handover));
+        } catch (IllegalArgumentException malformed) {
             return Optional.empty();
         }
     }
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/CompetedLease.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/CompetedLease.java
@@ -24,6 +24,12 @@
 
     Revision mRevision = Revision.ABSENT;
 
+    /** What the holder before told, if the key at {@link #mRevision} is its free mark. */
+    @Nullable String mFoundHandover;
+
+    /** What the next holder is told once this daemon gives the lease up. */
+    @Nullable String mHandover;
+
     /**
      * The revision that the last free mark was to replace. That write may still arrive, so a lease
      * found at this revision is written again before it counts as held.
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
@@ -133,7 +133,9 @@
         } else if (event instanceof LeaseEvent.KeyReadReplied replied) {
             readReplied(replied.operation(), replied.result(), now);
         } else if (event instanceof LeaseEvent.KeyFreed freed) {
-            keyFreed(freed.name(), now);
+            keyFreed(freed, now);
+        } else if (event instanceof LeaseEvent.HandoverRequested requested) {
+            handOver(requested);
         } else if (event instanceof LeaseEvent.StopRequested) {
             stop(now);
         }
@@ -162,12 +164,22 @@
         }
     }
 
-    private void keyFreed(LeaseName name, Instant now) {
-        CompetedLease lease = mLeases.get(name);
+    /** The lease is freed with the next step, as one that is no longer wanted. */
+    private void handOver(LeaseEvent.HandoverRequested requested) {
+        CompetedLease lease = mLeases.get(requested.name());
+        if (lease != null) {
+            lease.mWanted = false;
+            lease.mHandover = lease.mHeld ? requested.handover() : null;
+        }
+    }
+
+    private void keyFreed(LeaseEvent.KeyFreed freed, Instant now) {
+        CompetedLease lease = mLeases.get(freed.name());
         if (lease == null || lease.mHeld || lease.mUnsettled || lease.mPending != null) {
             return;
         }
-        lease.mRevision = Revision.ABSENT;
+        lease.mRevision = freed.revision();
+        lease.mFoundHandover = freed.handover();
         lease.mWritable = true;
         lease.mNextStep = now.plus(rankDelay(lease.mRank));
     }
@@ -236,7 +248,9 @@
             mDecisions.add(new LeaseDecision.ReadKey(operation, lease.mKey));
             return;
         }
-        LeaseMark mark = new LeaseMark(mSelf, serviceLease, mNextWrite++);
+        boolean frees = serviceLease.equals(StoreLeaseId.NONE);
+        LeaseMark mark =
+                new LeaseMark(mSelf, serviceLease, mNextWrite++, frees ? lease.mHandover : null);
         if (mark.isFree()) {
             lease.mFreedRevision = lease.mRevision;
         }
@@ -279,14 +293,16 @@
     }
 
     private void written(CompetedLease lease, LeaseMark mark, Revision revision, Instant now) {
+        String handover = lease.mFoundHandover;
         lease.mRevision = revision;
+        lease.mFoundHandover = null;
         lease.mNextStep = now;
         if (mark.isFree()) {
             lease.mUnsettled = false;
             lease.mWritable = true;
             return;
         }
-        ownMarkFound(lease, mark, now);
+        ownMarkFound(lease, mark, handover, now);
     }
 
     /** Compares what the key holds with the marks of this daemon run. */
@@ -295,6 +311,7 @@
         Optional<LeaseMark> mark =
                 value == null ? Optional.empty() : LeaseMarkCodec.decode(value.bytes());
         boolean free = value == null || mark.map(LeaseMark::isFree).orElse(false);
+        lease.mFoundHandover = mark.map(LeaseMark::handover).orElse(null);
         if (free) {
             lease.mWritable = true;
             lease.mNextStep = now.plus(lease.mWanted ? rankDelay(lease.mRank) : Duration.ZERO);
@@ -302,7 +319,7 @@
         }
         if (mark.isPresent() && mark.get().writer().equals(mSelf)) {
             lease.mNextStep = now;
-            ownMarkFound(lease, mark.get(), now);
+            ownMarkFound(lease, mark.get(), null, now);
             return;
         }
         lease.mUnsettled = now.isBefore(lease.mCreateSettledAt);
@@ -310,13 +327,14 @@
         lease.mNextStep = now.plus(pollDelay());
     }
 
-    private void ownMarkFound(CompetedLease lease, LeaseMark mark, Instant now) {
+    private void ownMarkFound(
+            CompetedLease lease, LeaseMark mark, @Nullable String handover, Instant now) {
         boolean current = mark.serviceLease().equals(mService.lease());
         boolean mayBeFreed = lease.mRevision.equals(lease.mFreedRevision);
         if (current && lease.mWanted && !mayBeFreed && mService.usable(now)) {
             lease.mHeld = true;
             lease.mUnsettled = false;
-            mDecisions.add(new LeaseDecision.LeaseAcquired(lease.mName));
+            mDecisions.add(new LeaseDecision.LeaseAcquired(lease.mName, handover));
             return;
         }
         // A key of an earlier service lease is written again, bound to the current one. A key of
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseDecision.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseDecision.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.coordination.lease.command;
 
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.LeaseLossReason;
 import org.oleanderspring.coordination.lease.LeaseName;
 import org.oleanderspring.coordination.store.StoreKey;
@@ -57,8 +58,10 @@
      * The daemon holds a lease.
      *
      * @param name the lease
+     * @param handover what the holder before told when it gave the lease up; null if it told
+     *     nothing or did not give it up by itself
      */
-    record LeaseAcquired(LeaseName name) implements LeaseDecision {}
+    record LeaseAcquired(LeaseName name, @Nullable String handover) implements LeaseDecision {}
 
     /**
      * The daemon no longer holds a lease.
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
@@ -1,8 +1,10 @@
 package org.oleanderspring.coordination.lease.command;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
 import org.oleanderspring.coordination.lease.LeaseName;
+import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.command.LeaseResult;
 import org.oleanderspring.coordination.store.command.WriteResult;
@@ -48,11 +50,23 @@
     record KeyReadReplied(StoreOperationId operation, ReadResult result) implements LeaseEvent {}
 
     /**
-     * The key of a lease was seen to vanish, so there is no need to wait for the next poll.
+     * The key of a lease was seen to vanish or to be given up, so there is no need to wait for the
+     * next poll.
      *
      * @param name the lease
+     * @param revision where the key may be written: {@link Revision#ABSENT} if it vanished
+     * @param handover what the holder told when it gave the lease up, or null
      */
-    record KeyFreed(LeaseName name) implements LeaseEvent {}
+    record KeyFreed(LeaseName name, Revision revision, @Nullable String handover)
+            implements LeaseEvent {}
+
+    /**
+     * Give a lease up and compete for it no more.
+     *
+     * @param name the lease
+     * @param handover what the next holder is told; null to tell nothing
+     */
+    record HandoverRequested(LeaseName name, @Nullable String handover) implements LeaseEvent {}
 
     /** The daemon stops; all leases are handed over. */
     record StopRequested() implements LeaseEvent {}
--- a/coordination/src/test/java/org/oleanderspring/coordination/example/EmbeddingExampleTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/example/EmbeddingExampleTest.java
@@ -67,7 +67,7 @@
                         InstantSource.system(),
                         seen::add)) {
             leases.compete(name, 0);
-            assertThat(seen.take(), is(new LeaseDecision.LeaseAcquired(name)));
+            assertThat(seen.take(), is(new LeaseDecision.LeaseAcquired(name, null)));
             leases.stop();
             assertThat(
                     seen.take(), is(new LeaseDecision.LeaseLost(name, LeaseLossReason.RELEASED)));
--- /dev/null
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseHandoverTest.java
@@ -0,0 +1,150 @@
+package org.oleanderspring.coordination.lease;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
+import org.oleanderspring.coordination.lease.command.LeaseDecision;
+import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoreLeaseId;
+import org.oleanderspring.coordination.store.StoredValue;
+import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.LeaseResult;
+import org.oleanderspring.coordination.store.command.WriteResult;
+import org.oleanderspring.coordination.store.query.ReadResult;
+
+/** Guards what a holder that gives its lease up tells the next holder. */
+class LeaseHandoverTest {
+    private static final LeaseName NAME = new LeaseName("cell");
+    private static final Instant START = Instant.EPOCH.plusSeconds(10);
+
+    private final Daemon mFirst = new Daemon("first", 1);
+    private final Daemon mSecond = new Daemon("second", 2);
+    private @Nullable StoredValue mKey;
+    private long mRevision = 1;
+    private boolean mLosesReplies;
+
+    /** The next holder must hear what was told, and nothing from a lease that lapsed. */
+    @Test
+    void nextHolderHearsTheHandover() {
+        mFirst.compete(START);
+        assertThat(mFirst.acquired, contains("none"));
+        mSecond.compete(START);
+        assertThat(mSecond.acquired, is(empty()));
+
+        mFirst.decide(new LeaseEvent.HandoverRequested(NAME, "told"), START.plusSeconds(1));
+        mSecond.seeKey(START.plusSeconds(1));
+        assertThat(mSecond.acquired, contains("told"));
+
+        mKey = null;
+        mFirst.compete(START.plusSeconds(2));
+        assertThat(mFirst.acquired, contains("none", "none"));
+    }
+
+    /** A daemon that gave the lease up must not take it again before it competes again. */
+    @Test
+    void formerHolderStaysAway() {
+        mFirst.compete(START);
+        mFirst.decide(new LeaseEvent.HandoverRequested(NAME, "told"), START.plusSeconds(1));
+        mFirst.seeKey(START.plusSeconds(1));
+        mFirst.decide(new LeaseEvent.TimerFired(), START.plusSeconds(2));
+        assertThat(mFirst.acquired, contains("none"));
+    }
+
+    /**
+     * After a write without a reply the next holder cannot know which mark it replaced, so it must
+     * not rely on the handover.
+     */
+    @Test
+    void unknownWriteHearsNoHandover() {
+        mFirst.compete(START);
+        mSecond.compete(START);
+        mFirst.decide(new LeaseEvent.HandoverRequested(NAME, "told"), START.plusSeconds(1));
+        mLosesReplies = true;
+        mSecond.seeKey(START.plusSeconds(1));
+        mLosesReplies = false;
+        mSecond.decide(new LeaseEvent.TimerFired(), START.plusSeconds(1));
+        assertThat(mSecond.acquired, contains("none"));
+    }
+
+    private final class Daemon {
+        final List<String> acquired = new ArrayList<>();
+        private final DefaultLeaseDecider mDecider;
+        private final long mLease;
+
+        Daemon(String name, long lease) {
+            mLease = lease;
+            mDecider =
+                    new DefaultLeaseDecider(
+                            new MemberId(name),
+                            key -> new StoreKey("/test/" + key),
+                            LeaseSettings.DEFAULT,
+                            new Random(lease));
+        }
+
+        void compete(Instant now) {
+            decide(new LeaseEvent.CompetitionChanged(List.of(new LeaseCandidacy(NAME, 0))), now);
+        }
+
+        void seeKey(Instant now) {
+            StoredValue key = mKey;
+            if (key != null) {
+                String told = LeaseMarkCodec.decode(key.bytes()).orElseThrow().handover();
+                decide(new LeaseEvent.KeyFreed(NAME, key.revision(), told), now);
+            }
+        }
+
+        void decide(LeaseEvent event, Instant now) {
+            for (LeaseDecision decision : mDecider.decide(event, now)) {
+                carryOut(decision, now);
+            }
+        }
+
+        private void carryOut(LeaseDecision decision, Instant now) {
+            if (decision instanceof LeaseDecision.GrantServiceLease grant) {
+                LeaseResult held =
+                        new LeaseResult.Held(new StoreLeaseId(mLease), Duration.ofSeconds(6));
+                decide(new LeaseEvent.ServiceLeaseReplied(grant.operation(), held), now);
+            } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
+                LeaseResult held =
+                        new LeaseResult.Held(new StoreLeaseId(mLease), Duration.ofSeconds(6));
+                decide(new LeaseEvent.ServiceLeaseReplied(renew.operation(), held), now);
+            } else if (decision instanceof LeaseDecision.WriteKey write) {
+                decide(new LeaseEvent.KeyWriteReplied(write.operation(), write(write)), now);
+            } else if (decision instanceof LeaseDecision.ReadKey read) {
+                List<StoredValue> found = mKey == null ? List.of() : List.of(mKey);
+                decide(
+                        new LeaseEvent.KeyReadReplied(
+                                read.operation(), new ReadResult.Found(found)),
+                        now);
+            } else if (decision instanceof LeaseDecision.LeaseAcquired gained) {
+                acquired.add(gained.handover() == null ? "none" : gained.handover());
+            }
+        }
+
+        private WriteResult write(LeaseDecision.WriteKey write) {
+            CompareAndSwap command = write.command();
+            Revision present = mKey == null ? Revision.ABSENT : mKey.revision();
+            if (!present.equals(command.expected())) {
+                return new WriteResult.Conflict(mKey);
+            }
+            Revision revision = new Revision(++mRevision);
+            mKey = new StoredValue(command.key(), command.bytes(), revision);
+            return mLosesReplies
+                    ? new WriteResult.Unknown("no reply")
+                    : new WriteResult.Written(revision);
+        }
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -90,7 +90,8 @@
                     requested.daemon(), requested.target(), requested.waiting(), turn.now());
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
             mTenure.begin(began.token(), began.ordersFrom());
-            mFleet.records().forEach(record -> record.unconfirm(began.ordersFrom()));
+            mFleet.records()
+                    .forEach(record -> record.unconfirm(began.ordersFrom(record.entry().id())));
         } else if (event instanceof ResidencyEvent.TenureEnded) {
             mTenure.end();
             mFleet.records().forEach(record -> record.unconfirm(turn.now()));
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
@@ -67,8 +68,27 @@
      *
      * @param token the fencing token of its orders
      * @param ordersFrom no order may be sent before, because the holder before may still send
+     * @param laterRunners runners to which no order may be sent until a later time, because the
+     *     holder before has just ordered them
      */
-    record TenureBegan(FencingToken token, Instant ordersFrom) implements ResidencyEvent {}
+    record TenureBegan(
+            FencingToken token, Instant ordersFrom, Map<EndpointId, Instant> laterRunners)
+            implements ResidencyEvent {
+        /** Copies the map. */
+        public TenureBegan {
+            laterRunners = Map.copyOf(laterRunners);
+        }
+
+        /**
+         * Returns from when on a runner may be ordered.
+         *
+         * @param runner the runner
+         */
+        public Instant ordersFrom(EndpointId runner) {
+            Instant later = laterRunners.getOrDefault(runner, ordersFrom);
+            return later.isAfter(ordersFrom) ? later : ordersFrom;
+        }
+    }
 
     /** This daemon may give no more orders. */
     record TenureEnded() implements ResidencyEvent {}
--- a/core/src/test/java/org/oleanderspring/core/residency/command/ResidencyWorld.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/ResidencyWorld.java
@@ -96,7 +96,9 @@
         mHolder = mHolder == 0 ? 1 : 0;
         mToken++;
         mOrdersFrom = mNow.plus(PAUSE_BETWEEN_HOLDERS);
-        decide(mHolder, new ResidencyEvent.TenureBegan(new FencingToken(mToken), mOrdersFrom));
+        decide(
+                mHolder,
+                new ResidencyEvent.TenureBegan(new FencingToken(mToken), mOrdersFrom, Map.of()));
     }
 
     /** Lets time pass with demand and faults. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -11,11 +11,15 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
+import org.oleanderspring.coordination.lease.LeaseMark;
+import org.oleanderspring.coordination.lease.LeaseMarkCodec;
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.lease.command.LeaseDecision;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
 import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.port.query.Reading;
@@ -60,6 +64,7 @@
     private final FleetView mFleet = new FleetView("[placement]");
     private final Map<EndpointId, RunnerEntry> mRunners = new HashMap<>();
     private final Duration mSafetyMargin;
+    private final OrderHistory mHistory;
     private boolean mOrdersEnded;
     private @Nullable Instant mFreedAt;
     private @Nullable CompletableFuture<Boolean> mStopWaiter;
@@ -88,6 +93,7 @@
         mSettings = settings;
         mLeases = leases;
         mSafetyMargin = safetyMargin;
+        mHistory = new OrderHistory(settings.holderPause());
         mDecider = decider;
         mPorts = ports;
         mLeaseCalls = new LeaseCalls(ports.storeCommands(), ports.storeQueries(), this::offer);
@@ -110,6 +116,7 @@
     @Override
     public void handle(ResidencyInput input) {
         if (input instanceof ResidencyInput.Placement placement) {
+            noteReply(placement.event());
             decide(placement.event());
         } else if (input instanceof ResidencyInput.Lease lease) {
             decide(lease.event());
@@ -126,6 +133,7 @@
             LOGGER.log(Level.INFO, "[placement] orders-ended");
             mOrdersEnded = true;
             decide(new ResidencyEvent.TenureEnded());
+            handOver();
         } else if (input instanceof ResidencyInput.StopAsked asked) {
             mStopWaiter = asked.done();
             decide(new LeaseEvent.StopRequested());
@@ -133,14 +141,65 @@
     }
 
     private void seeFreedLease(StoreNews news) {
+        if (!(news instanceof StoreNews.Changed changed)) {
+            return;
+        }
         StoreKey key = GatewayKeys.leaseKey(GatewayKeys.PLACEMENT);
-        if (news instanceof StoreNews.Changed changed
-                && changed.changes().contains(new StoreChange.Removed(key))) {
-            mFreedAt = mClock.now();
-            decide(new LeaseEvent.KeyFreed(GatewayKeys.PLACEMENT));
+        for (StoreChange change : changed.changes()) {
+            if (change instanceof StoreChange.Removed removed && removed.key().equals(key)) {
+                mFreedAt = mClock.now();
+                decide(new LeaseEvent.KeyFreed(GatewayKeys.PLACEMENT, Revision.ABSENT, null));
+            } else if (change instanceof StoreChange.Written written
+                    && written.value().key().equals(key)) {
+                seeHandover(written.value());
+            }
+        }
+    }
+
+    private void seeHandover(StoredValue value) {
+        LeaseMarkCodec.decode(value.bytes())
+                .filter(LeaseMark::isFree)
+                .ifPresent(
+                        mark ->
+                                decide(
+                                        new LeaseEvent.KeyFreed(
+                                                GatewayKeys.PLACEMENT,
+                                                value.revision(),
+                                                mark.handover())));
+    }
+
+    private void noteReply(ResidencyEvent event) {
+        if (event instanceof ResidencyEvent.OrderReplied replied) {
+            mHistory.replied(replied, mClock.now());
+            if (mOrdersEnded) {
+                handOver();
+            }
         }
     }
 
+    /**
+     * Gives the placement up before the planned stop, once no order is on its way. If one stays
+     * without a reply, the lease ends with the stop, and the next holder waits for the whole pause.
+     */
+    private void handOver() {
+        if (!mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())) {
+            decide(new LeaseEvent.HandoverRequested(GatewayKeys.PLACEMENT, null));
+            return;
+        }
+        mHistory.handover(mClock.now())
+                .ifPresent(
+                        handover -> {
+                            LOGGER.log(
+                                    Level.INFO,
+                                    "[placement] handover ages=\""
+                                            + handover.replace('\n', ',')
+                                            + "\"");
+                            decide(
+                                    new LeaseEvent.HandoverRequested(
+                                            GatewayKeys.PLACEMENT, handover));
+                        });
+    }
+
     private void apply(FleetView.Part part) {
         FleetConfiguration configuration = mFleet.configuration();
         if (part == FleetView.Part.CONFIGURATION && configuration != null) {
@@ -165,7 +224,7 @@
         if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
             LOGGER.log(Level.INFO, "[placement] lease-acquired name=" + acquired.name());
             if (acquired.name().equals(GatewayKeys.PLACEMENT) && !mOrdersEnded) {
-                beginTenure();
+                beginTenure(acquired.handover());
             }
         } else if (decision instanceof LeaseDecision.LeaseLost lost) {
             LOGGER.log(
@@ -179,31 +238,33 @@
         }
     }
 
-    private void beginTenure() {
+    private void beginTenure(@Nullable String handover) {
         FencingToken token = mLeases.token(GatewayKeys.PLACEMENT);
-        Instant ordersFrom = ordersFrom();
+        Instant now = mClock.now();
+        mHistory.begin(handover, lastOrderOfOthers(now), now);
+        Instant ordersFrom = mHistory.ordersFrom(now);
+        Map<EndpointId, Instant> laterRunners = mHistory.laterRunners(now);
         LOGGER.log(
                 Level.INFO,
                 "[placement] tenure-began token="
                         + token
                         + " orders-in-ms="
-                        + Duration.between(mClock.now(), ordersFrom).toMillis());
-        decide(new ResidencyEvent.TenureBegan(token, ordersFrom));
+                        + Duration.between(now, ordersFrom).toMillis()
+                        + " handed-over="
+                        + (handover != null)
+                        + " later-runners="
+                        + laterRunners.size());
+        decide(new ResidencyEvent.TenureBegan(token, ordersFrom, laterRunners));
     }
 
     /**
-     * The holder before sent its last order a safety margin before its key vanished, and the pause
-     * counts from there. If that was not seen, it counts from now.
+     * The holder before sent its last order a safety margin before its key vanished. If that was
+     * not seen, it may have been just now.
      */
-    private Instant ordersFrom() {
-        Instant now = mClock.now();
+    private Instant lastOrderOfOthers(Instant now) {
         Instant freedAt = mFreedAt;
         mFreedAt = null;
-        if (freedAt == null) {
-            return now.plus(mSettings.holderPause());
-        }
-        Instant from = freedAt.minus(mSafetyMargin).plus(mSettings.holderPause());
-        return from.isAfter(now) ? from : now;
+        return freedAt == null ? now : freedAt.minus(mSafetyMargin);
     }
 
     private void decide(ResidencyEvent event) {
@@ -259,6 +320,7 @@
             offer(order, ResidencyOrderReply.NOT_SENT);
             return;
         }
+        mHistory.sent(order, mClock.now());
         mPorts.orders()
                 .send(runner.address(), runner.instance(), mSettings.self().id().value(), order)
                 .thenAccept(reply -> offer(order, reply));
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/OrderHistoryTest.java
@@ -0,0 +1,110 @@
+package org.oleanderspring.daemon.gateway.placement.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anEmptyMap;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.residency.ResidencyOrder;
+import org.oleanderspring.core.residency.ResidencyOrderKind;
+import org.oleanderspring.core.residency.ResidencyOrderReply;
+import org.oleanderspring.core.residency.command.ResidencyEvent;
+
+/**
+ * Guards the pause between orders of two daemons to one runner when the placement changes hands.
+ */
+class OrderHistoryTest {
+    private static final Duration PAUSE = Duration.ofSeconds(3);
+    private static final Instant START = Instant.EPOCH.plusSeconds(100);
+    private static final EndpointId BUSY = new EndpointId("busy");
+
+    private final OrderHistory mHistory = new OrderHistory(PAUSE);
+
+    private static Instant at(long millis) {
+        return START.plusMillis(millis);
+    }
+
+    private void order(EndpointId runner, long number, long millis) {
+        mHistory.sent(
+                new ResidencyOrder(
+                        number,
+                        runner,
+                        ResidencyOrderKind.LOAD,
+                        new ModelReference(new ModelName("m"), null),
+                        0,
+                        new FencingToken(1)),
+                at(millis));
+    }
+
+    private void reply(long number, ResidencyOrderReply reply, long millis) {
+        mHistory.replied(new ResidencyEvent.OrderReplied(BUSY, number, reply), at(millis));
+    }
+
+    /** A holder that told nothing may have ordered any runner until its lease vanished. */
+    @Test
+    void untoldOrdersDelayAllRunners() {
+        mHistory.begin(null, at(-800), at(0));
+        assertThat(mHistory.ordersFrom(at(0)), equalTo(at(2_200)));
+    }
+
+    /** Only the runners that the holder before has just ordered must wait. */
+    @Test
+    void toldOrdersDelayTheirRunnersOnly() {
+        mHistory.begin(null, at(-3_000), at(0));
+        order(BUSY, 1, 100);
+        reply(1, ResidencyOrderReply.ACCEPTED, 150);
+        String told = mHistory.handover(at(1_100)).orElseThrow();
+
+        OrderHistory next = new OrderHistory(PAUSE);
+        next.begin(told, at(1_200), at(1_200));
+        assertThat(next.ordersFrom(at(1_200)), equalTo(at(1_200)));
+        assertThat(next.laterRunners(at(1_200)), equalTo(Map.of(BUSY, at(3_200))));
+    }
+
+    /**
+     * Daemons that stop one after the other hand the placement on before their own pause is over;
+     * the pause must count from the last order, not from each change.
+     */
+    @Test
+    void pauseCountsFromTheLastOrderOverSeveralHolders() {
+        mHistory.begin(null, at(0), at(100));
+        String told = mHistory.handover(at(2_000)).orElseThrow();
+        OrderHistory second = new OrderHistory(PAUSE);
+        second.begin(told, at(2_100), at(2_100));
+        assertThat(second.ordersFrom(at(2_100)), equalTo(at(3_100)));
+        OrderHistory third = new OrderHistory(PAUSE);
+        third.begin(second.handover(at(2_500)).orElseThrow(), at(2_500), at(2_500));
+        assertThat(third.ordersFrom(at(2_500)), equalTo(at(3_100)));
+    }
+
+    /** An order that may still arrive must not be told as settled. */
+    @Test
+    void unansweredOrdersAreNotToldAsSettled() {
+        mHistory.begin(null, at(-3_000), at(0));
+        order(BUSY, 1, 100);
+        assertThat(mHistory.handover(at(200)), is(Optional.empty()));
+        reply(1, ResidencyOrderReply.UNKNOWN, 300);
+        assertThat(mHistory.handover(at(400)), is(Optional.empty()));
+        assertThat(mHistory.handover(at(3_300)).isPresent(), is(true));
+    }
+
+    /** A handover that cannot be read must count as none. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "100\nbusy", "100\nx busy"})
+    void unreadableHandoverDelaysAllRunners(String told) {
+        mHistory.begin(told, at(0), at(0));
+        assertThat(mHistory.ordersFrom(at(0)), equalTo(at(3_000)));
+        assertThat(mHistory.laterRunners(at(0)), is(anEmptyMap()));
+    }
+}
