--- a/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseHandoverTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseHandoverTest.java
@@ -40,17 +40,17 @@
     @Test
     void nextHolderHearsTheHandover() {
         mFirst.compete(START);
-        assertThat(mFirst.acquired, contains("none"));
+        assertThat(mFirst.mAcquired, contains("none"));
         mSecond.compete(START);
-        assertThat(mSecond.acquired, is(empty()));
+        assertThat(mSecond.mAcquired, is(empty()));
 
         mFirst.decide(new LeaseEvent.HandoverRequested(NAME, "told"), START.plusSeconds(1));
         mSecond.seeKey(START.plusSeconds(1));
-        assertThat(mSecond.acquired, contains("told"));
+        assertThat(mSecond.mAcquired, contains("told"));
 
         mKey = null;
         mFirst.compete(START.plusSeconds(2));
-        assertThat(mFirst.acquired, contains("none", "none"));
+        assertThat(mFirst.mAcquired, contains("none", "none"));
     }
 
     /** A daemon that gave the lease up must not take it again before it competes again. */
@@ -60,7 +60,7 @@
         mFirst.decide(new LeaseEvent.HandoverRequested(NAME, "told"), START.plusSeconds(1));
         mFirst.seeKey(START.plusSeconds(1));
         mFirst.decide(new LeaseEvent.TimerFired(), START.plusSeconds(2));
-        assertThat(mFirst.acquired, contains("none"));
+        assertThat(mFirst.mAcquired, contains("none"));
     }
 
     /**
@@ -76,11 +76,11 @@
         mSecond.seeKey(START.plusSeconds(1));
         mLosesReplies = false;
         mSecond.decide(new LeaseEvent.TimerFired(), START.plusSeconds(1));
-        assertThat(mSecond.acquired, contains("none"));
+        assertThat(mSecond.mAcquired, contains("none"));
     }
 
     private final class Daemon {
-        final List<String> acquired = new ArrayList<>();
+        final List<String> mAcquired = new ArrayList<>();
         private final DefaultLeaseDecider mDecider;
         private final long mLease;
 
@@ -130,7 +130,7 @@
                                 read.operation(), new ReadResult.Found(found)),
                         now);
             } else if (decision instanceof LeaseDecision.LeaseAcquired gained) {
-                acquired.add(gained.handover() == null ? "none" : gained.handover());
+                mAcquired.add(gained.handover() == null ? "none" : gained.handover());
             }
         }
 
