Refuse streams at once whose callers leave before the model is ready

Callers leave a stream after the longest of three gaps without an event, also before the first; the estimate was compared with the deadline only.

A route now knows how long its callers wait for a beginning, a call when its answer must have begun, and a refusal when the target is expected to be ready. Retry-After says that time in place of 0.3 s.

One assertion of HostedRoutingTest now also checks when the model will be ready.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandBook.java
@@ -58,7 +58,7 @@
         return mUses.isEmpty();
     }
 
-    /** Returns the targets for which calls wait, the most urgent first. */
+    /** Returns the targets for which calls wait; first those not asked for again the longest. */
     List<Target.ServedModelTarget> waiting(Instant now) {
         List<Target.ServedModelTarget> waiting = new ArrayList<>();
         for (Map.Entry<Target.ServedModelTarget, Use> entry : mUses.entrySet()) {
--- a/core/src/main/java/org/oleanderspring/core/route/Route.java
+++ b/core/src/main/java/org/oleanderspring/core/route/Route.java
@@ -14,6 +14,7 @@
  * @param kind what may be done with its requests
  * @param timeout how long a request may be kept waiting for its whole answer
  * @param targetLatency within this time an answer has its full worth
+ * @param callerPatience after this time without the beginning of an answer, callers leave
  * @param priority its rank; 0 is the most urgent
  * @param shares the services that serve it
  * @param attemptLimit to so many runners a request may be sent
@@ -26,6 +27,7 @@
         CallKind kind,
         Duration timeout,
         Duration targetLatency,
+        Duration callerPatience,
         int priority,
         List<ServiceShare> shares,
         int attemptLimit,
@@ -37,6 +39,7 @@
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(timeout, "timeout");
         Objects.requireNonNull(targetLatency, "targetLatency");
+        Objects.requireNonNull(callerPatience, "callerPatience");
         shares = List.copyOf(shares);
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new IllegalArgumentException("prefix has no slash at an end: " + prefix);
--- a/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
@@ -18,6 +18,8 @@
  * @param repetition how often the work may be done
  * @param attemptLimit at most this many attempts; the limit of the fleet applies besides
  * @param deadlineScope which part of the answer the deadline bounds
+ * @param beginBy when the answer must have begun for the caller still to be there; not after the
+ *     deadline
  */
 public record CallRequest(
         CallId id,
@@ -28,7 +30,8 @@
         long prefixHash,
         Repetition repetition,
         int attemptLimit,
-        DeadlineScope deadlineScope) {
+        DeadlineScope deadlineScope,
+        Instant beginBy) {
     /** Checks for missing parts. */
     public CallRequest {
         Objects.requireNonNull(id, "id");
@@ -36,6 +39,10 @@
         Objects.requireNonNull(deadline, "deadline");
         Objects.requireNonNull(repetition, "repetition");
         Objects.requireNonNull(deadlineScope, "deadlineScope");
+        Objects.requireNonNull(beginBy, "beginBy");
+        if (beginBy.isAfter(deadline)) {
+            throw new IllegalArgumentException("the answer may begin after its deadline");
+        }
         if (attemptLimit < 1) {
             throw new IllegalArgumentException("attempt limit is not positive: " + attemptLimit);
         }
@@ -68,7 +75,8 @@
                 prefixHash,
                 onceKey == null ? Repetition.REPEATABLE : Repetition.AT_MOST_ONCE,
                 Integer.MAX_VALUE,
-                DeadlineScope.BEGINNING);
+                DeadlineScope.BEGINNING,
+                deadline);
     }
 
     /** Returns whether the call may be run again after it may have run. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Admission.java
@@ -32,7 +32,7 @@
         CallState call = new CallState(request, mState.fleet().target(request.target()));
         refusal = refusalByLoad(call, turn.now());
         if (refusal != null) {
-            refuse(request, refusal, turn);
+            refuse(call, refusal, turn);
             return;
         }
         admit(call, turn);
@@ -52,6 +52,16 @@
         }
     }
 
+    /** Refuses a call by the load of its target. */
+    private void refuse(CallState call, RefusalReason reason, Turn turn) {
+        CallRequest request = call.request();
+        TargetState target = call.target();
+        mState.tally().refused(reason);
+        turn.add(
+                new RoutingDecision.Refuse(
+                        request.id(), reason, WorkState.NOT_RUN, target.readyIn(turn.now())));
+    }
+
     private void refuse(CallRequest request, RefusalReason reason, Turn turn) {
         mState.tally().refused(reason);
         turn.add(new RoutingDecision.Refuse(request.id(), reason, WorkState.NOT_RUN));
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -46,7 +47,8 @@
         release(call);
         recordNotRun(call, turn);
         mState.tally().refused(reason);
-        turn.add(new RoutingDecision.Refuse(call.request().id(), reason, work));
+        Duration readyIn = call.target().readyIn(turn.now());
+        turn.add(new RoutingDecision.Refuse(call.request().id(), reason, work, readyIn));
     }
 
     /** Ends a call that has its whole answer. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -51,7 +51,7 @@
      * started, so an estimate that is too high is corrected by its answer.
      */
     private boolean isWorthStarting(CallState call, TargetState target, Turn turn) {
-        Duration remaining = Duration.between(turn.now(), call.request().deadline());
+        Duration remaining = Duration.between(turn.now(), call.request().beginBy());
         return target.queue().size() == 1
                 || mPolicy.isWorthStarting(call.request(), remaining, target.times().firstByte());
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RefuseHopelessPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RefuseHopelessPolicy.java
@@ -15,7 +15,7 @@
 
     @Override
     public OverloadAction decide(CallRequest call, OverloadSituation situation) {
-        Duration remaining = Duration.between(situation.now(), call.deadline());
+        Duration remaining = Duration.between(situation.now(), call.beginBy());
         if (remaining.compareTo(situation.estimatedWait()) < 0) {
             return new OverloadAction.RefuseNow(RefusalReason.DEADLINE_TOO_SHORT);
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.core.fleet.EndpointId;
@@ -74,9 +76,22 @@
      * @param call the call
      * @param reason why
      * @param workState whether the work was done
+     * @param readyIn when the target is expected to take calls; null if that is not known
      */
-    record Refuse(CallId call, RefusalReason reason, WorkState workState)
-            implements RoutingDecision {}
+    record Refuse(
+            CallId call, RefusalReason reason, WorkState workState, @Nullable Duration readyIn)
+            implements RoutingDecision {
+        /**
+         * Creates a refusal for a reason that does not pass with time.
+         *
+         * @param call the call
+         * @param reason why
+         * @param workState whether the work was done
+         */
+        public Refuse(CallId call, RefusalReason reason, WorkState workState) {
+            this(call, reason, workState, null);
+        }
+    }
 
     /**
      * The call ended with its whole answer; the daemon may forget it.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -183,6 +183,12 @@
         return wait.plus(mTimes.firstByte());
     }
 
+    /** Returns when a replica is expected to be ready, or null if that is not known. */
+    @Nullable Duration readyIn(Instant now) {
+        Duration wait = mCapacity > 0 ? Duration.ZERO : untilReady(now);
+        return wait.isZero() ? null : wait;
+    }
+
     private Duration untilReady(Instant now) {
         if (mReadyAt == null || mEstimatedAt.plus(ESTIMATE_VALIDITY).isBefore(now)) {
             return Duration.ZERO;
--- a/core/src/test/java/org/oleanderspring/core/route/query/RouteIndexTest.java
+++ b/core/src/test/java/org/oleanderspring/core/route/query/RouteIndexTest.java
@@ -27,6 +27,7 @@
                 CallKind.IDEMPOTENT,
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
+                Duration.ofSeconds(1),
                 0,
                 List.of(shares),
                 1,
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -77,6 +77,10 @@
     }
 
     private List<RoutingDecision> arrive(Repetition repetition, int attempts) {
+        return arrive(repetition, attempts, START.plusSeconds(10));
+    }
+
+    private List<RoutingDecision> arrive(Repetition repetition, int attempts, Instant beginBy) {
         return decide(
                 new RoutingEvent.CallArrived(
                         new CallRequest(
@@ -88,7 +92,8 @@
                                 0,
                                 repetition,
                                 attempts,
-                                DeadlineScope.WHOLE_ANSWER)),
+                                DeadlineScope.WHOLE_ANSWER,
+                                beginBy)),
                 START);
     }
 
@@ -189,7 +194,13 @@
                 decide(
                         new RoutingEvent.ReadinessEstimated(MODEL, START.plusSeconds(12)),
                         START.plusMillis(90)),
-                is(List.of(refused(RefusalReason.DEADLINE_TOO_SHORT, WorkState.NOT_RUN))));
+                is(
+                        List.of(
+                                new RoutingDecision.Refuse(
+                                        CALL,
+                                        RefusalReason.DEADLINE_TOO_SHORT,
+                                        WorkState.NOT_RUN,
+                                        Duration.ofMillis(11_910)))));
     }
 
     /** Guards against a planned stop that leaves a waiting call without an answer. */
@@ -214,4 +225,23 @@
         assertThat(next, not(hasItem(instanceOf(RoutingDecision.StartAttempt.class))));
         assertThat(next, hasItem(refused(RefusalReason.DRAINING, WorkState.UNKNOWN)));
     }
+
+    /**
+     * Guards against a stream that is held until its caller leaves: the caller waits less for the
+     * beginning than the deadline says, and comes back if it is told when.
+     */
+    @Test
+    void callerThatLeavesBeforeTheModelIsReadyIsToldWhenToComeBack() {
+        table();
+        decide(new RoutingEvent.ReadinessEstimated(MODEL, START.plusSeconds(6)), START);
+        List<RoutingDecision> decisions = arrive(Repetition.RESUMABLE, 2, START.plusMillis(2_400));
+        assertThat(
+                decisions,
+                hasItem(
+                        new RoutingDecision.Refuse(
+                                CALL,
+                                RefusalReason.DEADLINE_TOO_SHORT,
+                                WorkState.NOT_RUN,
+                                Duration.ofSeconds(6))));
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusPromiseRefusals.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusPromiseRefusals.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.daemon.gateway.front.command;
 
+import java.math.BigDecimal;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -22,6 +24,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final String AT_ONCE = "0";
     private static final String SOON = "0.3";
+    private static final int MILLISECOND_DIGITS = 3;
 
     /** Creates a writer; it has no state. */
     public StatusPromiseRefusals() {}
@@ -32,8 +35,7 @@
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         if (status == UNAVAILABLE) {
-            boolean elsewhere = refusal.message() == ErrorMessage.DRAINING;
-            response.getHeaders().put(HttpHeader.RETRY_AFTER, elsewhere ? AT_ONCE : SOON);
+            response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfter(refusal));
         }
         if (refusal.message() == ErrorMessage.DRAINING
                 || refusal.message() == ErrorMessage.BODY_TOO_LARGE) {
@@ -42,6 +44,17 @@
         response.write(true, ByteBuffer.wrap(RefusalBody.encode(refusal)), callback);
     }
 
+    /** Another daemon may take the call at once; a target that is not ready needs its time. */
+    private static String retryAfter(Refusal refusal) {
+        if (refusal.message() == ErrorMessage.DRAINING) {
+            return AT_ONCE;
+        }
+        Duration readyIn = refusal.readyIn();
+        return readyIn == null
+                ? SOON
+                : BigDecimal.valueOf(readyIn.toMillis(), MILLISECOND_DIGITS).toPlainString();
+    }
+
     private static int status(Refusal refusal) {
         return switch (refusal.message()) {
             case UNKNOWN_PATH, UNKNOWN_TARGET -> NOT_FOUND;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCalls.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCalls.java
@@ -28,17 +28,20 @@
         if (clientTime != null && clientTime.compareTo(time) < 0) {
             time = clientTime;
         }
+        Instant deadline = request.arrivedAt().plus(time);
+        Instant callerLeaves = request.arrivedAt().plus(route.callerPatience());
         CallRequest call =
                 new CallRequest(
                         request.id(),
                         target(service, request.head().model(), configuration),
                         null,
                         -route.priority(),
-                        request.arrivedAt().plus(time),
+                        deadline,
                         request.head().prefixHash(),
                         repetition(route),
                         route.attemptLimit(),
-                        DeadlineScope.WHOLE_ANSWER);
+                        DeadlineScope.WHOLE_ANSWER,
+                        callerLeaves.isBefore(deadline) ? callerLeaves : deadline);
         return new GatewayCall(request, route, call, new CallerAnswer(request.stream()));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -419,6 +419,7 @@
                         + refuse.reason()
                         + " work="
                         + refuse.workState()
+                        + readyIn(refuse)
                         + " held-ms="
                         + held.toMillis());
         ErrorMessage message = ErrorMessage.valueOf(refuse.reason().name());
@@ -426,7 +427,15 @@
         call.answer()
                 .refuse(
                         new Refusal(
-                                message, message.format(call.call().target()), refuse.workState()));
+                                message,
+                                message.format(call.call().target()),
+                                refuse.workState(),
+                                refuse.readyIn()));
+    }
+
+    private static String readyIn(RoutingDecision.Refuse refuse) {
+        Duration readyIn = refuse.readyIn();
+        return readyIn == null ? "" : " ready-in-ms=" + readyIn.toMillis();
     }
 
     private void finish(CallId id, Instant now) {
