--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -1,7 +1,5 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -45,7 +43,6 @@
  * its decisions out.
  */
 public final class GatewayDuty implements EventHandler<GatewayInput> {
-    private static final Logger LOGGER = System.getLogger(GatewayDuty.class.getName());
 
     /** Calls that wait are bounded by their deadlines; this bounds the memory that they take. */
     private static final int QUEUE_LIMIT = 512;
@@ -239,15 +236,7 @@
     }
 
     private void refuse(GatewayRequest request, Refusal refusal) {
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] refused request="
-                        + request.head().attemptName()
-                        + " path="
-                        + request.pathOnly()
-                        + " reason=\""
-                        + refusal.text()
-                        + "\"");
+        CallLog.refused(request, refusal);
         mMeters.refused(refusal.message());
         request.stream().refuse(refusal);
     }
@@ -305,17 +294,7 @@
         if (finished.outcome() instanceof AttemptOutcome.Completed) {
             return;
         }
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] attempt-failed request="
-                        + call.name()
-                        + " attempt="
-                        + finished.attempt().number()
-                        + " runner="
-                        + running.endpoint()
-                        + " outcome=\""
-                        + finished.outcome()
-                        + "\"");
+        CallLog.attemptFailed(call, finished, running.endpoint());
     }
 
     private void forgetLeft(CallId id) {
@@ -324,18 +303,7 @@
             return;
         }
         Duration held = Duration.between(call.request().arrivedAt(), mClock.now());
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] caller-left request="
-                        + call.name()
-                        + " route="
-                        + call.route().name()
-                        + " target=\""
-                        + call.call().target()
-                        + "\" answer-begun="
-                        + call.answer().hasBegun()
-                        + " held-ms="
-                        + held.toMillis());
+        CallLog.callerLeft(call, held);
         mMeters.callerLeft();
         call.answer().abandon();
     }
@@ -364,7 +332,8 @@
                             attempt, new AttemptOutcome.NotRun("the runner is gone", true)));
             return;
         }
-        logStart(start, call, now);
+        Duration waited = Duration.between(call.request().arrivedAt(), now);
+        CallLog.attemptStarted(call, start, waited, mFleet.configuration());
         mMeters.attemptStarted();
         boolean stream = call.route().kind() == CallKind.STREAMING;
         GatewayRelay relay =
@@ -379,49 +348,13 @@
         mRunning.put(attempt, new Running(running, relay, start.endpoint()));
     }
 
-    private void logStart(RoutingDecision.StartAttempt start, GatewayCall call, Instant now) {
-        FleetConfiguration configuration = mFleet.configuration();
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] attempt-started request="
-                        + call.name()
-                        + " attempt="
-                        + start.attempt().number()
-                        + " route="
-                        + call.route().name()
-                        + " runner="
-                        + start.endpoint()
-                        + " target=\""
-                        + call.call().target()
-                        + "\" reason=\""
-                        + start.reason()
-                        + "\" waited-ms="
-                        + Duration.between(call.request().arrivedAt(), now).toMillis()
-                        + " configuration="
-                        + (configuration == null ? 0 : configuration.version()));
-    }
-
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
         GatewayCall call = mCalls.remove(refuse.call());
         if (call == null) {
             return;
         }
         Duration held = Duration.between(call.request().arrivedAt(), now);
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] refused request="
-                        + call.name()
-                        + " route="
-                        + call.route().name()
-                        + " target=\""
-                        + call.call().target()
-                        + "\" reason="
-                        + refuse.reason()
-                        + " work="
-                        + refuse.workState()
-                        + readyIn(refuse)
-                        + " held-ms="
-                        + held.toMillis());
+        CallLog.refused(call, refuse, held);
         ErrorMessage message = ErrorMessage.valueOf(refuse.reason().name());
         mMeters.refused(message);
         call.answer()
@@ -433,11 +366,6 @@
                                 refuse.readyIn()));
     }
 
-    private static String readyIn(RoutingDecision.Refuse refuse) {
-        Duration readyIn = refuse.readyIn();
-        return readyIn == null ? "" : " ready-in-ms=" + readyIn.toMillis();
-    }
-
     private void finish(CallId id, Instant now) {
         GatewayCall call = mCalls.remove(id);
         if (call == null) {
@@ -453,31 +381,14 @@
         if (running == null) {
             return;
         }
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] attempt-cancelled request="
-                        + (call == null ? "" : call.name())
-                        + " attempt="
-                        + cancel.attempt().number()
-                        + " runner="
-                        + running.endpoint()
-                        + " reason=\""
-                        + cancel.reason()
-                        + "\"");
+        CallLog.attemptCancelled(call, cancel, running.endpoint());
         running.relay().stop();
         running.attempt().cancel();
     }
 
     private void requestLoad(RoutingDecision.RequestLoad request, Instant now) {
         Optional<GatewayMember> holder = mFleet.placementHolder();
-        LOGGER.log(
-                Level.INFO,
-                "[gateway] load-requested target=\""
-                        + request.target()
-                        + "\" waiting="
-                        + request.waiting()
-                        + " holder="
-                        + holder.map(member -> member.id().value()).orElse("none"));
+        CallLog.loadRequested(request, holder.map(member -> member.id().value()).orElse("none"));
         mMeters.loadRequested();
         holder.ifPresent(
                 member ->
