--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayDuty.java
@@ -43,7 +43,6 @@
  * its decisions out.
  */
 public final class GatewayDuty implements EventHandler<GatewayInput> {
-
     /** Calls that wait are bounded by their deadlines; this bounds the memory that they take. */
     private static final int QUEUE_LIMIT = 512;
 
