Keep the pause after a handover in the tenure, not in the runner's record

Cause (found by reading): the time before which a runner may not be ordered was kept in its record. A runner whose entry came back, or that restarted under another identity, got a new record and was read and ordered at once, within the pause that the holder before had named.

Change: the tenure keeps the named times. A runner that joins during the tenure waits as long as the last named one, and so does every other runner if a named one is not registered.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -89,9 +89,8 @@
             mDemand.requested(
                     requested.daemon(), requested.target(), requested.waiting(), turn.now());
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
-            mTenure.begin(began.token(), began.ordersFrom());
-            mFleet.records()
-                    .forEach(record -> record.unconfirm(began.ordersFrom(record.entry().id())));
+            mTenure.begin(began, mFleet.ids());
+            mFleet.records().forEach(record -> record.unconfirm(turn.now()));
         } else if (event instanceof ResidencyEvent.TenureEnded) {
             mTenure.end();
             mFleet.records().forEach(record -> record.unconfirm(turn.now()));
--- a/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/OrderSequencer.java
@@ -67,8 +67,10 @@
         }
     }
 
+    /** No order precedes the reading, so a runner that must not be ordered is not read either. */
     private void readIfDue(RunnerRecord record, ResidencyTurn turn) {
-        if (!record.isReadDue(turn.now())) {
+        boolean mayOrder = mTenure.mayOrder(record.entry().id(), turn.now());
+        if (!mayOrder || !record.isReadDue(turn.now())) {
             return;
         }
         record.reading();
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
@@ -78,16 +78,6 @@
         public TenureBegan {
             laterRunners = Map.copyOf(laterRunners);
         }
-
-        /**
-         * Returns from when on a runner may be ordered.
-         *
-         * @param runner the runner
-         */
-        public Instant ordersFrom(EndpointId runner) {
-            Instant later = laterRunners.getOrDefault(runner, ordersFrom);
-            return later.isAfter(ordersFrom) ? later : ordersFrom;
-        }
     }
 
     /** This daemon may give no more orders. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -28,6 +28,10 @@
         return mRecords.values();
     }
 
+    Set<EndpointId> ids() {
+        return mRecords.keySet();
+    }
+
     @Nullable RunnerRecord record(EndpointId id) {
         return mRecords.get(id);
     }
