--- a/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
@@ -48,19 +48,22 @@
      *
      * @param values the values
      * @param now the current time
+     * @return whether the known values may differ from before
      */
-    public void listed(List<StoredValue> values, Instant now) {
+    public boolean listed(List<StoredValue> values, Instant now) {
+        boolean differs = !mListed;
         mListed = true;
         Set<StoreKey> present = new HashSet<>();
         for (StoredValue value : values) {
             present.add(value.key());
-            written(value);
+            differs |= written(value);
         }
         for (StoreKey key : List.copyOf(mEntries.keySet())) {
             if (!present.contains(key)) {
-                removed(key, now);
+                differs |= removed(key, now);
             }
         }
+        return differs;
     }
 
     /**
@@ -68,15 +71,19 @@
      *
      * @param changes the changes, the oldest first
      * @param now the current time
+     * @return whether a known value differs from before; a value that is only written again, as a
+     *     sign of life of its writer, does not
      */
-    public void changed(List<StoreChange> changes, Instant now) {
+    public boolean changed(List<StoreChange> changes, Instant now) {
+        boolean differs = false;
         for (StoreChange change : changes) {
             if (change instanceof StoreChange.Written written) {
-                written(written.value());
+                differs |= written(written.value());
             } else if (change instanceof StoreChange.Removed removed) {
-                removed(removed.key(), now);
+                differs |= removed(removed.key(), now);
             }
         }
+        return differs;
     }
 
     /** Notes that the service is away. */
@@ -131,24 +138,24 @@
         return entry == null ? Optional.empty() : Optional.of(entry.mValue);
     }
 
-    private void written(StoredValue value) {
+    private boolean written(StoredValue value) {
         Optional<V> decoded = mDecoder.apply(value);
         if (decoded.isEmpty()) {
-            mEntries.remove(value.key());
-            return;
+            return mEntries.remove(value.key()) != null;
         }
-        mEntries.put(value.key(), new Entry<>(decoded.get()));
+        @Nullable Entry<V> before = mEntries.put(value.key(), new Entry<>(decoded.get()));
+        return before == null || !before.mValue.equals(decoded.get());
     }
 
-    private void removed(StoreKey key, Instant now) {
+    private boolean removed(StoreKey key, Instant now) {
         if (!mInterrupted && !now.isBefore(mGraceUntil)) {
-            mEntries.remove(key);
-            return;
+            return mEntries.remove(key) != null;
         }
         @Nullable Entry<V> entry = mEntries.get(key);
         if (entry != null) {
             entry.mVanished = true;
         }
+        return false;
     }
 
     /** One value. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/HttpListener.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/HttpListener.java
@@ -55,6 +55,9 @@
         connector.setIdleTimeout(options.idleTime().toMillis());
         connector.setAcceptQueueSize(ACCEPT_QUEUE);
         mServer.addConnector(connector);
+        // A server that may change its handlers wakes a second thread for each request, also if its
+        // handlers never block.
+        mServer.setDynamic(false);
         mServer.setHandler(new Handler.Sequence(handlers));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -79,12 +79,10 @@
 
     private <V> boolean apply(PrefixMirror<V> mirror, StoreNews news, Instant now) {
         if (news instanceof StoreNews.Listed listed) {
-            mirror.listed(listed.values(), now);
-            return true;
+            return mirror.listed(listed.values(), now);
         }
         if (news instanceof StoreNews.Changed changed) {
-            mirror.changed(changed.changes(), now);
-            return true;
+            return mirror.changed(changed.changes(), now);
         }
         if (news instanceof StoreNews.Interrupted interrupted) {
             mirror.interrupted();
