Follow the registered runners closely in one daemon only

Cause: every daemon watched the runners' entries with a pause of 60 ms.

Change: the holder of the placement follows closely and sends a RegistryNotice to the other daemons when something has changed; they follow with a pause of 1 s, which a notice ends.

Tests: PacedWatchTest, RegistryFeedTest, SelectorThreadTest, PrefixMirrorTest.

--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixQueries.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixQueries.java
@@ -9,7 +9,7 @@
      *
      * @param prefix the prefix
      * @param listener called on a thread of the adapter; must not block
-     * @return ends the watch when closed
+     * @return sets the pace of the watch, and ends it when closed
      */
-    WatchSubscription follow(StoreKey prefix, PrefixListener listener);
+    PacedWatch follow(StoreKey prefix, PrefixListener listener);
 }
--- a/coordination/src/test/java/org/oleanderspring/coordination/store/PrefixMirrorTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/store/PrefixMirrorTest.java
@@ -74,4 +74,22 @@
         mMirror.changed(List.of(new StoreChange.Written(value(A, "broken"))), START);
         assertThat(mMirror.values(), is(List.of()));
     }
+
+    /** Guards against decisions over the whole fleet for each sign of life of a runner. */
+    @Test
+    void valueThatIsWrittenAgainIsNoChange() {
+        assertThat(mMirror.listed(List.of(value(A, "one")), START), is(true));
+        assertThat(mMirror.listed(List.of(value(A, "one")), START), is(false));
+        assertThat(written("one"), is(false));
+        assertThat(written("two"), is(true));
+        assertThat(written("broken"), is(true));
+        assertThat(written("broken"), is(false));
+        assertThat(written("two"), is(true));
+        assertThat(mMirror.changed(List.of(new StoreChange.Removed(A)), START), is(true));
+        assertThat(mMirror.changed(List.of(new StoreChange.Removed(A)), START), is(false));
+    }
+
+    private boolean written(String text) {
+        return mMirror.changed(List.of(new StoreChange.Written(value(A, text))), START);
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -209,6 +209,18 @@
             mRunners.clear();
             runners.forEach(runner -> mRunners.put(runner.id(), runner));
             decide(new ResidencyEvent.RunnersListed(runners));
+            tellRegistryChanged();
+        }
+    }
+
+    private void tellRegistryChanged() {
+        if (!mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())) {
+            return;
+        }
+        for (GatewayMember member : mFleet.members()) {
+            if (!member.equals(mSettings.self())) {
+                mPorts.statements().registryChanged(member);
+            }
         }
     }
 
@@ -231,6 +243,7 @@
                     Level.INFO,
                     "[placement] lease-lost name=" + lost.name() + " reason=" + lost.reason());
             if (lost.name().equals(GatewayKeys.PLACEMENT)) {
+                mPorts.registry().loosely();
                 decide(new ResidencyEvent.TenureEnded());
             }
         } else if (decision instanceof LeaseDecision.HandedOver && mStopWaiter != null) {
@@ -242,6 +255,7 @@
         FencingToken token = mLeases.token(GatewayKeys.PLACEMENT);
         Instant now = mClock.now();
         mHistory.begin(handover, lastOrderOfOthers(now), now);
+        mPorts.registry().closely();
         Instant ordersFrom = mHistory.ordersFrom(now);
         Map<EndpointId, Instant> laterRunners = mHistory.laterRunners(now);
         LOGGER.log(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyPorts.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyPorts.java
@@ -14,13 +14,15 @@
  * @param orders gives orders to runners
  * @param states asks runners for their state
  * @param statements tells daemons what runners hold
+ * @param registry sets how closely the registered runners are followed
  */
 public record ResidencyPorts(
         KeyValueCommands storeCommands,
         ValueQueries storeQueries,
         ResidencyCommands orders,
         RunnerStateQueries states,
-        ResidencyStatements statements) {
+        ResidencyStatements statements,
+        RegistryPace registry) {
     /** Checks for missing parts. */
     public ResidencyPorts {
         Objects.requireNonNull(storeCommands, "storeCommands");
@@ -28,5 +30,6 @@
         Objects.requireNonNull(orders, "orders");
         Objects.requireNonNull(states, "states");
         Objects.requireNonNull(statements, "statements");
+        Objects.requireNonNull(registry, "registry");
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -16,6 +16,7 @@
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.query.PacedWatch;
 import org.oleanderspring.coordination.store.query.PrefixQueries;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.residency.command.DefaultResidencyDecider;
@@ -95,6 +96,7 @@
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final GatewayRings mRings = new GatewayRings();
+    private final RegistryFeed mRegistry = new RegistryFeed();
     private final SharedHttpClient mClient =
             new SharedHttpClient(
                     new HttpClientOptions(
@@ -120,7 +122,7 @@
      * @return what went wrong, or null
      */
     public @Nullable String start() {
-        PeerMessages messages = new PeerMessages(mSettings, mRings);
+        PeerMessages messages = new PeerMessages(mSettings, mRings, mRegistry);
         PeerStart peer =
                 PeerNode.start(
                         mSettings.self().front().ip(),
@@ -188,7 +190,8 @@
                         storeQueries(calls),
                         new HostedResidencyCommands(calls, RUNNER_LIMIT),
                         new HostedRunnerStateQueries(calls, RUNNER_LIMIT),
-                        messages);
+                        messages,
+                        mRegistry);
         ResidencyDuty duty =
                 new ResidencyDuty(
                         mSettings,
@@ -210,10 +213,13 @@
 
     private void followStore() {
         PrefixQueries queries = storeQueries(new HttpCalls(mClient, PARALLEL_CALLS));
-        for (StoreKey prefix :
-                List.of(GatewayKeys.CONFIGURATION, GatewayKeys.RUNNERS, GatewayKeys.LEASES)) {
+        for (StoreKey prefix : List.of(GatewayKeys.CONFIGURATION, GatewayKeys.LEASES)) {
             mParts.add(queries.follow(prefix, new StoreFeed(prefix, mRings)));
         }
+        PacedWatch runners =
+                queries.follow(GatewayKeys.RUNNERS, new StoreFeed(GatewayKeys.RUNNERS, mRings));
+        mParts.add(runners);
+        mRegistry.connect(runners);
     }
 
     private @Nullable String openPorts() {
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/RegistryFeed.java
@@ -0,0 +1,52 @@
+package org.oleanderspring.daemon.gateway.process.command;
+
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.query.PacedWatch;
+import org.oleanderspring.daemon.gateway.placement.command.RegistryPace;
+
+/** The watch of the registered runners, at the pace that this daemon's part asks for. */
+final class RegistryFeed implements RegistryPace {
+    private static final Duration CLOSE = Duration.ofMillis(60);
+
+    /**
+     * The longest that a change stays unseen while no holder tells of it. Attempts at a runner that
+     * has left meanwhile fail over.
+     */
+    private static final Duration LOOSE = Duration.ofSeconds(1);
+
+    private volatile Duration mPause = LOOSE;
+    private volatile @Nullable PacedWatch mWatch;
+
+    /** Sets the watch, which starts after the duty that chooses the pace. */
+    void connect(PacedWatch watch) {
+        mWatch = watch;
+        watch.pace(mPause);
+    }
+
+    @Override
+    public void closely() {
+        pace(CLOSE);
+    }
+
+    @Override
+    public void loosely() {
+        pace(LOOSE);
+    }
+
+    private void pace(Duration pause) {
+        mPause = pause;
+        PacedWatch watch = mWatch;
+        if (watch != null) {
+            watch.pace(pause);
+        }
+    }
+
+    /** Takes over changes now. */
+    void fetch() {
+        PacedWatch watch = mWatch;
+        if (watch != null) {
+            watch.fetch();
+        }
+    }
+}
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -168,6 +168,9 @@
      */
     record ResidencyStatement(Residency residency) implements PeerMessage {}
 
+    /** Says that the registered runners have changed. */
+    record RegistryNotice() implements PeerMessage {}
+
     /** Returns whether the message may come as a datagram, because a lost one is soon repeated. */
     default boolean isDatagram() {
         return this instanceof Membership
