Let receivers take notices of changed runners

Cause: the holder sends a RegistryNotice as a datagram, but PeerMessage.isDatagram did not list it, so every receiver counted it as malformed and dropped it.

Change: the notice is listed, and PeerNode.sendDatagram rejects a message that receivers would drop.

PeerNodeTest.datagramsOfDaemonsArrive fails for the notice before and passes after.

--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -177,6 +177,7 @@
                 || this instanceof UseReport
                 || this instanceof WakeRequest
                 || this instanceof ReadyNotice
-                || this instanceof ResidencyStatement;
+                || this instanceof ResidencyStatement
+                || this instanceof RegistryNotice;
     }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/command/PeerNode.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerNode.java
@@ -132,6 +132,9 @@
 
     @Override
     public SendResult sendDatagram(Address receiver, PeerMessage message) {
+        if (!message.isDatagram()) {
+            throw new IllegalArgumentException("receivers reject this datagram: " + message);
+        }
         InetAddress ip = parse(receiver.ip());
         if (ip == null) {
             return SendResult.INVALID_RECEIVER;
--- a/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
@@ -89,6 +89,26 @@
         assertThat(mReceiver.traffic().openConnections(), is(0));
     }
 
+    static List<PeerMessage> datagrams() {
+        return PeerSamples.framed().stream()
+                .filter(
+                        message ->
+                                message instanceof PeerMessage.UseReport
+                                        || message instanceof PeerMessage.WakeRequest
+                                        || message instanceof PeerMessage.ReadyNotice
+                                        || message instanceof PeerMessage.ResidencyStatement
+                                        || message instanceof PeerMessage.RegistryNotice)
+                .toList();
+    }
+
+    /** Guards against a kind of message that is sent as a datagram and rejected by its receiver. */
+    @ParameterizedTest
+    @MethodSource("datagrams")
+    void datagramsOfDaemonsArrive(PeerMessage message) throws InterruptedException {
+        assertThat(mSender.sendDatagram(mReceiver.address(), message), is(SendResult.ACCEPTED));
+        assertThat(next(), is(new ReceivedMessage(mSender.address(), message)));
+    }
+
     static List<byte[]> garbage() {
         byte[] valid = new PeerCodec().encode(new Address(LOOPBACK, 1), MESSAGE);
         byte[] membership =
