Remove the notices of changed runners

Change: RegistryNotice, its sending and PacedWatch.fetch are gone, with their generated code. The pause of 60 ms stands in one place (PacedWatch.USUAL_PAUSE). PeerNode goes on rejecting a datagram that receivers would drop, and PeerNodeTest its check of all kinds that daemons send.

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/RegistryPace.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/RegistryPace.java
@@ -5,13 +5,13 @@
  *
  * <p>Runners write their entries again about once a second as a sign of life, so a daemon that
  * takes over each write at once makes a call for nearly each of them. One daemon, the holder of the
- * placement, does so and tells the others when something has changed. Without its notice the others
- * see a change at the end of their own pause.
+ * placement, does so. The others see a change at the end of their own pause; attempts at a runner
+ * that has left meanwhile fail over.
  */
 public interface RegistryPace {
     /** Takes over changes at once. */
     void closely();
 
-    /** Takes over changes after a pause, or when the holder tells of them. */
+    /** Takes over changes after a pause. */
     void loosely();
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -209,18 +209,6 @@
             mRunners.clear();
             runners.forEach(runner -> mRunners.put(runner.id(), runner));
             decide(new ResidencyEvent.RunnersListed(runners));
-            tellRegistryChanged();
-        }
-    }
-
-    private void tellRegistryChanged() {
-        if (!mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())) {
-            return;
-        }
-        for (GatewayMember member : mFleet.members()) {
-            if (!member.equals(mSettings.self())) {
-                mPorts.statements().registryChanged(member);
-            }
         }
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyStatements.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyStatements.java
@@ -15,13 +15,6 @@
      */
     void state(GatewayMember member, Residency residency);
 
-    /**
-     * Tells one daemon that the registered runners have changed.
-     *
-     * @param member the daemon
-     */
-    void registryChanged(GatewayMember member);
-
     /**
      * Tells one daemon how long calls for a model or adapter have to wait.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -122,7 +122,7 @@
      * @return what went wrong, or null
      */
     public @Nullable String start() {
-        PeerMessages messages = new PeerMessages(mSettings, mRings, mRegistry);
+        PeerMessages messages = new PeerMessages(mSettings, mRings);
         PeerStart peer =
                 PeerNode.start(
                         mSettings.self().front().ip(),
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessages.java
@@ -33,13 +33,11 @@
         implements PlacementMessages, ResidencyStatements, EventSink<ReceivedMessage> {
     private final GatewaySettings mSettings;
     private final GatewayRings mRings;
-    private final RegistryFeed mRegistry;
     private volatile @Nullable PeerSender mSender;
 
-    PeerMessages(GatewaySettings settings, GatewayRings rings, RegistryFeed registry) {
+    PeerMessages(GatewaySettings settings, GatewayRings rings) {
         mSettings = settings;
         mRings = rings;
-        mRegistry = registry;
     }
 
     /** Sets the sender, which itself needs this object to deliver what it receives. */
@@ -99,11 +97,6 @@
         send(member, new PeerMessage.ResidencyStatement(residency));
     }
 
-    @Override
-    public void registryChanged(GatewayMember member) {
-        send(member, new PeerMessage.RegistryNotice());
-    }
-
     @Override
     public void estimate(
             GatewayMember member, Target.ServedModelTarget target, Duration readyAfter) {
@@ -142,8 +135,6 @@
         }
         if (message instanceof PeerMessage.ReadyNotice notice) {
             estimated(target(notice.cell(), notice.model()), notice.readyAfter());
-        } else if (message instanceof PeerMessage.RegistryNotice) {
-            mRegistry.fetch();
         } else if (message instanceof PeerMessage.UseReport report) {
             mRings.placement(demand(report));
         } else if (message instanceof PeerMessage.WakeRequest request) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/RegistryFeed.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/RegistryFeed.java
@@ -7,12 +7,7 @@
 
 /** The watch of the registered runners, at the pace that this daemon's part asks for. */
 final class RegistryFeed implements RegistryPace {
-    private static final Duration CLOSE = Duration.ofMillis(60);
-
-    /**
-     * The longest that a change stays unseen while no holder tells of it. Attempts at a runner that
-     * has left meanwhile fail over.
-     */
+    /** The longest that a change stays unseen by a daemon that gives no orders. */
     private static final Duration LOOSE = Duration.ofSeconds(1);
 
     private volatile Duration mPause = LOOSE;
@@ -26,7 +21,7 @@
 
     @Override
     public void closely() {
-        pace(CLOSE);
+        pace(PacedWatch.USUAL_PAUSE);
     }
 
     @Override
@@ -41,12 +36,4 @@
             watch.pace(pause);
         }
     }
-
-    /** Takes over changes now. */
-    void fetch() {
-        PacedWatch watch = mWatch;
-        if (watch != null) {
-            watch.fetch();
-        }
-    }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/RegistryFeedTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/RegistryFeedTest.java
@@ -26,11 +26,6 @@
             mCalls.add(pause.toString());
         }
 
-        @Override
-        public void fetch() {
-            mCalls.add("fetch");
-        }
-
         @Override
         public void close() {
             mCalls.add("close");
@@ -39,7 +34,6 @@
 
     @Test
     void paceChosenBeforeTheWatchBeginsIsKept() {
-        mFeed.fetch();
         mFeed.closely();
         assertThat(mWatch.mCalls, empty());
         mFeed.connect(mWatch);
@@ -51,7 +45,6 @@
         mFeed.connect(mWatch);
         mFeed.closely();
         mFeed.loosely();
-        mFeed.fetch();
-        assertThat(mWatch.mCalls, contains("PT1S", "PT0.06S", "PT1S", "fetch"));
+        assertThat(mWatch.mCalls, contains("PT1S", "PT0.06S", "PT1S"));
     }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -168,16 +168,12 @@
      */
     record ResidencyStatement(Residency residency) implements PeerMessage {}
 
-    /** Says that the registered runners have changed. */
-    record RegistryNotice() implements PeerMessage {}
-
     /** Returns whether the message may come as a datagram, because a lost one is soon repeated. */
     default boolean isDatagram() {
         return this instanceof Membership
                 || this instanceof UseReport
                 || this instanceof WakeRequest
                 || this instanceof ReadyNotice
-                || this instanceof ResidencyStatement
-                || this instanceof RegistryNotice;
+                || this instanceof ResidencyStatement;
     }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -68,8 +68,6 @@
                     .setCondition(condition(notice.condition()));
         } else if (message instanceof PeerMessage.ResidencyStatement statement) {
             envelope.setResidencyStatement(ResidencyCodec.encode(statement.residency()));
-        } else if (message instanceof PeerMessage.RegistryNotice) {
-            envelope.getRegistryNoticeBuilder();
         } else {
             encodePlacement(envelope, message);
             encodeDispatch(envelope, message);
@@ -238,7 +236,6 @@
             case RESIDENCY_STATEMENT ->
                     new PeerMessage.ResidencyStatement(
                             ResidencyCodec.decode(envelope.getResidencyStatement()));
-            case REGISTRY_NOTICE -> new PeerMessage.RegistryNotice();
             case MESSAGE_NOT_SET -> throw new IllegalArgumentException("unknown message");
         };
     }
--- a/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerNodeTest.java
@@ -96,8 +96,7 @@
                                 message instanceof PeerMessage.UseReport
                                         || message instanceof PeerMessage.WakeRequest
                                         || message instanceof PeerMessage.ReadyNotice
-                                        || message instanceof PeerMessage.ResidencyStatement
-                                        || message instanceof PeerMessage.RegistryNotice)
+                                        || message instanceof PeerMessage.ResidencyStatement)
                 .toList();
     }
 
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -82,7 +82,6 @@
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
-        samples.add(new PeerMessage.RegistryNotice());
         samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
         samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
         samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
