Read the settings file once for a command line, and reply to lease calls in one place

The file that OLEANDERSPRING_NODE_FILE names was read once for each flag without a variable. The three calls about a service lease repeated the same reply. Behaviour is unchanged.

--- a/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseCalls.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/lease/command/LeaseCalls.java
@@ -1,9 +1,12 @@
 package org.oleanderspring.daemon.lease.command;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.oleanderspring.coordination.lease.command.LeaseDecision;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.command.LeaseResult;
 import org.oleanderspring.coordination.store.query.ValueQueries;
 
 /** Carries out those lease decisions that are calls to the key-value service. */
@@ -34,29 +37,11 @@
      */
     public boolean carryOut(LeaseDecision decision) {
         if (decision instanceof LeaseDecision.GrantServiceLease grant) {
-            mCommands
-                    .grantLease(grant.timeToLive())
-                    .thenAccept(
-                            result ->
-                                    mReplies.accept(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    grant.operation(), result)));
+            replyTo(grant.operation(), mCommands.grantLease(grant.timeToLive()));
         } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
-            mCommands
-                    .renewLease(renew.lease())
-                    .thenAccept(
-                            result ->
-                                    mReplies.accept(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    renew.operation(), result)));
+            replyTo(renew.operation(), mCommands.renewLease(renew.lease()));
         } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
-            mCommands
-                    .revokeLease(revoke.lease())
-                    .thenAccept(
-                            result ->
-                                    mReplies.accept(
-                                            new LeaseEvent.ServiceLeaseReplied(
-                                                    revoke.operation(), result)));
+            replyTo(revoke.operation(), mCommands.revokeLease(revoke.lease()));
         } else if (decision instanceof LeaseDecision.WriteKey write) {
             mCommands
                     .compareAndSwap(write.command())
@@ -77,4 +62,9 @@
         }
         return true;
     }
+
+    private void replyTo(StoreOperationId operation, CompletableFuture<LeaseResult> result) {
+        result.thenAccept(
+                lease -> mReplies.accept(new LeaseEvent.ServiceLeaseReplied(operation, lease)));
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/EnvironmentDefaults.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/EnvironmentDefaults.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.daemon.process;
 
 import java.util.Locale;
+import java.util.Properties;
 import org.jspecify.annotations.Nullable;
 import picocli.CommandLine.IDefaultValueProvider;
 import picocli.CommandLine.Model.ArgSpec;
@@ -13,6 +14,8 @@
 public final class EnvironmentDefaults implements IDefaultValueProvider {
     private static final String PREFIX = "OLEANDERSPRING_";
 
+    private @Nullable Properties mNodeFile;
+
     @Override
     public @Nullable String defaultValue(ArgSpec argument) {
         if (!(argument instanceof OptionSpec option)) {
@@ -20,7 +23,17 @@
         }
         String variable = variableOf(option.longestName());
         String value = System.getenv(variable);
-        return value == null ? NodeFile.value(variable) : value;
+        return value == null ? nodeFile().getProperty(variable) : value;
+    }
+
+    /** Reads the file once for all flags of a command line. */
+    private Properties nodeFile() {
+        Properties properties = mNodeFile;
+        if (properties == null) {
+            properties = NodeFile.read();
+            mNodeFile = properties;
+        }
+        return properties;
     }
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/NodeFile.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/NodeFile.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.Properties;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A file with settings of this VM, one variable a line, for platforms that hand settings over as a
@@ -23,18 +22,13 @@
         return Optional.ofNullable(System.getenv(LOCATION)).map(Path::of);
     }
 
-    /**
-     * Returns the value of a variable, or null if the file has none.
-     *
-     * @param variable the variable
-     */
-    static @Nullable String value(String variable) {
-        Optional<Path> location = location();
-        return location.isEmpty() ? null : read(location.get()).getProperty(variable);
+    /** Reads the file that the environment names; without one there are no values. */
+    static Properties read() {
+        return location().map(NodeFile::read).orElseGet(Properties::new);
     }
 
     /** Reads a file; one that cannot be read has no values, and the missing flags say so. */
-    static Properties read(Path file) {
+    private static Properties read(Path file) {
         Properties properties = new Properties();
         try (Reader reader = Files.newBufferedReader(file, StandardCharsets.UTF_8)) {
             properties.load(reader);
