Show overload of the placement duty and unserved models in logs and metrics

Nothing told whether a lease expired because the store did not answer or because the reply waited in the ring, and no line or metric named a model that was asked for and not served.

- The line lease-lost says how many events wait and how long the current one had waited; ring_<duty>_wait_ms is a metric.
- Served and unserved requests are counted by model.

A new test of the wait found that a DutyThread skipped events that were offered before its start, against its documentation: eventsOfferedBeforeTheStartAreHandled failed before (no event was handled). The handler is now added to the ring in the constructor.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -24,6 +24,7 @@
     private final ResidencyLoadPlanner mLoadPlanner;
     private final ResidencyAdapterPlanner mAdapterPlanner;
     private final ReadinessEstimator mReadinessEstimator;
+    private final UnservedTargetReporter mUnservedTargetReporter;
     private Instant mNextFleetPlanning = Instant.MIN;
 
     /**
@@ -38,6 +39,7 @@
         mAdapterPlanner = new ResidencyAdapterPlanner(mFleet, mDemand, mSequencer);
         mReadinessEstimator =
                 new ReadinessEstimator(mFleet, mDemand, mLoadPlanner, concurrentStoreLoads);
+        mUnservedTargetReporter = new UnservedTargetReporter(mFleet, mDemand);
     }
 
     @Override
@@ -77,6 +79,7 @@
             mNextFleetPlanning = context.now().plus(FLEET_PLANNING_PERIOD);
             mLoadPlanner.planFleet(context);
             mReadinessEstimator.report(context);
+            mUnservedTargetReporter.report(context);
         }
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
@@ -61,6 +62,7 @@
         int running = previous == null ? 0 : previous.running();
         demand.mReports.put(daemon, new Report(waiting, running, now));
         demand.mRequestedAt = now;
+        demand.markUnserved(now);
     }
 
     /** Returns whether no calls were reported yet for any model. */
@@ -102,6 +104,32 @@
         return daemons;
     }
 
+    /**
+     * Returns the targets that daemons asked to load and that were not marked as served since, with
+     * the time of the first request.
+     */
+    Map<Target.ServiceModelTarget, Instant> unservedSince() {
+        Map<Target.ServiceModelTarget, Instant> unserved = new HashMap<>();
+        mDemands.forEach(
+                (target, demand) -> {
+                    if (demand.mUnservedSince != null) {
+                        unserved.put(target, demand.mUnservedSince);
+                    }
+                });
+        return unserved;
+    }
+
+    /** Records that a runner holds a target. */
+    void markServed(Target.ServiceModelTarget target) {
+        demandOf(target).mUnservedSince = null;
+    }
+
+    /** Returns the number of waiting calls for exactly this model or adapter. */
+    int waiting(Target.ServiceModelTarget target, Instant now) {
+        TargetDemand demand = mDemands.get(target);
+        return demand == null ? 0 : demand.waiting(now);
+    }
+
     /** Returns the number of waiting calls for a model, including those for its adapters. */
     int waiting(ServiceName service, ModelName model, Instant now) {
         int waiting = 0;
@@ -196,6 +224,9 @@
         private Instant mLastUse = Instant.MIN;
         private Instant mRequestedAt = Instant.MAX;
 
+        /** The time of the first call that found no runner that holds the target; null if none. */
+        private @Nullable Instant mUnservedSince;
+
         void report(MemberId daemon, ModelDemand demand, Instant now) {
             mReports.put(daemon, new Report(demand.waiting(), demand.running(), now));
             if (demand.arrived() > 0) {
@@ -207,6 +238,10 @@
             }
         }
 
+        void markUnserved(Instant now) {
+            mUnservedSince = mUnservedSince == null ? now : mUnservedSince;
+        }
+
         double rate(Instant now) {
             if (mRate == 0) {
                 return 0;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyDecision.java
@@ -7,6 +7,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.ResidencyOrder;
+import org.oleanderspring.core.residency.UnservedCause;
 import org.oleanderspring.core.routing.Target;
 
 /** An action that the residency decider requests and the daemon executes. */
@@ -57,6 +58,21 @@
         }
     }
 
+    /**
+     * Report a model or adapter that calls ask for while no runner holds it.
+     *
+     * @param target the model or adapter
+     * @param unservedFor the time since the first of these calls
+     * @param waiting the number of waiting calls
+     * @param cause why no runner holds it
+     */
+    record ReportUnserved(
+            Target.ServiceModelTarget target,
+            Duration unservedFor,
+            int waiting,
+            UnservedCause cause)
+            implements ResidencyDecision {}
+
     /**
      * Fire the timer at a given time, in addition to its periodic times.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -41,6 +41,7 @@
 import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
+import org.oleanderspring.duty.query.RingUsage;
 
 /**
  * Holds the daemon's leases and sends orders to runners while it holds the placement lease.
@@ -71,6 +72,7 @@
     private final SuspendAwareClock mClock;
     private final DutyTimer mTimer;
     private final EventSink<ResidencyInput> mOwnRing;
+    private final RingUsage mOwnRingUsage;
     private final FleetView mFleet = new FleetView("[placement]");
     private final Map<EndpointId, RunnerRegistration> mRunners = new HashMap<>();
     private final Duration mSafetyMargin;
@@ -90,6 +92,7 @@
      * @param clock gives the time of each event; used by this duty only
      * @param timer delivers delayed events to the ring
      * @param ownRing the ring of this duty, for events from the ports
+     * @param ownRingUsage the fill level of this ring, for the log
      */
     public ResidencyDuty(
             GatewaySettings settings,
@@ -99,7 +102,8 @@
             ResidencyPorts ports,
             SuspendAwareClock clock,
             DutyTimer timer,
-            EventSink<ResidencyInput> ownRing) {
+            EventSink<ResidencyInput> ownRing,
+            RingUsage ownRingUsage) {
         mSettings = settings;
         mLeases = leases;
         mSafetyMargin = safetyMargin;
@@ -111,6 +115,7 @@
         mClock = clock;
         mTimer = timer;
         mOwnRing = ownRing;
+        mOwnRingUsage = ownRingUsage;
     }
 
     /** Returns the event that makes the daemon a candidate for its leases; to be offered once. */
@@ -246,7 +251,14 @@
         } else if (decision instanceof LeaseDecision.LeaseLost lost) {
             LOGGER.log(
                     Level.INFO,
-                    "[placement] lease-lost name=" + lost.name() + " reason=" + lost.reason());
+                    "[placement] lease-lost name="
+                            + lost.name()
+                            + " reason="
+                            + lost.reason()
+                            + " events-waiting="
+                            + mOwnRingUsage.used()
+                            + " event-waited-ms="
+                            + mOwnRingUsage.lastWait().toMillis());
             if (lost.name().equals(GatewayKeys.PLACEMENT)) {
                 mPorts.runnerWatch().useLongPause();
                 decide(new ResidencyEvent.TenureEnded());
@@ -301,6 +313,8 @@
             publish(publish);
         } else if (decision instanceof ResidencyDecision.ReportReadiness estimate) {
             sendEstimate(estimate);
+        } else if (decision instanceof ResidencyDecision.ReportUnserved unserved) {
+            logUnserved(unserved);
         } else if (decision instanceof ResidencyDecision.ScheduleTimer schedule) {
             Duration delay = Duration.between(mClock.now(), schedule.at());
             mTimer.schedule(
@@ -399,6 +413,19 @@
         }
     }
 
+    private static void logUnserved(ResidencyDecision.ReportUnserved unserved) {
+        LOGGER.log(
+                Level.INFO,
+                "[placement] unserved target=\""
+                        + unserved.target()
+                        + "\" for-ms="
+                        + unserved.unservedFor().toMillis()
+                        + " waiting="
+                        + unserved.waiting()
+                        + " cause="
+                        + unserved.cause());
+    }
+
     private void publish(ResidencyDecision.PublishResidency publish) {
         mPorts.notifier().notifyResidency(mSettings.self(), publish.residency());
         for (GatewayMember member : mFleet.members()) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -210,6 +210,7 @@
                         ports,
                         new SuspendAwareClock(Clock.systemUTC()),
                         mRings.timer(),
+                        mRings.placement(),
                         mRings.placement());
         mRings.placement().start(duty);
         return duty;
@@ -273,6 +274,8 @@
     private void registerRingGauges(String duty, RingUsage ring) {
         mMetrics.registerGauge("ring." + duty + ".used", (Gauge<Long>) ring::used);
         mMetrics.registerGauge("ring." + duty + ".rejected", (Gauge<Long>) ring::rejectedOffers);
+        mMetrics.registerGauge(
+                "ring." + duty + ".wait_ms", (Gauge<Long>) () -> ring.lastWait().toMillis());
     }
 
     private @Nullable String open(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.routing.AttemptOutcome;
+import org.oleanderspring.core.routing.Target;
 
 /** The metrics of the gateway's routing duty. */
 public final class GatewayMeters {
@@ -43,8 +44,26 @@
         mRegistry.counter("gateway.refused." + message.name().toLowerCase(Locale.ROOT)).inc();
     }
 
-    void served(Duration elapsed) {
+    void served(Target target, Duration elapsed) {
         mServed.update(elapsed);
+        countByModel("served", target);
+    }
+
+    /** Counts a call for a known target that ended without a complete response. */
+    void unserved(Target target) {
+        countByModel("unserved", target);
+    }
+
+    private void countByModel(String outcome, Target target) {
+        if (target instanceof Target.ServiceModelTarget model) {
+            String name =
+                    MetricRegistry.name(
+                            "gateway.model",
+                            outcome,
+                            model.service().value(),
+                            model.model().toString());
+            mRegistry.counter(name).inc();
+        }
     }
 
     void callerDisconnected() {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -25,6 +25,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.RefusalReason;
 import org.oleanderspring.core.routing.RoutingLimits;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.RoutingDecision;
@@ -316,6 +317,7 @@
         Duration elapsed = Duration.between(call.request().arrivedAt(), mClock.now());
         CallLog.callerDisconnected(call, elapsed);
         mMeters.callerDisconnected();
+        mMeters.unserved(call.call().target());
         call.response().abandon();
     }
 
@@ -372,6 +374,9 @@
         CallLog.refused(call, refuse, elapsed);
         ErrorMessage message = ErrorMessage.valueOf(refuse.reason().name());
         mMeters.refused(message);
+        if (refuse.reason() != RefusalReason.UNKNOWN_TARGET) {
+            mMeters.unserved(call.call().target());
+        }
         call.response()
                 .refuse(
                         new Refusal(
@@ -386,7 +391,7 @@
         if (call == null) {
             return;
         }
-        mMeters.served(Duration.between(call.request().arrivedAt(), now));
+        mMeters.served(call.call().target(), Duration.between(call.request().arrivedAt(), now));
         call.response().finish();
     }
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -128,6 +128,10 @@
                 .body();
     }
 
+    String metrics() {
+        return send(HttpRequest.newBuilder(uri(mSettings.metrics(), "/metrics")).build()).body();
+    }
+
     HttpResponse<String> order(String id) {
         return send(request("/order/1", id).POST(body("x")).build());
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
@@ -102,6 +102,22 @@
         assertThat(pieces(stream), is(ALL_PIECES));
     }
 
+    /** Guards against metrics in which a model without calls looks like one that is not served. */
+    @Test
+    void metricsShowForEachModelWhetherItIsServed() throws Exception {
+        mFixture.configure(1, "ledger");
+        mFixture.addRunner("i-1", "engine", "m1");
+        mFixture.awaitReady();
+        mFixture.stream("c1", "m1").get(15, TimeUnit.SECONDS);
+        assertThat(mFixture.stream("c2", "m9").get().statusCode(), is(404));
+        GatewayFixture.await(
+                "the served call is counted",
+                () -> mFixture.metrics().contains("gateway_model_served_engine_m1_count 1\n"));
+        assertThat(mFixture.metrics(), not(containsString("engine_m2")));
+        assertThat(mFixture.metrics(), not(containsString("engine_m9")));
+        assertThat(mFixture.metrics(), containsString("ring_placement_wait_ms "));
+    }
+
     /** Guards against lost or repeated events when a runner fails in the middle of an event. */
     @Test
     void brokenStreamIsResumedInTheSameResponse() throws Exception {
--- a/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
+++ b/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
@@ -8,6 +8,7 @@
 import com.lmax.disruptor.dsl.ProducerType;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadFactory;
@@ -37,10 +38,12 @@
     private final String mName;
     private final Disruptor<RingEntry<T>> mDisruptor;
     private final RingBuffer<RingEntry<T>> mRing;
+    private final EntryHandler mEntryHandler = new EntryHandler();
     private final LongAdder mRejectedOffers = new LongAdder();
     private final StampedLock mStopLock = new StampedLock();
     private final CountDownLatch mTerminated = new CountDownLatch(1);
     private boolean mStopped;
+    private volatile long mLastWaitNanos;
 
     /**
      * Creates the ring and the thread. The ring accepts events immediately; they are handled after
@@ -65,6 +68,8 @@
                         ProducerType.MULTI,
                         new BlockingWaitStrategy());
         mDisruptor.setDefaultExceptionHandler(new ExceptionLogger<>(name));
+        // A handler that is added later would start behind the events already in the ring.
+        mDisruptor.handleEventsWith(mEntryHandler);
         mRing = mDisruptor.getRingBuffer();
     }
 
@@ -75,7 +80,7 @@
      * @param handler called on the duty's thread for each event
      */
     public void start(EventHandler<T> handler) {
-        mDisruptor.handleEventsWith(new EntryHandler(handler));
+        mEntryHandler.mHandler = handler;
         mDisruptor.start();
     }
 
@@ -122,6 +127,11 @@
         return mRing.getBufferSize() - mRing.remainingCapacity();
     }
 
+    @Override
+    public Duration lastWait() {
+        return Duration.ofNanos(mLastWaitNanos);
+    }
+
     @Override
     public long rejectedOffers() {
         return mRejectedOffers.sum();
@@ -162,11 +172,8 @@
 
     /** Passes events to the duty's handler and halts the thread at the end marker. */
     private final class EntryHandler implements com.lmax.disruptor.EventHandler<RingEntry<T>> {
-        private final EventHandler<T> mHandler;
-
-        EntryHandler(EventHandler<T> handler) {
-            mHandler = handler;
-        }
+        /** Set before the thread starts. */
+        private EventHandler<T> mHandler = event -> {};
 
         @Override
         public void onEvent(RingEntry<T> entry, long sequence, boolean endOfBatch) {
@@ -175,6 +182,7 @@
                 mDisruptor.halt();
                 return;
             }
+            mLastWaitNanos = System.nanoTime() - entry.mOfferedAtNanos;
             mHandler.handle(event);
         }
 
@@ -187,8 +195,10 @@
     /** A reusable ring entry; taking its event clears it, so that the event can be collected. */
     private static final class RingEntry<T> {
         private @Nullable T mEvent;
+        private long mOfferedAtNanos;
 
         void set(@Nullable T event) {
+            mOfferedAtNanos = System.nanoTime();
             mEvent = event;
         }
 
--- a/duty/src/main/java/org/oleanderspring/duty/query/RingUsage.java
+++ b/duty/src/main/java/org/oleanderspring/duty/query/RingUsage.java
@@ -1,6 +1,11 @@
 package org.oleanderspring.duty.query;
 
-/** Fill level of a ring buffer and its count of rejected events; readable on any thread. */
+import java.time.Duration;
+
+/**
+ * Fill level of a ring buffer, the wait of its events and its count of rejected events; readable on
+ * any thread.
+ */
 public interface RingUsage {
     /** Returns the capacity of the ring in events. */
     long capacity();
@@ -8,6 +13,9 @@
     /** Returns the number of events that are waiting or being handled. */
     long used();
 
+    /** Returns how long the event that was taken last had waited; zero before the first event. */
+    Duration lastWait();
+
     /** Returns how many offers were rejected since the start because the ring was full. */
     long rejectedOffers();
 }
--- a/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
+++ b/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -32,6 +34,30 @@
         duty.close();
     }
 
+    /** Guards against events that are skipped because they were offered before the start. */
+    @Test
+    void eventsOfferedBeforeTheStartAreHandled() {
+        List<Integer> seen = new CopyOnWriteArrayList<>();
+        DutyThread<Integer> duty = new DutyThread<>("before-start", 8);
+        duty.offer(1);
+        duty.offer(2);
+        duty.start(seen::add);
+        duty.close();
+        assertThat(seen, contains(1, 2));
+    }
+
+    /** Guards against a wait that excludes the time before the event was taken. */
+    @Test
+    void waitOfAnEventIsMeasured() throws InterruptedException {
+        List<Duration> waits = new CopyOnWriteArrayList<>();
+        DutyThread<Integer> duty = new DutyThread<>("wait", 2);
+        duty.offer(1);
+        Thread.sleep(20);
+        duty.start(event -> waits.add(duty.lastWait()));
+        duty.close();
+        assertThat(waits.get(0), greaterThanOrEqualTo(Duration.ofMillis(20)));
+    }
+
     /** Guards against close() dropping events that the ring accepted before it. */
     @Test
     void closeHandlesAcceptedEventsInOrder() {
