Reserve room for replies in the placement ring, and keep events that must not be lost

Cause: on a hosted platform, replies of the key-value service and of runners, store updates and steps of a planned stop were offered to the rings once and dropped if the ring was full. An order without its reply blocks its runner for the rest of the tenure, a lost store update is never made up for.

Change: demand messages leave half of the placement ring free (ReservingSink).

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -149,7 +149,7 @@
         if (failure != null) {
             return failure;
         }
-        mRings.placement().offer(placement.candidacyInput());
+        mRings.placementSink().offer(placement.candidacyInput());
         watchStore();
         mRings.startTicks();
         LOGGER.log(
@@ -182,7 +182,7 @@
                                 ports,
                                 new GatewayMeters(mMetrics),
                                 new MonotonicClock(Clock.systemUTC()),
-                                mRings.routing()));
+                                mRings.routingSink()));
     }
 
     private ResidencyDuty startPlacement(PeerMessenger messenger) {
@@ -210,7 +210,7 @@
                         ports,
                         new SuspendAwareClock(Clock.systemUTC()),
                         mRings.timer(),
-                        mRings.placement(),
+                        mRings.placementSink(),
                         mRings.placement());
         mRings.placement().start(duty);
         return duty;
@@ -300,13 +300,12 @@
 
     /**
      * Applies changed retry limits: the percentage, the extra retries and their window. All other
-     * changes take effect at the next start. The change is lost if the routing ring is full. May be
-     * called from any thread.
+     * changes take effect at the next start. May be called from any thread.
      *
      * @param settings the new settings
      */
     public void reconfigure(GatewaySettings settings) {
-        mRings.routing().offer(new GatewayRoutingInput.SettingsChanged(settings));
+        mRings.routingSink().offer(new GatewayRoutingInput.SettingsChanged(settings));
     }
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -12,13 +12,22 @@
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
 import org.oleanderspring.duty.command.DutyThread;
 import org.oleanderspring.duty.command.DutyTimer;
+import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.duty.command.OfferResult;
+import org.oleanderspring.duty.command.ReservingSink;
+import org.oleanderspring.duty.command.RetryingSink;
 
 /** The threads of the gateway's duties, each with its bounded ring, and their timer. */
 final class GatewayRings implements GatewayIntake, AutoCloseable {
     private static final int ROUTING_CAPACITY = 8_192;
     private static final int PLACEMENT_CAPACITY = 2_048;
 
+    /**
+     * Messages of other daemons about their demand, which are repeated several times a second,
+     * leave this part of the ring to replies of the key-value service and of runners.
+     */
+    private static final int PLACEMENT_RESERVE = PLACEMENT_CAPACITY / 2;
+
     /** A call past its deadline ends at most this much later, which callers do not notice. */
     private static final Duration ROUTING_TICK = Duration.ofMillis(100);
 
@@ -35,6 +44,11 @@
     private final DutyThread<ResidencyInput> mPlacement =
             new DutyThread<>("placement", PLACEMENT_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
+    private final EventSink<GatewayRoutingInput> mRoutingSink =
+            new RetryingSink<>(mRouting, mTimer);
+    private final EventSink<ResidencyInput> mPlacementSink = new RetryingSink<>(mPlacement, mTimer);
+    private final EventSink<ResidencyInput> mDemandSink =
+            new ReservingSink<>(mPlacement, mPlacement, PLACEMENT_RESERVE);
 
     DutyThread<GatewayRoutingInput> routing() {
         return mRouting;
@@ -44,6 +58,16 @@
         return mPlacement;
     }
 
+    /** Returns the sink for events of the routing duty that must not be lost. */
+    EventSink<GatewayRoutingInput> routingSink() {
+        return mRoutingSink;
+    }
+
+    /** Returns the sink for events of the placement duty that must not be lost. */
+    EventSink<ResidencyInput> placementSink() {
+        return mPlacementSink;
+    }
+
     DutyTimer timer() {
         return mTimer;
     }
@@ -66,9 +90,8 @@
 
     @Override
     public void callerDisconnected(CallId call) {
-        // If the ring is full, the report is lost, and the call continues as if the caller were
-        // still connected.
-        mRouting.offer(new GatewayRoutingInput.Event(new RoutingEvent.CallerDisconnected(call)));
+        mRoutingSink.offer(
+                new GatewayRoutingInput.Event(new RoutingEvent.CallerDisconnected(call)));
     }
 
     /** Returns whether the daemon is ready; false if the routing ring is full. */
@@ -91,9 +114,12 @@
         return reply;
     }
 
-    /** Offers an event to the placement duty; it is lost if the ring is full. */
-    void offerPlacement(ResidencyEvent event) {
-        mPlacement.offer(new ResidencyInput.Placement(event));
+    /**
+     * Offers a message about the demand at a daemon to the placement duty. It is lost if only the
+     * part of the ring that is reserved for replies is free.
+     */
+    void offerDemand(ResidencyEvent event) {
+        mDemandSink.offer(new ResidencyInput.Placement(event));
     }
 
     @Override
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
@@ -14,8 +14,7 @@
 /**
  * The steps of a planned stop. First the daemon releases its leases and reports that it is not
  * ready, but still accepts requests from clients with an outdated list of addresses. Then it
- * refuses new requests, of which nothing has run, and waits for the requests in progress. A step is
- * skipped if the ring of its duty is full.
+ * refuses new requests, of which nothing has run, and waits for the requests in progress.
  */
 final class GatewayStop {
     private static final Logger LOGGER = System.getLogger(GatewayStop.class.getName());
@@ -49,18 +48,18 @@
     void run() {
         long end = System.nanoTime() + mLimit.minus(EXIT_MARGIN).toNanos();
         LOGGER.log(Level.INFO, "[gateway] stop-began limit-ms=" + mLimit.toMillis());
-        mRings.routing().offer(new GatewayRoutingInput.ShutdownBegan());
-        mRings.placement().offer(new ResidencyInput.OrdersEnded());
+        mRings.routingSink().offer(new GatewayRoutingInput.ShutdownBegan());
+        mRings.placementSink().offer(new ResidencyInput.OrdersEnded());
         pause(SAFETY_MARGIN);
         CompletableFuture<Boolean> leasesReleased = new CompletableFuture<>();
-        mRings.placement().offer(new ResidencyInput.StopRequested(leasesReleased));
+        mRings.placementSink().offer(new ResidencyInput.StopRequested(leasesReleased));
         pause(ACCEPTING_PERIOD);
-        mRings.routing().offer(new GatewayRoutingInput.Event(new RoutingEvent.DrainStarted()));
+        mRings.routingSink().offer(new GatewayRoutingInput.Event(new RoutingEvent.DrainStarted()));
         CompletableFuture<Boolean> idle = new CompletableFuture<>();
-        mRings.routing().offer(new GatewayRoutingInput.IdleAwaited(idle));
+        mRings.routingSink().offer(new GatewayRoutingInput.IdleAwaited(idle));
         boolean allEnded = await(idle, end - REFUSAL_MARGIN.toNanos());
         if (!allEnded) {
-            mRings.routing()
+            mRings.routingSink()
                     .offer(new GatewayRoutingInput.Event(new RoutingEvent.ShutdownEnding()));
             allEnded = await(idle, end);
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -28,7 +28,7 @@
 /**
  * Sends messages of the gateway's duties to other daemons and offers received messages to the rings
  * of the duties. A message to this daemon itself is offered directly. A message is lost if the ring
- * is full. In these messages a cell represents a service, with all its runners.
+ * has no room for it. In these messages a cell represents a service, with all its runners.
  */
 final class PeerMessenger
         implements PlacementNotifier, ResidencyNotifier, EventSink<ReceivedMessage> {
@@ -49,7 +49,7 @@
     @Override
     public void reportDemand(GatewayMember holder, ServiceName service, List<ModelDemand> demands) {
         if (holder.equals(mSettings.self())) {
-            mRings.offerPlacement(new ResidencyEvent.DemandReported(holder.id(), service, demands));
+            mRings.offerDemand(new ResidencyEvent.DemandReported(holder.id(), service, demands));
             return;
         }
         List<ModelUse> uses =
@@ -75,7 +75,7 @@
             int waiting,
             Duration untilDeadline) {
         if (holder.equals(mSettings.self())) {
-            mRings.offerPlacement(
+            mRings.offerDemand(
                     new ResidencyEvent.LoadRequested(holder.id(), target, waiting, untilDeadline));
             return;
         }
@@ -142,9 +142,9 @@
         if (message instanceof PeerMessage.ReadyNotice notice) {
             offerEstimate(target(notice.cell(), notice.model()), notice.readyAfter());
         } else if (message instanceof PeerMessage.UseReport report) {
-            mRings.offerPlacement(demandEvent(report));
+            mRings.offerDemand(demandEvent(report));
         } else if (message instanceof PeerMessage.ActivationRequest request) {
-            mRings.offerPlacement(loadEvent(request));
+            mRings.offerDemand(loadEvent(request));
         }
         return OfferResult.ACCEPTED;
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -11,7 +11,7 @@
 
 /**
  * Offers the updates of one watched key prefix of the key-value service to the routing and
- * placement duties. An update is lost for a duty whose ring is full.
+ * placement duties.
  */
 final class StoreUpdatePublisher implements PrefixListener {
     private final StoreKey mPrefix;
@@ -43,7 +43,7 @@
     }
 
     private void offer(StoreUpdate update) {
-        mRings.routing().offer(new GatewayRoutingInput.StoreChanged(update));
-        mRings.placement().offer(new ResidencyInput.StoreChanged(update));
+        mRings.routingSink().offer(new GatewayRoutingInput.StoreChanged(update));
+        mRings.placementSink().offer(new ResidencyInput.StoreChanged(update));
     }
 }
