Resume the placement without a pause if no other daemon held the lease

Cause: each tenure began with the pause for orders of another holder, also when the key of the lease was never removed or written in between.

Change: an unchanged token shows that no other daemon held the lease; the tenure is resumed. Only orders of the previous holder delay a runner, not the daemon's own ones.

Test: ResidencyDutyTest.leaseThatNobodyElseHeldIsResumedWithoutPause (failed before: no order). leaseThatAnotherDaemonHeldBeginsWithAPause passed before and keeps the pause for a real change of the holder.

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/OrderHistory.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/OrderHistory.java
@@ -27,7 +27,13 @@
  */
 final class OrderHistory {
     private final Duration mPause;
+
+    /** The time of the last order to each runner, whoever sent it. */
     private final Map<EndpointId, Instant> mLastOrders = new HashMap<>();
+
+    /** The times of the last orders that the previous holder handed over. */
+    private final Map<EndpointId, Instant> mLastOrdersOfPreviousHolder = new HashMap<>();
+
     private final Set<Long> mUnansweredOrders = new HashSet<>();
 
     /** No runner may receive an order before this time. */
@@ -59,6 +65,7 @@
      */
     void begin(@Nullable String handover, Instant lastOrder, Instant now) {
         mLastOrders.clear();
+        mLastOrdersOfPreviousHolder.clear();
         mUnansweredOrders.clear();
         mNoHandoverUntil = Instant.MIN;
         Optional<OrderAges> ages = handover == null ? Optional.empty() : OrderAges.decode(handover);
@@ -67,7 +74,10 @@
             return;
         }
         mEarliestOrder = now.minus(ages.get().unlistedAge()).plus(mPause);
-        ages.get().runners().forEach((runner, age) -> mLastOrders.put(runner, now.minus(age)));
+        ages.get()
+                .runners()
+                .forEach((runner, age) -> mLastOrdersOfPreviousHolder.put(runner, now.minus(age)));
+        mLastOrders.putAll(mLastOrdersOfPreviousHolder);
     }
 
     /** Returns the time before which no runner may receive an order; not before the given time. */
@@ -75,10 +85,13 @@
         return mEarliestOrder.isAfter(now) ? mEarliestOrder : now;
     }
 
-    /** Returns the runners to which no order may be sent yet, each with its earliest time. */
+    /**
+     * Returns the runners to which no order may be sent yet because of an order of the previous
+     * holder, each with its earliest time.
+     */
     Map<EndpointId, Instant> deferredRunners(Instant now) {
         Map<EndpointId, Instant> deferred = new HashMap<>();
-        mLastOrders.forEach(
+        mLastOrdersOfPreviousHolder.forEach(
                 (runner, lastOrder) -> {
                     Instant from = lastOrder.plus(mPause);
                     if (from.isAfter(now)) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -78,6 +78,10 @@
     private final Duration mSafetyMargin;
     private final OrderHistory mOrderHistory;
     private boolean mOrdersEnded;
+
+    /** The token of the last tenure. */
+    private FencingToken mLastToken = FencingToken.NONE;
+
     private @Nullable Instant mPlacementKeyRemovedAt;
     private @Nullable CompletableFuture<Boolean> mLeasesReleased;
 
@@ -268,10 +272,19 @@
         }
     }
 
+    /**
+     * Begins a tenure, or resumes the last one. An unchanged token shows that the key was neither
+     * removed nor written since this daemon lost the lease by its own clock. No other daemon can
+     * have sent orders in between, so no further pause is needed.
+     */
     private void beginTenure(@Nullable String handover) {
         FencingToken token = mLeases.token(GatewayKeys.PLACEMENT);
         Instant now = mClock.now();
-        mOrderHistory.begin(handover, latestOrderOfPreviousHolder(now), now);
+        boolean isResumed = token.equals(mLastToken);
+        mLastToken = token;
+        if (!isResumed) {
+            mOrderHistory.begin(handover, latestOrderOfPreviousHolder(now), now);
+        }
         mPorts.runnerWatch().useShortPause();
         Instant ordersFrom = mOrderHistory.ordersFrom(now);
         Map<EndpointId, Instant> deferredRunners = mOrderHistory.deferredRunners(now);
@@ -281,6 +294,8 @@
                         + token
                         + " orders-in-ms="
                         + Duration.between(now, ordersFrom).toMillis()
+                        + " resumed="
+                        + isResumed
                         + " handed-over="
                         + (handover != null)
                         + " later-runners="
