Bound the work of the placement for waiting calls

Cause: every daemon repeated its load request every 200 ms for each target with waiting calls, and each message made the holder plan for all waiting targets on all runners. After a change of the holder the backlog reached 800 requests a second.

Change: messages about demand are only recorded; plans for waiting calls are made every 20 ms at most. Load requests are repeated every second, since the demand report names all waiting calls every 250 ms. Targets whose calls have waited longest are planned first; before, each repeated request moved its target to the end.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.routing.Target;
 
 /**
  * Loads models and adapters for which calls wait, and unloads others to free memory for them.
@@ -15,6 +16,13 @@
  * of a previous holder cannot exceed the memory together with its own orders.
  */
 public final class DefaultResidencyDecider implements ResidencyDecider {
+    /**
+     * The minimum time between two plans for waiting calls. Daemons repeat their messages about
+     * waiting calls, and each plan considers all of them, so a plan for each message would cost the
+     * square of the backlog.
+     */
+    private static final Duration PLANNING_PERIOD = Duration.ofMillis(20);
+
     private static final Duration FLEET_PLANNING_PERIOD = Duration.ofMillis(100);
 
     private final Tenure mTenure = new Tenure();
@@ -25,8 +33,12 @@
     private final ResidencyAdapterPlanner mAdapterPlanner;
     private final ReadinessEstimator mReadinessEstimator;
     private final UnservedTargetReporter mUnservedTargetReporter;
+    private Instant mNextPlanning = Instant.MIN;
     private Instant mNextFleetPlanning = Instant.MIN;
 
+    /** Whether a timer for {@link #mNextPlanning} is scheduled. */
+    private boolean mPlanningScheduled;
+
     /**
      * Creates a decider that sends no orders before its tenure begins.
      *
@@ -49,36 +61,58 @@
         if (!mTenure.mayOrder(now)) {
             return context.decisions();
         }
+        boolean isPlanningDue = !now.isBefore(mNextPlanning);
+        if (isDemandMessage(event) && !isPlanningDue) {
+            schedulePlanning(context);
+            return context.decisions();
+        }
         for (RunnerRecord record : mFleet.records()) {
             for (ModelReference adapter : record.completeIncoming(now)) {
                 mAdapterPlanner.adapterLoaded(record, adapter, context);
             }
         }
-        plan(event, context);
+        if (isPlanningDue) {
+            plan(context);
+        } else if (mayFreeRunner(event)) {
+            schedulePlanning(context);
+        }
         for (RunnerRecord record : mFleet.records()) {
             mSequencer.advance(record, context);
         }
         return context.decisions();
     }
 
+    private static boolean isDemandMessage(ResidencyEvent event) {
+        return event instanceof ResidencyEvent.LoadRequested
+                || event instanceof ResidencyEvent.DemandReported;
+    }
+
+    private static boolean mayFreeRunner(ResidencyEvent event) {
+        return event instanceof ResidencyEvent.StateRead
+                || event instanceof ResidencyEvent.OrderReplied;
+    }
+
+    private void schedulePlanning(DecisionContext context) {
+        if (!mPlanningScheduled) {
+            mPlanningScheduled = true;
+            context.add(new ResidencyDecision.ScheduleTimer(mNextPlanning));
+        }
+    }
+
     /**
-     * Plans for waiting calls on each event that may affect them. The whole fleet is planned only
-     * periodically, because the time for that grows with the number of models and runners.
+     * Plans for waiting calls. The whole fleet is planned less often, because the time for that
+     * grows with the number of models and runners.
      */
-    private void plan(ResidencyEvent event, DecisionContext context) {
-        boolean concernsWaitingCalls =
-                event instanceof ResidencyEvent.LoadRequested
-                        || event instanceof ResidencyEvent.StateRead
-                        || event instanceof ResidencyEvent.OrderReplied;
-        boolean isFleetPlanningDue = !context.now().isBefore(mNextFleetPlanning);
-        if (concernsWaitingCalls || isFleetPlanningDue) {
-            mAdapterPlanner.plan(context);
-            mLoadPlanner.planWaiting(context);
-        }
-        if (isFleetPlanningDue) {
+    private void plan(DecisionContext context) {
+        mPlanningScheduled = false;
+        mNextPlanning = context.now().plus(PLANNING_PERIOD);
+        List<Target.ServiceModelTarget> waiting = mDemand.waiting(context.now());
+        mAdapterPlanner.plan(waiting, context);
+        mLoadPlanner.planWaiting(waiting, context);
+        if (!context.now().isBefore(mNextFleetPlanning)) {
             mNextFleetPlanning = context.now().plus(FLEET_PLANNING_PERIOD);
             mLoadPlanner.planFleet(context);
-            mReadinessEstimator.report(context);
+            mReadinessEstimator.report(waiting, context);
             mUnservedTargetReporter.report(context);
         }
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
@@ -61,7 +61,6 @@
         Report previous = demand.mReports.get(daemon);
         int running = previous == null ? 0 : previous.running();
         demand.mReports.put(daemon, new Report(waiting, running, now));
-        demand.mRequestedAt = now;
         demand.markUnserved(now);
     }
 
@@ -71,8 +70,8 @@
     }
 
     /**
-     * Returns the targets for which calls wait, ordered by the time of the last load request,
-     * oldest first.
+     * Returns the targets for which calls wait. Those that calls have asked for longest without
+     * being served come first, so that no target waits behind others for ever.
      */
     List<Target.ServiceModelTarget> waiting(Instant now) {
         List<Target.ServiceModelTarget> waiting = new ArrayList<>();
@@ -82,12 +81,16 @@
             }
         }
         waiting.sort(
-                Comparator.comparing(
-                                (Target.ServiceModelTarget target) -> demandOf(target).mRequestedAt)
+                Comparator.comparing(this::waitingSince)
                         .thenComparing(Target.ServiceModelTarget::toString));
         return waiting;
     }
 
+    private Instant waitingSince(Target.ServiceModelTarget target) {
+        Instant since = demandOf(target).mUnservedSince;
+        return since == null ? Instant.MAX : since;
+    }
+
     /** Returns the daemons at which calls for a target wait. */
     Set<MemberId> waitingDaemons(Target.ServiceModelTarget target, Instant now) {
         Set<MemberId> daemons = new HashSet<>();
@@ -105,8 +108,8 @@
     }
 
     /**
-     * Returns the targets that daemons asked to load and that were not marked as served since, with
-     * the time of the first request.
+     * Returns the targets for which calls have waited and that were not marked as served since,
+     * with the time of the first of these calls.
      */
     Map<Target.ServiceModelTarget, Instant> unservedSince() {
         Map<Target.ServiceModelTarget, Instant> unserved = new HashMap<>();
@@ -119,7 +122,7 @@
         return unserved;
     }
 
-    /** Records that a runner holds a target. */
+    /** Records that a runner holds a target, so that its calls no longer wait for a load. */
     void markServed(Target.ServiceModelTarget target) {
         demandOf(target).mUnservedSince = null;
     }
@@ -222,13 +225,15 @@
         private double mRate;
         private Instant mRateAt = Instant.MIN;
         private Instant mLastUse = Instant.MIN;
-        private Instant mRequestedAt = Instant.MAX;
 
-        /** The time of the first call that found no runner that holds the target; null if none. */
+        /** Since when calls have waited without being served; null if none has. */
         private @Nullable Instant mUnservedSince;
 
         void report(MemberId daemon, ModelDemand demand, Instant now) {
             mReports.put(daemon, new Report(demand.waiting(), demand.running(), now));
+            if (demand.waiting() > 0) {
+                markUnserved(now);
+            }
             if (demand.arrived() > 0) {
                 mRate = rate(now) + demand.arrived() / seconds(RATE_TIME_CONSTANT);
                 mRateAt = now;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
@@ -38,10 +38,14 @@
         mConcurrentStoreLoads = concurrentStoreLoads;
     }
 
-    /** Reports the estimates of models for which calls wait and which no runner holds. */
-    void report(DecisionContext context) {
+    /**
+     * Reports the estimates of models for which calls wait and which no runner holds.
+     *
+     * @param waiting the models and adapters for which calls wait
+     */
+    void report(List<Target.ServiceModelTarget> waiting, DecisionContext context) {
         List<ResidencyLoadPlanner.StoreCandidate> queue = null;
-        for (Target.ServiceModelTarget target : mDemand.waiting(context.now())) {
+        for (Target.ServiceModelTarget target : waiting) {
             Instant reportedAt = mReportedAt.get(target);
             if (reportedAt != null && reportedAt.plus(REPORT_INTERVAL).isAfter(context.now())) {
                 continue;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyAdapterPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyAdapterPlanner.java
@@ -41,9 +41,11 @@
      * Sends an order for each adapter for which calls wait and that no runner holds or loads, to
      * the runner with the fewest adapters among those that hold the base model. The order is a
      * load, or the unload of another adapter if the runner has no room.
+     *
+     * @param waiting the models and adapters for which calls wait, the most urgent first
      */
-    void plan(DecisionContext context) {
-        for (Target.ServiceModelTarget target : mDemand.waiting(context.now())) {
+    void plan(List<Target.ServiceModelTarget> waiting, DecisionContext context) {
+        for (Target.ServiceModelTarget target : waiting) {
             if (target.model().adapter() != null) {
                 planAdapter(target, context);
             }
@@ -69,6 +71,7 @@
                 continue;
             }
             if (record.adapters(adapter.base()).contains(adapter.adapter())) {
+                mDemand.markServed(target);
                 repeatStatement(target, record, context);
                 return;
             }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
@@ -66,14 +66,25 @@
         mConcurrentStoreLoads = concurrentStoreLoads;
     }
 
-    /** Plans loads from local copies for waiting calls. */
-    void planWaiting(DecisionContext context) {
+    /**
+     * Plans loads from local copies for waiting calls.
+     *
+     * @param waiting the models and adapters for which calls wait, the most urgent first
+     */
+    void planWaiting(List<Target.ServiceModelTarget> waiting, DecisionContext context) {
         Set<ModelName> seen = new HashSet<>();
-        for (Target.ServiceModelTarget target : mDemand.waiting(context.now())) {
+        for (Target.ServiceModelTarget target : waiting) {
             ModelName model = target.model().base();
-            if (seen.add(model)) {
-                planFromCopy(target.service(), model, context.now());
+            if (!seen.add(model)) {
+                continue;
+            }
+            if (mFleet.replicas(target.service(), model) > 0) {
+                mDemand.markServed(
+                        new Target.ServiceModelTarget(
+                                target.service(), target.model().withoutAdapter()));
+                continue;
             }
+            planFromCopy(target.service(), model, context.now());
         }
     }
 
@@ -92,7 +103,6 @@
         EngineDescription engine = mFleet.engine(service);
         EngineModel description = engine == null ? null : engine.models().get(model);
         if (description == null
-                || mFleet.replicas(service, model) > 0
                 || mFleet.isLoading(service, model)
                 || !mFleet.hasLoadableCopy(service, model)) {
             return;
--- a/core/src/test/java/org/oleanderspring/core/residency/command/SimulatedRunner.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/SimulatedRunner.java
@@ -52,6 +52,11 @@
         return mId;
     }
 
+    /** Puts a copy of a model's weights on the runner's disk. */
+    void addCopy(ModelName model) {
+        mCopies.add(model);
+    }
+
     boolean holds(ModelReference model) {
         Set<String> adapters = mHeld.get(model.base());
         return adapters != null && (model.adapter() == null || adapters.contains(model.adapter()));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -54,8 +54,11 @@
     /** Each route limits the attempts of a call; this limit applies to routes that allow more. */
     private static final int ATTEMPT_LIMIT = 8;
 
-    /** The minimum time between two load requests for the same target. */
-    private static final Duration ACTIVATION_INTERVAL = Duration.ofMillis(200);
+    /**
+     * The minimum time between two load requests for the same target. The first one only makes the
+     * load begin sooner, since the periodic report of the demand names all waiting calls too.
+     */
+    private static final Duration ACTIVATION_INTERVAL = Duration.ofSeconds(1);
 
     private static final int OK = 200;
 
