Count the unknown order of a previous holder as a load from the weight store

Cause: after a change of the holder, a runner that executes an order is known to be busy, but not with what. The new holder counted no load from the weight store for it and ordered the same model again from another runner.

Change: such a runner occupies one of the concurrent loads until its state shows the end of the order.

Test: StoreLoadTest.orderOfPreviousHolderOccupiesTheStore (failed before: the model was ordered at once).

--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -81,11 +81,16 @@
         return false;
     }
 
-    /** Returns the number of loads from the weight store that are planned or in progress. */
+    /**
+     * Returns the number of loads from the weight store that are planned or in progress. An order
+     * of a previous holder counts as one, because it is not known. Otherwise a new holder would
+     * load models that are already being loaded.
+     */
     int storeLoads() {
         int loads = 0;
         for (RunnerRecord record : mRecords.values()) {
-            loads += record.isUsable() && record.isLoadingFromStore() ? 1 : 0;
+            boolean mayLoad = record.isLoadingFromStore() || record.isExecutingUnknownOrder();
+            loads += record.isUsable() && mayLoad ? 1 : 0;
         }
         return loads;
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -263,6 +263,14 @@
         return false;
     }
 
+    /**
+     * Returns whether the runner executes an order of a previous holder, whose kind and model are
+     * not known.
+     */
+    boolean isExecutingUnknownOrder() {
+        return mReportsOrderInProgress && mOrderInProgress == null;
+    }
+
     private boolean isStoreLoad(@Nullable ResidencyOrder order) {
         return order != null
                 && order.kind() == ResidencyOrderKind.LOAD
--- /dev/null
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -0,0 +1,117 @@
+package org.oleanderspring.core.residency.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.coordination.lease.FencingToken;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.ModelReference;
+import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.route.EngineDescription;
+import org.oleanderspring.core.route.EngineModel;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.route.IngressLimits;
+import org.oleanderspring.core.route.ServiceDescription;
+import org.oleanderspring.core.runner.CachedWeights;
+import org.oleanderspring.core.runner.RunnerState;
+
+/** Which models are loaded from the weight store, which serves one load at a time here. */
+class StoreLoadTest {
+    private static final ServiceName SERVICE = new ServiceName("assistant");
+    private static final MemberId DAEMON = new MemberId("vm-1");
+    private static final Instant START = Instant.EPOCH.plusSeconds(100);
+    private static final Duration DISK_LOAD = Duration.ofMillis(800);
+    private static final Duration STORE_LOAD = Duration.ofSeconds(10);
+
+    private final DefaultResidencyDecider mDecider = new DefaultResidencyDecider(1);
+    private final List<String> mLoads = new ArrayList<>();
+    private final List<SimulatedRunner> mRunners = new ArrayList<>();
+    private final EngineDescription mEngine;
+
+    StoreLoadTest() {
+        Map<ModelName, EngineModel> models = new LinkedHashMap<>();
+        for (String name : List.of("busy", "rare", "other")) {
+            ModelName model = new ModelName(name);
+            EngineModel description =
+                    new EngineModel(model, 100, STORE_LOAD, DISK_LOAD, DISK_LOAD, 0, 1);
+            models.put(model, description);
+        }
+        mEngine = new EngineDescription(4, 1_000, 150, 3, 6, models);
+    }
+
+    private SimulatedRunner addRunner(String id, String... copies) {
+        SimulatedRunner runner = new SimulatedRunner(id, SERVICE, mEngine);
+        for (String copy : copies) {
+            runner.addCopy(new ModelName(copy));
+        }
+        mRunners.add(runner);
+        return runner;
+    }
+
+    private void beginTenure() {
+        ServiceDescription service = new ServiceDescription(SERVICE, "/", 10, mEngine);
+        decide(
+                new ResidencyEvent.ConfigurationChanged(
+                        new FleetConfiguration(
+                                1, List.of(), Map.of(SERVICE, service), IngressLimits.DEFAULT)),
+                0);
+        decide(
+                new ResidencyEvent.RunnersListed(
+                        mRunners.stream().map(runner -> runner.entry(START)).toList()),
+                0);
+        decide(new ResidencyEvent.TenureBegan(new FencingToken(1), START, Map.of()), 0);
+    }
+
+    private void decide(ResidencyEvent event, long millis) {
+        for (ResidencyDecision decision : mDecider.decide(event, START.plusMillis(millis))) {
+            if (decision instanceof ResidencyDecision.SendOrder send) {
+                mLoads.add(send.order().model().toString());
+            }
+        }
+    }
+
+    private void report(ModelDemand... demands) {
+        decide(new ResidencyEvent.DemandReported(DAEMON, SERVICE, List.of(demands)), 1);
+    }
+
+    private static ModelDemand demand(String model, int waiting, int arrived) {
+        return new ModelDemand(ModelReference.parse(model), waiting, 0, arrived);
+    }
+
+    /**
+     * Guards against a model that is loaded from the weight store a second time, or beyond the
+     * number of concurrent loads, because the new holder does not know the load in progress.
+     */
+    @Test
+    void orderOfPreviousHolderOccupiesTheStore() {
+        SimulatedRunner loading = addRunner("loading");
+        SimulatedRunner idle = addRunner("idle");
+        beginTenure();
+        report(demand("rare", 1, 1));
+        RunnerState busy =
+                new RunnerState(
+                        List.of(), Set.of(), new CachedWeights(Set.of(), Set.of()), true, 1, 0, 0);
+        decide(new ResidencyEvent.StateRead(loading.id(), busy), 2);
+        decide(new ResidencyEvent.StateRead(idle.id(), idle.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        assertThat("orders while the load is unknown", mLoads, empty());
+        decide(new ResidencyEvent.StateRead(loading.id(), idle.state(START)), 300);
+        RunnerState done =
+                new RunnerState(
+                        List.of(), Set.of(), new CachedWeights(Set.of(), Set.of()), false, 1, 0, 0);
+        decide(new ResidencyEvent.StateRead(loading.id(), done), 400);
+        decide(new ResidencyEvent.TimerFired(), 600);
+        assertThat("orders after its end", mLoads, contains("rare"));
+    }
+}
