Load models that are asked for in vain before further copies of busy ones

Cause: the weight store serves few loads at a time, and its queue was ordered by demand alone. A second copy of a busy model counted up to 6, a model without a copy for which one call waited about 2, and a refused call counted nothing.

Change: models that calls ask for in vain go first, and each 10 s of that count as much as one waiting call.

Tests: StoreLoadTest.waitingCallsGoBeforeSecondCopies and modelThatIsAskedForLongestGoesFirst (both failed before).

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
@@ -28,6 +28,9 @@
     /** The waiting and running calls in a report are ignored after this time. */
     static final Duration REPORT_VALIDITY = Duration.ofSeconds(2);
 
+    /** A target that nobody has asked for during this time does not count as unserved. */
+    static final Duration UNSERVED_VALIDITY = Duration.ofSeconds(20);
+
     /** The time constant of the exponential decay of call rates. */
     static final Duration RATE_TIME_CONSTANT = Duration.ofSeconds(6);
 
@@ -62,6 +65,7 @@
         int running = previous == null ? 0 : previous.running();
         demand.mReports.put(daemon, new Report(waiting, running, now));
         demand.markUnserved(now);
+        demand.mLastUse = now;
     }
 
     /** Returns whether no calls were reported yet for any model. */
@@ -91,6 +95,19 @@
         return since == null ? Instant.MAX : since;
     }
 
+    /**
+     * Returns how long calls have asked for a model or its adapters without being served; zero if
+     * they were, or if nobody has asked lately.
+     */
+    Duration unservedFor(ServiceName service, ModelName model, Instant now) {
+        Instant since = now;
+        for (TargetDemand demand : demandsOf(service, model)) {
+            Instant unserved = demand.unservedSince(now);
+            since = unserved != null && unserved.isBefore(since) ? unserved : since;
+        }
+        return Duration.between(since, now);
+    }
+
     /** Returns the daemons at which calls for a target wait. */
     Set<MemberId> waitingDaemons(Target.ServiceModelTarget target, Instant now) {
         Set<MemberId> daemons = new HashSet<>();
@@ -108,15 +125,16 @@
     }
 
     /**
-     * Returns the targets for which calls have waited and that were not marked as served since,
-     * with the time of the first of these calls.
+     * Returns the targets for which calls have waited lately and that were not marked as served
+     * since, with the time of the first of these calls.
      */
-    Map<Target.ServiceModelTarget, Instant> unservedSince() {
+    Map<Target.ServiceModelTarget, Instant> unservedSince(Instant now) {
         Map<Target.ServiceModelTarget, Instant> unserved = new HashMap<>();
         mDemands.forEach(
                 (target, demand) -> {
-                    if (demand.mUnservedSince != null) {
-                        unserved.put(target, demand.mUnservedSince);
+                    Instant since = demand.unservedSince(now);
+                    if (since != null) {
+                        unserved.put(target, since);
                     }
                 });
         return unserved;
@@ -244,7 +262,11 @@
         }
 
         void markUnserved(Instant now) {
-            mUnservedSince = mUnservedSince == null ? now : mUnservedSince;
+            mUnservedSince = unservedSince(now) == null ? now : mUnservedSince;
+        }
+
+        @Nullable Instant unservedSince(Instant now) {
+            return mLastUse.plus(UNSERVED_VALIDITY).isBefore(now) ? null : mUnservedSince;
         }
 
         double rate(Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.residency.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -35,6 +36,12 @@
     /** The time span, in seconds, whose expected arrivals count as much as waiting calls. */
     private static final double ARRIVAL_HORIZON_SECONDS = 4;
 
+    /**
+     * The time, in seconds, for which a model has been asked for in vain that counts as much as one
+     * waiting call, so that models with few calls are loaded eventually.
+     */
+    private static final double UNSERVED_SECONDS_PER_CALL = 10;
+
     /**
      * From this call rate per second on, a model gets copies on {@link #BUSY_COPIES} runners,
      * because one of them may leave.
@@ -147,8 +154,8 @@
     }
 
     /**
-     * Returns the models that should be loaded from the weight store, in order of decreasing
-     * demand.
+     * Returns the models that should be loaded from the weight store: first those that calls ask
+     * for in vain, then further copies, each in order of decreasing demand.
      */
     List<StoreCandidate> storeCandidates(Instant now) {
         List<StoreCandidate> candidates = new ArrayList<>();
@@ -165,7 +172,8 @@
             }
         }
         candidates.sort(
-                Comparator.comparingDouble(StoreCandidate::demand)
+                Comparator.comparing(StoreCandidate::isUnserved)
+                        .thenComparingDouble(StoreCandidate::demand)
                         .reversed()
                         .thenComparing(candidate -> candidate.model().name()));
         return candidates;
@@ -186,8 +194,11 @@
         if (!isWanted && (rate < BUSY_RATE || copies >= BUSY_COPIES)) {
             return null;
         }
+        Duration unservedFor =
+                isReachable ? Duration.ZERO : mDemand.unservedFor(service, name, now);
         double demand = waiting + ARRIVAL_HORIZON_SECONDS * rate / (1 + copies);
-        return new StoreCandidate(service, model, waiting, demand);
+        demand += unservedFor.toMillis() / 1_000.0 / UNSERVED_SECONDS_PER_CALL;
+        return new StoreCandidate(service, model, waiting, !unservedFor.isZero(), demand);
     }
 
     private void planFromStore(StoreCandidate candidate, Instant now) {
@@ -266,10 +277,17 @@
      * @param model the model
      * @param waiting the number of waiting calls, or 0 if a runner holds the model or can load it
      *     from a local copy
+     * @param isUnserved whether calls ask for the model in vain
      * @param demand the number of waiting calls, plus the calls expected within {@link
-     *     #ARRIVAL_HORIZON_SECONDS} divided by one more than the number of copies
+     *     #ARRIVAL_HORIZON_SECONDS} divided by one more than the number of copies, plus one for
+     *     each {@link #UNSERVED_SECONDS_PER_CALL} for which calls have asked in vain
      */
-    record StoreCandidate(ServiceName service, EngineModel model, int waiting, double demand) {}
+    record StoreCandidate(
+            ServiceName service,
+            EngineModel model,
+            int waiting,
+            boolean isUnserved,
+            double demand) {}
 
     /** A runner that could load the model, with the eviction that the load needs. */
     private record LoadOption(RunnerRecord record, EvictionPlan eviction, double cost) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/UnservedTargetReporter.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/UnservedTargetReporter.java
@@ -41,7 +41,7 @@
         }
         mNextCheck = now.plus(CHECK_PERIOD);
         mReportedAt.values().removeIf(at -> at.plus(REPORT_INTERVAL).isBefore(now));
-        mDemand.unservedSince().forEach((target, since) -> check(target, since, context));
+        mDemand.unservedSince(now).forEach((target, since) -> check(target, since, context));
     }
 
     private void check(Target.ServiceModelTarget target, Instant since, DecisionContext context) {
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -114,4 +114,44 @@
         decide(new ResidencyEvent.TimerFired(), 600);
         assertThat("orders after its end", mLoads, contains("rare"));
     }
+
+    /**
+     * Guards against a model without any copy whose calls wait while the weight store is used for
+     * second copies of busy models.
+     */
+    @Test
+    void waitingCallsGoBeforeSecondCopies() {
+        SimulatedRunner one = addRunner("one", "busy", "other");
+        SimulatedRunner two = addRunner("two", "other");
+        beginTenure();
+        report(demand("busy", 0, 30), demand("rare", 1, 1));
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 2);
+        decide(new ResidencyEvent.StateRead(two.id(), two.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        assertThat(mLoads, contains("rare"));
+    }
+
+    /**
+     * Guards against a model that is never loaded because there is always another one for which
+     * more calls wait.
+     */
+    @Test
+    void modelThatIsAskedForLongestGoesFirst() {
+        SimulatedRunner one = addRunner("one");
+        beginTenure();
+        for (int second = 0; second < 40; second++) {
+            int arrived = second % 8 == 0 ? 1 : 0;
+            decide(
+                    new ResidencyEvent.DemandReported(
+                            DAEMON, SERVICE, List.of(demand("rare", arrived, arrived))),
+                    1_000L * second);
+        }
+        decide(
+                new ResidencyEvent.DemandReported(
+                        DAEMON, SERVICE, List.of(demand("other", 2, 2), demand("rare", 0, 0))),
+                40_000);
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 40_000);
+        decide(new ResidencyEvent.TimerFired(), 40_200);
+        assertThat(mLoads, contains("rare"));
+    }
 }
