Log the steps of a planned stop

Cause: the stop ran in a shutdown hook, and the JVM closes all log handlers when its shutdown begins.

Change: SIGTERM and SIGINT start the stop directly, for serve and gateway.

--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -170,17 +170,11 @@
             mSpec.commandLine().getErr().println(failure);
             return ExitCode.USAGE;
         }
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    gateway.stop();
-                                    log.close();
-                                    // Replaces the exit code of the signal by success, so that a
-                                    // process manager does not take a planned stop for a failure.
-                                    Runtime.getRuntime().halt(ExitCode.SUCCESS);
-                                },
-                                "stop"));
+        StopSignals.handle(
+                () -> {
+                    gateway.stop();
+                    log.close();
+                });
         new CountDownLatch(1).await();
         return ExitCode.SUCCESS;
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/ServeCommand.java
@@ -122,16 +122,7 @@
             daemon.abort();
             return ExitCode.USAGE;
         }
-        Runtime.getRuntime()
-                .addShutdownHook(
-                        new Thread(
-                                () -> {
-                                    daemon.stop();
-                                    // Replaces the exit code of the signal by success, so that a
-                                    // process manager does not take a planned stop for a failure.
-                                    Runtime.getRuntime().halt(ExitCode.SUCCESS);
-                                },
-                                "stop"));
+        StopSignals.handle(daemon::stop);
         new CountDownLatch(1).await();
         return ExitCode.SUCCESS;
     }
