--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -39,6 +39,7 @@
 public final class GatewayCommand implements Callable<Integer> {
     private static final int HIGHEST_PORT = 65_535;
     private static final int PERCENT = 100;
+    private static final int MILLIS_PER_SECOND = 1_000;
 
     @Spec private CommandSpec mSpec;
 
@@ -117,28 +118,28 @@
             paramLabel = "COUNT",
             defaultValue = "0",
             description = "Additional retries allowed in each window, over all daemons.")
-    private int mRetryExtra;
+    private double mRetryExtra;
 
     @Option(
             names = "--retry-window-seconds",
             paramLabel = "SECONDS",
             defaultValue = "10",
             description = "Length of the window in which retries are counted.")
-    private int mRetryWindowSeconds;
+    private double mRetryWindowSeconds;
 
     @Option(
             names = "--stop-limit-seconds",
             paramLabel = "SECONDS",
             defaultValue = "8",
             description = "How long a planned stop may take.")
-    private int mStopLimitSeconds;
+    private double mStopLimitSeconds;
 
     @Option(
             names = "--holder-pause-millis",
             paramLabel = "MILLISECONDS",
             defaultValue = "3000",
             description = "How long a daemon that becomes the holder waits before it sends orders.")
-    private int mHolderPauseMillis;
+    private double mHolderPauseMillis;
 
     @Option(
             names = "--wake-slack-millis",
@@ -146,7 +147,7 @@
             defaultValue = "300",
             description =
                     "How long orders of a suspended daemon may still arrive after it resumes.")
-    private int mWakeSlackMillis;
+    private double mWakeSlackMillis;
 
     @Option(
             names = "--store-loads-at-once",
@@ -219,15 +220,15 @@
         checkRange("--metrics-port", mMetricsPort, HIGHEST_PORT);
         checkRange("--peer-port", mPeerPort, HIGHEST_PORT);
         checkRange("--directory-ttl-seconds", mDirectoryTtlSeconds, 60);
-        checkRange("--retry-window-seconds", mRetryWindowSeconds, 3_600);
-        checkRange("--stop-limit-seconds", mStopLimitSeconds, 3_600);
+        checkBound("--retry-window-seconds", mRetryWindowSeconds, 1, 3_600);
+        checkBound("--stop-limit-seconds", mStopLimitSeconds, 1, 3_600);
+        checkBound("--holder-pause-millis", mHolderPauseMillis, 0, 3_600_000);
+        checkBound("--wake-slack-millis", mWakeSlackMillis, 0, 3_600_000);
+        checkBound("--retry-extra", mRetryExtra, 0, Integer.MAX_VALUE);
         checkRange("--store-loads-at-once", mStoreLoadsAtOnce, 1_000);
         if (mRetryRatio < 0 || mRetryRatio > 1) {
             throw invalid("--retry-ratio", Double.toString(mRetryRatio), "0 to 1");
         }
-        if (mRetryExtra < 0) {
-            throw invalid("--retry-extra", Integer.toString(mRetryExtra), "0 or more");
-        }
         Address front = address("--front", mFront);
         return new GatewaySettings(
                 GatewayMember.of(mNode, front),
@@ -239,10 +240,10 @@
                 address("--store", mStore),
                 Duration.ofSeconds(mDirectoryTtlSeconds),
                 (int) Math.floor(mRetryRatio * PERCENT),
-                mRetryExtra,
-                Duration.ofSeconds(mRetryWindowSeconds),
-                Duration.ofSeconds(mStopLimitSeconds),
-                Duration.ofMillis(mHolderPauseMillis + (long) mWakeSlackMillis),
+                (int) Math.floor(mRetryExtra),
+                milliseconds(mRetryWindowSeconds * MILLIS_PER_SECOND),
+                milliseconds(mStopLimitSeconds * MILLIS_PER_SECOND),
+                milliseconds(mHolderPauseMillis + mWakeSlackMillis),
                 mStoreLoadsAtOnce);
     }
 
@@ -263,6 +264,17 @@
         }
     }
 
+    /** Checks a bound of the platform, which may be a fraction. */
+    private void checkBound(String flag, double value, int lowest, int highest) {
+        if (!(value >= lowest && value <= highest)) {
+            throw invalid(flag, Double.toString(value), lowest + " to " + highest);
+        }
+    }
+
+    private static Duration milliseconds(double value) {
+        return Duration.ofMillis(Math.round(value));
+    }
+
     private ParameterException invalid(String flag, String value, String allowed) {
         return new ParameterException(
                 mSpec.commandLine(), ErrorMessage.BAD_FLAG.format(flag, value, allowed));
--- a/daemon/src/test/java/org/oleanderspring/daemon/fleet/GatewayProcessTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/fleet/GatewayProcessTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -22,13 +23,11 @@
     @SuppressWarnings("NullAway.Init")
     private Path mDirectory;
 
-    private FleetProcess startGateway(int storePort) throws IOException {
-        return new FleetProcess(
-                mDirectory,
-                "gateway",
-                Oleanderspring.class.getName(),
+    private FleetProcess startGateway(int storePort, String... flags) throws IOException {
+        List<String> arguments = new ArrayList<>(List.of(flags));
+        arguments.add(0, "gateway");
+        arguments.addAll(
                 List.of(
-                        "gateway",
                         "--node=vm-1",
                         "--failure-domain=east",
                         "--front=" + freeAddress(),
@@ -37,6 +36,7 @@
                         "--metrics-port=" + FreePorts.next(),
                         "--peer-port=" + FreePorts.next(),
                         "--store=" + IP + ":" + storePort));
+        return new FleetProcess(mDirectory, "gateway", Oleanderspring.class.getName(), arguments);
     }
 
     private static String freeAddress() {
@@ -53,6 +53,24 @@
         }
     }
 
+    /**
+     * Guards against a daemon that does not start because a bound of the platform is a fraction.
+     */
+    @Test
+    void boundsMayBeFractions() throws Exception {
+        try (HostedStoreStandin store = new HostedStoreStandin(IP, 0);
+                FleetProcess gateway =
+                        startGateway(
+                                store.port(),
+                                "--retry-extra=38.666666666666664",
+                                "--retry-window-seconds=10.5",
+                                "--stop-limit-seconds=8.25",
+                                "--holder-pause-millis=2999.5",
+                                "--wake-slack-millis=0.5")) {
+            awaitLine(gateway, "[gateway] started");
+        }
+    }
+
     /** Guards against a planned stop whose steps are missing from the log. */
     @Test
     void plannedStopIsLogged() throws Exception {
