Fail an attempt whose stream contains an event without end

What callers would see: the daemon keeps incomplete events in its memory until they end. A runner that sends an event without end fills the heap of 128 MB, and all calls of the daemon end with its process.

Change: an incomplete event of more than 256 KiB fails the attempt, which is cancelled; a resumable stream goes on at another runner.

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
@@ -13,6 +13,9 @@
 final class EventStreamSplitter {
     private static final String ID_FIELD = "id:";
 
+    /** Far longer than any event of a generation; a runner may send an event without end. */
+    private static final int MAX_EVENT_BYTES = 256 << 10;
+
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private int mLineLength;
     private boolean mAfterCarriageReturn;
@@ -41,6 +44,11 @@
         return mPending.size() > 0;
     }
 
+    /** Returns whether the incomplete event in the buffer is longer than any valid one. */
+    boolean isEventTooLong() {
+        return mPending.size() > MAX_EVENT_BYTES;
+    }
+
     private int endOfLastCompleteEvent(byte[] bytes) {
         int end = 0;
         for (int index = 0; index < bytes.length; index++) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
@@ -65,6 +65,12 @@
         }
         byte[] events = mSplitter.append(bytes);
         if (events.length == 0) {
+            if (mSplitter.isEventTooLong()) {
+                stop();
+                mSink.offer(
+                        new GatewayRoutingInput.ResponseInvalid(
+                                mAttempt, "an event of the stream is too long"));
+            }
             consumed.run();
             return;
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -116,6 +116,8 @@
             accept(read.request());
         } else if (input instanceof GatewayRoutingInput.ResponseBegan began) {
             admit(began);
+        } else if (input instanceof GatewayRoutingInput.ResponseInvalid invalid) {
+            failInvalid(invalid);
         } else if (input instanceof GatewayRoutingInput.Event event) {
             handle(event.event());
         } else if (input instanceof GatewayRoutingInput.StoreChanged changed) {
@@ -265,12 +267,7 @@
             return;
         }
         if (call.response().hasBegun() && began.status() != OK) {
-            active.relay().stop();
-            active.attempt().cancel();
-            decide(
-                    new RoutingEvent.AttemptFinished(
-                            began.attempt(),
-                            new AttemptOutcome.Failed("status " + began.status(), true)));
+            fail(began.attempt(), active, "status " + began.status());
             return;
         }
         decide(new RoutingEvent.ResponseBegan(began.attempt()));
@@ -282,6 +279,20 @@
         began.relay().admit();
     }
 
+    private void failInvalid(GatewayRoutingInput.ResponseInvalid invalid) {
+        ActiveAttempt active = mActiveAttempts.get(invalid.attempt());
+        if (active != null) {
+            fail(invalid.attempt(), active, invalid.reason());
+        }
+    }
+
+    /** Ends an attempt whose response has begun and cannot be used. */
+    private void fail(AttemptId attempt, ActiveAttempt active, String reason) {
+        active.relay().stop();
+        active.attempt().cancel();
+        decide(new RoutingEvent.AttemptFinished(attempt, new AttemptOutcome.Failed(reason, true)));
+    }
+
     private void decide(RoutingEvent first) {
         mPendingEvents.add(first);
         while (!mPendingEvents.isEmpty()) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -44,6 +44,14 @@
         }
     }
 
+    /**
+     * The response to an attempt began and turned out to be invalid.
+     *
+     * @param attempt the attempt
+     * @param reason what is wrong, for the log
+     */
+    record ResponseInvalid(AttemptId attempt, String reason) implements GatewayRoutingInput {}
+
     /**
      * An update from the platform's key-value service arrived.
      *
