Repeat the statement about a held model to a daemon that requests its load

Cause: a statement about a runner's models is a datagram and may be lost. The holder repeated it for adapters only. The registry entry does not help if it changes within 2 s after the previous statement, since it may then be older.

Change: a daemon that requests a load does not know the runners that hold the target, so these are published to it again. The separate repetition for adapters goes.

Test: PlanningLoadTest.daemonThatRequestsAHeldModelIsToldAgain (without the call it fails: no statement).

--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -128,6 +128,7 @@
         } else if (event instanceof ResidencyEvent.LoadRequested requested) {
             mDemand.applyRequest(
                     requested.daemon(), requested.target(), requested.waiting(), context.now());
+            repeatStatements(requested, context);
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
             mTenure.begin(began, mFleet.ids());
             mFleet.records().forEach(record -> record.reset(context.now()));
@@ -139,6 +140,21 @@
         }
     }
 
+    /**
+     * Publishes the runners that hold the requested model or adapter to the daemon again. A daemon
+     * that requests a load does not know these runners, because it missed a statement.
+     */
+    private void repeatStatements(ResidencyEvent.LoadRequested requested, DecisionContext context) {
+        if (!mTenure.mayOrder(context.now())) {
+            return;
+        }
+        for (RunnerRecord record : mFleet.usable(requested.target().service())) {
+            if (record.isConfirmed() && record.isRoutable(requested.target().model())) {
+                mSequencer.publish(record, Set.of(requested.daemon()), context);
+            }
+        }
+    }
+
     private void handleReply(ResidencyEvent event, DecisionContext context) {
         if (event instanceof ResidencyEvent.StateRead read) {
             RunnerRecord record = mFleet.record(read.runner());
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyAdapterPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyAdapterPlanner.java
@@ -4,9 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
@@ -17,19 +15,12 @@
 
 /** Plans the loads of adapters for which calls wait, on runners that hold their base models. */
 final class ResidencyAdapterPlanner {
-    /**
-     * The minimum interval between statements for the same adapter. They are repeated for daemons
-     * that missed one.
-     */
-    private static final Duration STATEMENT_INTERVAL = Duration.ofMillis(500);
-
     /** An adapter is not unloaded within this time after its last use. */
     private static final Duration RECENT_USE = Duration.ofMillis(700);
 
     private final RunnerFleet mFleet;
     private final DemandTracker mDemand;
     private final OrderSequencer mSequencer;
-    private final Map<Target.ServiceModelTarget, Instant> mPublishedAt = new HashMap<>();
 
     ResidencyAdapterPlanner(RunnerFleet fleet, DemandTracker demand, OrderSequencer sequencer) {
         mFleet = fleet;
@@ -56,7 +47,6 @@
     void adapterLoaded(RunnerRecord record, ModelReference adapter, DecisionContext context) {
         Target.ServiceModelTarget target =
                 new Target.ServiceModelTarget(record.registration().service(), adapter);
-        mPublishedAt.put(target, context.now());
         mSequencer.publish(record, mDemand.waitingDaemons(target, context.now()), context);
     }
 
@@ -72,7 +62,6 @@
             }
             if (record.adapters(adapter.base()).contains(adapter.adapter())) {
                 mDemand.markServed(target);
-                repeatStatement(target, record, context);
                 return;
             }
             if (record.mayBeOrdered() && !record.isExecutingOrder()) {
@@ -90,15 +79,6 @@
         return record.unanswered() != null && record.unanswered().model().equals(adapter);
     }
 
-    private void repeatStatement(
-            Target.ServiceModelTarget target, RunnerRecord record, DecisionContext context) {
-        Instant last = mPublishedAt.get(target);
-        if (last != null && last.plus(STATEMENT_INTERVAL).isAfter(context.now())) {
-            return;
-        }
-        adapterLoaded(record, target.model(), context);
-    }
-
     private void load(
             RunnerRecord record, Target.ServiceModelTarget target, DecisionContext context) {
         EngineModel model = record.engine().models().get(target.model().base());
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -219,6 +219,12 @@
         return mHeld.containsKey(model) && !mClosing.containsKey(model);
     }
 
+    /** Returns whether the runner holds a model or adapter and is not about to unload it. */
+    boolean isRoutable(ModelReference model) {
+        return isRoutable(model.base())
+                && (model.adapter() == null || adapters(model.base()).contains(model.adapter()));
+    }
+
     Set<String> adapters(ModelName model) {
         return mHeld.getOrDefault(model, Set.of());
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/UnservedTargetReporter.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/UnservedTargetReporter.java
@@ -63,16 +63,8 @@
     }
 
     private boolean isHeld(Target.ServiceModelTarget target) {
-        ModelReference model = target.model();
-        for (RunnerRecord record : mFleet.usable(target.service())) {
-            boolean hasAdapter =
-                    model.adapter() == null
-                            || record.adapters(model.base()).contains(model.adapter());
-            if (record.isRoutable(model.base()) && hasAdapter) {
-                return true;
-            }
-        }
-        return false;
+        return mFleet.usable(target.service()).stream()
+                .anyMatch(record -> record.isRoutable(target.model()));
     }
 
     private UnservedCause cause(Target.ServiceModelTarget target, Instant now) {
--- a/core/src/test/java/org/oleanderspring/core/residency/command/PlanningLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/PlanningLoadTest.java
@@ -2,7 +2,9 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -33,6 +35,10 @@
     private final DefaultResidencyDecider mDecider = new DefaultResidencyDecider(4);
     private final List<ResidencyOrder> mOrders = new ArrayList<>();
     private final List<Instant> mTimers = new ArrayList<>();
+    private final List<ResidencyDecision.PublishResidency> mStatements = new ArrayList<>();
+
+    @SuppressWarnings("NullAway.Init")
+    private SimulatedRunner mOne;
 
     @BeforeEach
     void begin() {
@@ -51,13 +57,13 @@
                                 Map.of(SERVICE, new ServiceDescription(SERVICE, "/", 10, engine)),
                                 IngressLimits.DEFAULT)),
                 0);
-        SimulatedRunner one = new SimulatedRunner("one", SERVICE, engine);
+        mOne = new SimulatedRunner("one", SERVICE, engine);
         SimulatedRunner two = new SimulatedRunner("two", SERVICE, engine);
-        one.addCopy(new ModelName("first"));
+        mOne.addCopy(new ModelName("first"));
         two.addCopy(new ModelName("second"));
-        decide(new ResidencyEvent.RunnersListed(List.of(one.entry(START), two.entry(START))), 0);
+        decide(new ResidencyEvent.RunnersListed(List.of(mOne.entry(START), two.entry(START))), 0);
         decide(new ResidencyEvent.TenureBegan(new FencingToken(1), START, Map.of()), 0);
-        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 1);
+        decide(new ResidencyEvent.StateRead(mOne.id(), mOne.state(START)), 1);
         decide(new ResidencyEvent.StateRead(two.id(), two.state(START)), 1);
         mTimers.clear();
     }
@@ -68,6 +74,8 @@
                 mOrders.add(send.order());
             } else if (decision instanceof ResidencyDecision.ScheduleTimer timer) {
                 mTimers.add(timer.at());
+            } else if (decision instanceof ResidencyDecision.PublishResidency statement) {
+                mStatements.add(statement);
             }
         }
     }
@@ -103,6 +111,23 @@
                 contains("first", "second"));
     }
 
+    /**
+     * Guards against a daemon that missed the statement about a loaded model, whose calls then wait
+     * although a runner holds the model.
+     */
+    @Test
+    void daemonThatRequestsAHeldModelIsToldAgain() {
+        mOne.hold(ModelReference.parse("first"));
+        decide(new ResidencyEvent.TenureBegan(new FencingToken(2), START, Map.of()), 10);
+        decide(new ResidencyEvent.StateRead(mOne.id(), mOne.state(START)), 11);
+        mStatements.clear();
+        requestLoad(7, "first", 50);
+        assertThat(mOrders, empty());
+        assertThat(mStatements, hasSize(1));
+        assertThat(mStatements.get(0).daemons(), contains(new MemberId("vm-7")));
+        assertThat(mStatements.get(0).residency().runner(), is(mOne.id()));
+    }
+
     /** Guards against plans that are postponed by each further request. */
     @Test
     void requestsDoNotPostponeThePlan() {
--- a/core/src/test/java/org/oleanderspring/core/residency/command/SimulatedRunner.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/SimulatedRunner.java
@@ -57,6 +57,11 @@
         mCopies.add(model);
     }
 
+    /** Loads a model without an order. */
+    void hold(ModelReference model) {
+        mHeld.put(model.base(), new HashSet<>());
+    }
+
     boolean holds(ModelReference model) {
         Set<String> adapters = mHeld.get(model.base());
         return adapters != null && (model.adapter() == null || adapters.contains(model.adapter()));
