--- a/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
+++ b/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
@@ -43,11 +43,12 @@
     private final StampedLock mStopLock = new StampedLock();
     private final CountDownLatch mTerminated = new CountDownLatch(1);
     private boolean mStopped;
+    private volatile boolean mStarted;
     private volatile long mLastWaitNanos;
 
     /**
      * Creates the ring and the thread. The ring accepts events immediately; they are handled after
-     * {@link #start}.
+     * {@link #start}, or never without it.
      *
      * @param name the name of the thread
      * @param capacity the capacity of the ring in events; a power of two
@@ -74,13 +75,13 @@
     }
 
     /**
-     * Starts the thread. Must be called exactly once; without it, {@link #close} waits
-     * indefinitely.
+     * Starts the thread. Must be called at most once, and not after {@link #close}.
      *
      * @param handler called on the duty's thread for each event
      */
     public void start(EventHandler<T> handler) {
         mEntryHandler.mHandler = handler;
+        mStarted = true;
         mDisruptor.start();
     }
 
@@ -139,6 +140,7 @@
 
     /**
      * Rejects further events, handles those already in the ring, and waits for the thread to end.
+     * Does not wait if the thread was never started.
      *
      * <p>{@link Disruptor#shutdown()} is not used, because it busy-waits and because it drops
      * accepted events if the thread has not started to run yet. Instead, an entry without an event
@@ -158,6 +160,9 @@
         } finally {
             mStopLock.unlockWrite(stamp);
         }
+        if (!mStarted) {
+            return;
+        }
         try {
             while (!publish(null)) {
                 Thread.sleep(FULL_RING_RETRY_MILLIS);
--- a/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
+++ b/duty/src/test/java/org/oleanderspring/duty/DutyThreadTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.oleanderspring.duty.command.DutyThread;
 import org.oleanderspring.duty.command.OfferResult;
 
@@ -72,6 +73,16 @@
         assertThat(duty.offer(4), is(OfferResult.STOPPED));
     }
 
+    /** Guards against a process that does not exit because a duty of it was never started. */
+    @Test
+    @Timeout(20)
+    void closeOfAnUnstartedDutyDoesNotWait() {
+        DutyThread<Integer> duty = new DutyThread<>("unstarted", 8);
+        duty.offer(1);
+        duty.close();
+        assertThat(duty.offer(2), is(OfferResult.STOPPED));
+    }
+
     /** Guards against a thread that ends because the handler threw on one event. */
     @Test
     void exceptionInHandlerDoesNotEndTheThread() {
