Answer load requests of daemons that have released their leases

Cause: a daemon that stops releases its membership first and serves for seconds after that, but the holder sent statements to members only. So the daemon never learned which runner held the model its calls waited for, although it asked every second.

Change: a statement for named daemons is sent to these, members or not.

Test: ResidencyDutyTest.daemonWithoutLeaseLearnsWhoHoldsAModel (failed before).

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -443,15 +444,28 @@
 
     private void publish(ResidencyDecision.PublishResidency publish) {
         mPorts.notifier().notifyResidency(mSettings.self(), publish.residency());
-        for (GatewayMember member : mFleet.members()) {
-            boolean isRecipient =
-                    publish.daemons().isEmpty() || publish.daemons().contains(member.id());
-            if (isRecipient && !member.equals(mSettings.self())) {
+        for (GatewayMember member : recipients(publish)) {
+            if (!member.equals(mSettings.self())) {
                 mPorts.notifier().notifyResidency(member, publish.residency());
             }
         }
     }
 
+    /**
+     * Returns the named daemons, or all members. A named daemon need not be a member: during a
+     * planned stop it has released its leases, and its calls still wait for models.
+     */
+    private List<GatewayMember> recipients(ResidencyDecision.PublishResidency publish) {
+        if (publish.daemons().isEmpty()) {
+            return mFleet.members();
+        }
+        List<GatewayMember> recipients = new ArrayList<>();
+        for (MemberId daemon : publish.daemons()) {
+            GatewayMember.parse(daemon).ifPresent(recipients::add);
+        }
+        return recipients;
+    }
+
     private void offer(LeaseEvent event) {
         mOwnRing.offer(new ResidencyInput.Lease(event));
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -15,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -92,6 +94,8 @@
     private final TestStore mStore = new TestStore();
     private final Deque<ResidencyInput> mRing = new ArrayDeque<>();
     private final List<ResidencyOrder> mOrders = new ArrayList<>();
+    private final List<GatewayMember> mNotified = new ArrayList<>();
+    private final Set<ModelName> mHeld = new HashSet<>();
     private final DutyTimer mTimer = new DutyTimer();
     private final ResidencyDuty mDuty = newDuty();
 
@@ -129,7 +133,7 @@
                         runner ->
                                 CompletableFuture.completedFuture(
                                         new FetchResult.Found<>(runnerState())),
-                        new SilentNotifier(),
+                        new RecordingNotifier(),
                         new SilentPace());
         return new ResidencyDuty(
                 settings,
@@ -150,8 +154,9 @@
                 new EmptyRing());
     }
 
-    private static RunnerState runnerState() {
-        List<LoadedModel> models = List.of();
+    private RunnerState runnerState() {
+        List<LoadedModel> models =
+                mHeld.stream().map(name -> new LoadedModel(name, Set.of())).toList();
         CachedWeights copies = new CachedWeights(Set.of(), Set.of(new ModelName("m1")));
         return new RunnerState(models, Set.of(), copies, false, 0, 0, 0);
     }
@@ -174,16 +179,17 @@
                         new StoreUpdate.Listed(prefix, List.of(TestStore.value(name, value)))));
     }
 
+    private static GatewayMember otherDaemon() {
+        return GatewayMember.of("vm-2", STORE);
+    }
+
     private void requestLoad() {
         Target.ServiceModelTarget target =
                 new Target.ServiceModelTarget(SERVICE, ModelReference.parse("m1"));
         handle(
                 new ResidencyInput.Placement(
                         new ResidencyEvent.LoadRequested(
-                                GatewayMember.of("vm-2", STORE).id(),
-                                target,
-                                1,
-                                Duration.ofSeconds(5))));
+                                otherDaemon().id(), target, 1, Duration.ofSeconds(5))));
     }
 
     /** Acquires the placement lease and waits until orders may be sent. */
@@ -236,6 +242,19 @@
         assertThat("orders after the pause", mOrders, hasSize(1));
     }
 
+    /**
+     * Guards against calls that wait at a stopping daemon until it ends: it has released its leases
+     * and must still learn which runner holds the model.
+     */
+    @Test
+    void daemonWithoutLeaseLearnsWhoHoldsAModel() {
+        mHeld.add(new ModelName("m1"));
+        beginTenure();
+        mNotified.clear();
+        requestLoad();
+        assertThat(mNotified, hasItem(otherDaemon()));
+    }
+
     /** A wall clock that the test advances. */
     private static final class TestClock extends Clock {
         private Instant mNow = Instant.EPOCH.plusSeconds(1_000);
@@ -336,10 +355,12 @@
         }
     }
 
-    /** Drops all messages to daemons. */
-    private static final class SilentNotifier implements ResidencyNotifier {
+    /** Records the daemons that get statements. */
+    private final class RecordingNotifier implements ResidencyNotifier {
         @Override
-        public void notifyResidency(GatewayMember member, Residency residency) {}
+        public void notifyResidency(GatewayMember member, Residency residency) {
+            mNotified.add(member);
+        }
 
         @Override
         public void notifyReadyTime(
