Log the prompt parts of a failed attempt and the age of its response

The line attempt-failed did not show what the requests at a runner that ended had in common. It now names the parts of the prompt and says how long the response had lasted.

--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -89,9 +89,16 @@
                         + (configuration == null ? 0 : configuration.version()));
     }
 
-    /** Logs an attempt that ended without a complete response. */
+    /**
+     * Logs an attempt that ended without a complete response.
+     *
+     * @param responseAge the time since its response began, or null if none did
+     */
     static void attemptFailed(
-            GatewayCall call, RoutingEvent.AttemptFinished finished, EndpointId runner) {
+            GatewayCall call,
+            RoutingEvent.AttemptFinished finished,
+            EndpointId runner,
+            @Nullable Duration responseAge) {
         log(
                 "attempt-failed request="
                         + call.attemptName()
@@ -99,6 +106,9 @@
                         + finished.attempt().number()
                         + " runner="
                         + runner
+                        + (responseAge == null ? "" : " response-ms=" + responseAge.toMillis())
+                        + " prompt="
+                        + call.request().head().prompt()
                         + " outcome=\""
                         + finished.outcome()
                         + "\"");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -81,8 +81,27 @@
     private GatewaySettings mSettings;
     private boolean mShuttingDown;
 
+    /**
+     * An attempt at a runner.
+     *
+     * @param attempt cancels the attempt
+     * @param relay forwards the response
+     * @param endpoint the runner
+     * @param responseBeganAt when the response began, or null if it has not
+     */
     private record ActiveAttempt(
-            RunningAttempt attempt, GatewayResponseRelay relay, EndpointId endpoint) {}
+            RunningAttempt attempt,
+            GatewayResponseRelay relay,
+            EndpointId endpoint,
+            @Nullable Instant responseBeganAt) {
+        ActiveAttempt withResponse(Instant beganAt) {
+            return new ActiveAttempt(attempt, relay, endpoint, beganAt);
+        }
+
+        @Nullable Duration responseAge(Instant now) {
+            return responseBeganAt == null ? null : Duration.between(responseBeganAt, now);
+        }
+    }
 
     /**
      * Creates the duty.
@@ -275,6 +294,7 @@
             began.relay().stop();
             return;
         }
+        mActiveAttempts.put(began.attempt(), active.withResponse(mClock.now()));
         call.response().begin(began.status(), began.headers());
         began.relay().admit();
     }
@@ -320,7 +340,7 @@
         if (finished.outcome() instanceof AttemptOutcome.Completed) {
             return;
         }
-        CallLog.attemptFailed(call, finished, active.endpoint());
+        CallLog.attemptFailed(call, finished, active.endpoint(), active.responseAge(mClock.now()));
     }
 
     private void removeDisconnected(CallId id) {
@@ -376,7 +396,7 @@
                         .start(
                                 GatewayCallFactory.newAttempt(call, runner, start.deadline(), now),
                                 relay);
-        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, start.endpoint()));
+        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, start.endpoint(), null));
     }
 
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
