--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -18,7 +18,10 @@
 import org.oleanderspring.standin.hosted.HostedRunnerStandin;
 import org.oleanderspring.standin.hosted.HostedStoreStandin;
 
-/** A gateway daemon with stand-ins for the store and the runners, all on loopback addresses. */
+/**
+ * Gateway daemons with stand-ins for the store and the runners, all on loopback addresses. Each
+ * daemon has an IP address of its own, because daemons reach each other at a common port.
+ */
 final class GatewayFixture implements AutoCloseable {
     static final String IP = "127.0.0.1";
     static final String HOST = "a.example";
@@ -53,49 +56,81 @@
     private final HostedStoreStandin mStore = new HostedStoreStandin(IP, 0);
     private final List<HostedRunnerStandin> mRunners = new ArrayList<>();
     private final HttpClient mClient = HttpClient.newHttpClient();
-    private final GatewaySettings mSettings;
-    private final Gateway mGateway;
+    private final List<GatewaySettings> mSettings = new ArrayList<>();
+    private final List<Gateway> mGateways = new ArrayList<>();
 
+    /** Starts one daemon. */
     GatewayFixture() throws IOException {
-        mSettings =
-                new GatewaySettings(
-                        GatewayMember.of("vm-1", unusedAddress()),
-                        new FailureDomain("east"),
-                        unusedAddress(),
-                        unusedAddress(),
-                        unusedAddress(),
-                        unusedAddress().port(),
-                        new Address(IP, mStore.port()),
-                        Duration.ofSeconds(2),
-                        20,
-                        50,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(5),
-                        Duration.ofMillis(50),
-                        2);
-        mGateway = new Gateway(mSettings);
-        String failure = mGateway.start();
+        this(1);
+    }
+
+    /**
+     * Starts daemons.
+     *
+     * @param daemons their number
+     */
+    GatewayFixture(int daemons) throws IOException {
+        int peerPort = unusedAddress(IP).port();
+        for (int index = 0; index < daemons; index++) {
+            mSettings.add(settings(index, peerPort));
+            mGateways.add(startGateway(mSettings.get(index)));
+        }
+    }
+
+    private GatewaySettings settings(int index, int peerPort) throws IOException {
+        String ip = "127.0.0." + (index + 1);
+        return new GatewaySettings(
+                GatewayMember.of("vm-" + (index + 1), unusedAddress(ip)),
+                new FailureDomain("east"),
+                unusedAddress(ip),
+                unusedAddress(ip),
+                unusedAddress(ip),
+                peerPort,
+                new Address(IP, mStore.port()),
+                Duration.ofSeconds(2),
+                20,
+                50,
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(5),
+                Duration.ofMillis(50),
+                2);
+    }
+
+    private static Gateway startGateway(GatewaySettings settings) {
+        Gateway gateway = new Gateway(settings);
+        String failure = gateway.start();
         if (failure != null) {
             throw new AssertionError(failure);
         }
+        return gateway;
     }
 
-    private static Address unusedAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(IP))) {
-            return new Address(IP, socket.getLocalPort());
+    private static Address unusedAddress(String ip) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
+            return new Address(ip, socket.getLocalPort());
         }
     }
 
+    /** Ends a daemon without a planned stop. */
+    void kill(int daemon) {
+        mGateways.get(daemon).close();
+    }
+
+    /** Starts a daemon again that was killed, with its settings and addresses. */
+    void restart(int daemon) {
+        mGateways.set(daemon, startGateway(mSettings.get(daemon)));
+    }
+
     HostedStoreStandin store() {
         return mStore;
     }
 
     Gateway gateway() {
-        return mGateway;
+        return mGateways.get(0);
     }
 
     Address frontAddress() {
-        return mSettings.self().frontAddress();
+        return mSettings.get(0).self().frontAddress();
     }
 
     /** Writes a configuration to the store whose route "order" leads to the given service. */
@@ -113,7 +148,9 @@
     }
 
     void awaitReady() {
-        await("the daemon is ready", () -> status(mSettings.readiness(), "/readyz") == 200);
+        for (GatewaySettings settings : mSettings) {
+            await("the daemon is ready", () -> status(settings.readiness(), "/readyz") == 200);
+        }
     }
 
     int status(Address address, String path) {
@@ -123,13 +160,20 @@
     /** Returns the body of the directory's response. */
     String resolve() {
         return send(HttpRequest.newBuilder(
-                                uri(mSettings.directory(), "/resolve?name=a.example&zone=east"))
+                                uri(
+                                        mSettings.get(0).directory(),
+                                        "/resolve?name=a.example&zone=east"))
                         .build())
                 .body();
     }
 
     String metrics() {
-        return send(HttpRequest.newBuilder(uri(mSettings.metrics(), "/metrics")).build()).body();
+        return metrics(0);
+    }
+
+    String metrics(int daemon) {
+        Address address = mSettings.get(daemon).metrics();
+        return send(HttpRequest.newBuilder(uri(address, "/metrics")).build()).body();
     }
 
     HttpResponse<String> order(String id) {
@@ -142,12 +186,32 @@
                 HttpResponse.BodyHandlers.ofString());
     }
 
+    /**
+     * Sends a streaming request whose prompt has parts to one of the daemons.
+     *
+     * @param parts the identities of the parts, separated by commas
+     */
+    CompletableFuture<HttpResponse<String>> stream(
+            int daemon, String id, String model, String parts) {
+        return mClient.sendAsync(
+                request(mSettings.get(daemon).self().frontAddress(), "/stream/1", id)
+                        .header("Model", model)
+                        .header("Prompt-Prefix", parts.replace(",", ":10,") + ":10")
+                        .POST(body("prompt"))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
     HttpResponse<String> post(String path, String content) {
         return send(request(path, "p").POST(body(content)).build());
     }
 
     private HttpRequest.Builder request(String path, String id) {
-        return HttpRequest.newBuilder(uri(frontAddress(), path))
+        return request(frontAddress(), path, id);
+    }
+
+    private static HttpRequest.Builder request(Address daemon, String path, String id) {
+        return HttpRequest.newBuilder(uri(daemon, path))
                 .header("Host", HOST)
                 .header("Attempt-Id", id)
                 .header("Deadline-Ms", "8000");
@@ -190,7 +254,7 @@
 
     @Override
     public void close() {
-        mGateway.close();
+        mGateways.forEach(Gateway::close);
         mRunners.forEach(HostedRunnerStandin::close);
         mStore.close();
     }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -57,6 +57,8 @@
     private int mOrderCount;
     private boolean mBusy;
     private int mAbortStreamAfter = Integer.MAX_VALUE;
+    private @Nullable String mDeadlyPart;
+    private boolean mCrashed;
 
     /**
      * Starts a runner on a free port, which accepts requests at once.
@@ -114,6 +116,36 @@
         mAbortStreamAfter = events;
     }
 
+    /**
+     * Makes the runner crash when it begins to answer a request whose prompt has a part.
+     *
+     * @param part the identity of the part
+     */
+    public synchronized void crashOnPart(String part) {
+        mDeadlyPart = part;
+    }
+
+    /** Returns whether the runner has crashed. */
+    public synchronized boolean hasCrashed() {
+        return mCrashed;
+    }
+
+    /** Ends the runner: its connections and its port are closed. */
+    public void crash() {
+        synchronized (this) {
+            if (mCrashed) {
+                return;
+            }
+            mCrashed = true;
+        }
+        mServer.close();
+    }
+
+    private synchronized boolean isDeadly(Exchange exchange) {
+        String prompt = exchange.header("Prompt-Prefix");
+        return mDeadlyPart != null && prompt != null && prompt.contains(mDeadlyPart + ":");
+    }
+
     /**
      * Returns the {@code Attempt-Id} of each executed request, in the order of execution; the text
      * {@code null} for a request without one.
@@ -197,6 +229,11 @@
         AtomicInteger nextNumber =
                 new AtomicInteger(lastEventId == null ? 1 : Integer.parseInt(lastEventId) + 1);
         ChunkWriter writer = exchange.stream("text/event-stream");
+        if (isDeadly(exchange)) {
+            writer.send("id: 1\nda");
+            mTimer.schedule(this::crash, EVENT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         AtomicReference<@Nullable ScheduledFuture<?>> task = new AtomicReference<>();
         task.set(
                 mTimer.scheduleAtFixedRate(
