--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -41,6 +41,8 @@
     UNKNOWN_PATH(15, Severity.ERROR, "there is nothing at {0}"),
     /** The path does not support the HTTP method. */
     METHOD_NOT_ALLOWED(16, Severity.ERROR, "method {0} is not allowed here; allowed: {1}"),
+    /** The prompt has a part that crashes runners. */
+    QUARANTINED(17, Severity.ERROR, "a part of the prompt for {0} crashes the endpoints"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
@@ -0,0 +1,96 @@
+package org.oleanderspring.core.quarantine.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.RunnerCrash;
+import org.oleanderspring.core.quarantine.SuspectCall;
+
+/**
+ * The ends of runners of the last minutes, as reported by all daemons. A runner that several
+ * daemons report is one crash with the calls of all of them, so a report may be repeated.
+ */
+final class CrashLog {
+    /** How long a crash is evidence. */
+    static final Duration RETENTION = Duration.ofMinutes(5);
+
+    /** Beyond this number the oldest crash is forgotten. */
+    static final int MAX_CRASHES = 128;
+
+    /** A runner is beginning few answers at a time; further calls are not recorded. */
+    static final int MAX_CALLS = 32;
+
+    private final Map<EndpointId, Crash> mCrashes = new LinkedHashMap<>();
+
+    /** Adds a report. Returns whether it contains anything new. */
+    boolean add(RunnerCrash report, Instant now) {
+        Crash crash = mCrashes.computeIfAbsent(report.runner(), id -> new Crash(id, now));
+        int before = crash.mCalls.size();
+        for (SuspectCall call : report.calls()) {
+            crash.add(call);
+        }
+        if (mCrashes.size() > MAX_CRASHES) {
+            Iterator<EndpointId> oldest = mCrashes.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
+        return crash.mCalls.size() > before;
+    }
+
+    void expire(Instant now) {
+        mCrashes.values().removeIf(crash -> !now.isBefore(crash.mSeenAt.plus(RETENTION)));
+    }
+
+    /** Removes the calls that contain all of the given parts, for example after a withdrawal. */
+    void removeCallsWith(Collection<PromptPart> parts) {
+        for (Crash crash : mCrashes.values()) {
+            crash.mCalls.removeIf(call -> call.prompt().parts().containsAll(parts));
+        }
+    }
+
+    Collection<Crash> crashes() {
+        return mCrashes.values();
+    }
+
+    /** Returns the crashes as reports that other daemons can add. */
+    List<RunnerCrash> reports() {
+        return mCrashes.values().stream().map(Crash::report).toList();
+    }
+
+    /** The end of one run of a runner's process. */
+    static final class Crash {
+        private final EndpointId mRunner;
+        private final Instant mSeenAt;
+        private final List<SuspectCall> mCalls = new ArrayList<>();
+
+        Crash(EndpointId runner, Instant seenAt) {
+            mRunner = runner;
+            mSeenAt = seenAt;
+        }
+
+        private void add(SuspectCall call) {
+            if (mCalls.size() < MAX_CALLS && !mCalls.contains(call)) {
+                mCalls.add(call);
+            }
+        }
+
+        EndpointId runner() {
+            return mRunner;
+        }
+
+        List<SuspectCall> calls() {
+            return mCalls;
+        }
+
+        RunnerCrash report() {
+            return new RunnerCrash(mRunner, mCalls);
+        }
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
+import org.oleanderspring.core.quarantine.Prompt;
 
 /**
  * The properties of a call that routing uses. The body of the call stays with the front end.
@@ -23,6 +24,7 @@
  * @param deadlineScope which part of the response the deadline bounds
  * @param beginBy the time by which the response must begin, because the caller disconnects then;
  *     not after the deadline
+ * @param prompt the parts of the prompt; {@link Prompt#UNKNOWN} if the caller does not name them
  */
 public record CallRequest(
         CallId id,
@@ -34,7 +36,8 @@
         Repetition repetition,
         int attemptLimit,
         DeadlineScope deadlineScope,
-        Instant beginBy) {
+        Instant beginBy,
+        Prompt prompt) {
     /**
      * Rejects null components, a {@code beginBy} after the deadline and an attempt limit below 1.
      */
@@ -45,6 +48,7 @@
         Objects.requireNonNull(repetition, "repetition");
         Objects.requireNonNull(deadlineScope, "deadlineScope");
         Objects.requireNonNull(beginBy, "beginBy");
+        Objects.requireNonNull(prompt, "prompt");
         if (beginBy.isAfter(deadline)) {
             throw new IllegalArgumentException(
                     "beginBy " + beginBy + " is after the deadline " + deadline);
@@ -84,7 +88,8 @@
                 idempotencyKey == null ? Repetition.REPEATABLE : Repetition.AT_MOST_ONCE,
                 Integer.MAX_VALUE,
                 DeadlineScope.FIRST_BYTE,
-                deadline);
+                deadline,
+                Prompt.UNKNOWN);
     }
 
     /** Returns whether the call may be repeated although an earlier attempt may have run. */
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -13,6 +13,8 @@
      * complete response.
      */
     DEADLINE_PASSED,
+    /** The prompt matches a pattern under which several runners crashed. */
+    QUARANTINED,
     /** The daemon is shutting down. */
     DRAINING,
     /** The daemon has no settings, or its settings may be out of date. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -80,6 +80,9 @@
         if (!mState.fleet().isKnown(request.target())) {
             return RefusalReason.UNKNOWN_TARGET;
         }
+        if (mState.isQuarantined(request)) {
+            return RefusalReason.QUARANTINED;
+        }
         return request.deadline().isAfter(now) ? null : RefusalReason.DEADLINE_PASSED;
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -31,6 +31,7 @@
     }
 
     void responseBegan(CallState call, RunningAttemptState attempt, Instant now) {
+        call.attemptAnswered();
         if (call.hasResponseBegun()) {
             return;
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -22,6 +22,7 @@
     private @Nullable RunningAttemptState mRunning;
     private boolean mClaimed;
     private boolean mResponseBegan;
+    private boolean mAttemptAnswered;
     private boolean mPossiblyRun;
 
     CallState(CallRequest request, TargetState target) {
@@ -73,6 +74,7 @@
 
     void attemptStarted(TrackedReplica replica, Instant now, boolean trial) {
         mAttempts++;
+        mAttemptAnswered = false;
         mPhase = CallPhase.RUNNING;
         mRunning = new RunningAttemptState(replica, now, trial);
     }
@@ -86,6 +88,16 @@
         mResponseBegan = true;
     }
 
+    /** Called when the response of the running attempt begins. */
+    void attemptAnswered() {
+        mAttemptAnswered = true;
+    }
+
+    /** Returns whether an attempt is running and its response has begun. */
+    boolean isBeingAnswered() {
+        return mRunning != null && mAttemptAnswered;
+    }
+
     /** Returns whether a byte of a response may have been passed on to the caller. */
     boolean hasResponseBegun() {
         return mResponseBegan;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallTable.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallTable.java
@@ -67,6 +67,11 @@
         return waiting;
     }
 
+    /** Returns a copy of all open calls. */
+    List<CallState> all() {
+        return List.copyOf(mCalls.values());
+    }
+
     int size() {
         return mCalls.size();
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
@@ -138,6 +139,8 @@
             mAdmission.recheckWaiting(estimated.target(), mCloser, context);
         } else if (event instanceof RoutingEvent.LimitsChanged changed) {
             limitsChanged(changed.limits(), context);
+        } else if (event instanceof RoutingEvent.QuarantineChanged changed) {
+            quarantineChanged(changed.quarantine(), context);
         } else if (event instanceof RoutingEvent.AuthorityChanged changed) {
             authorityChanged(changed.mayDecide(), context);
         } else if (event instanceof RoutingEvent.DrainStarted) {
@@ -198,6 +201,8 @@
         }
         if (!mState.mayDecide()) {
             mCloser.refuse(call, RefusalReason.NO_AUTHORITY, context);
+        } else if (mState.isQuarantined(call.request())) {
+            mCloser.refuse(call, RefusalReason.QUARANTINED, context);
         } else if (mayRetry(call, outcome, began, context)) {
             mState.enqueue(call);
         } else {
@@ -243,6 +248,20 @@
         }
     }
 
+    /**
+     * Refuses the calls that are quarantined now, unless a runner is answering them. Running
+     * attempts are cancelled, because a runner that has not begun to answer may be saved.
+     */
+    private void quarantineChanged(Quarantine quarantine, RoutingContext context) {
+        mState.quarantine(quarantine);
+        for (CallState call : mState.calls().all()) {
+            if (!call.isBeingAnswered() && mState.isQuarantined(call.request())) {
+                mAttempts.cancel(call, "the prompt is quarantined", context);
+                mCloser.refuse(call, RefusalReason.QUARANTINED, context);
+            }
+        }
+    }
+
     /**
      * Applies new limits. Calls without a running attempt that have used up the new attempt limit
      * are refused, although the previous limit allowed another attempt.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
@@ -78,6 +79,13 @@
      */
     record AuthorityChanged(boolean mayDecide) implements RoutingEvent {}
 
+    /**
+     * The prompts whose calls are refused changed.
+     *
+     * @param quarantine the patterns of these prompts
+     */
+    record QuarantineChanged(Quarantine quarantine) implements RoutingEvent {}
+
     /**
      * A new estimate of when a target without a ready replica becomes ready.
      *
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -18,6 +18,10 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
@@ -44,6 +48,13 @@
     private static final EndpointId SECOND = new EndpointId("r2");
     private static final CallId CALL = new CallId(1);
     private static final Instant START = Instant.EPOCH;
+    private static final PromptPart DEADLY_PART = new PromptPart("dead");
+    private static final Prompt DEADLY_PROMPT =
+            new Prompt(List.of(new PromptPart("first"), DEADLY_PART), new PromptPart("own"));
+    private static final Quarantine QUARANTINE =
+            new Quarantine(List.of(new PromptPattern(List.of(DEADLY_PART))));
+
+    private Prompt mPrompt = Prompt.UNKNOWN;
 
     private final DefaultRoutingDecider mDecider =
             new DefaultRoutingDecider(
@@ -96,7 +107,8 @@
                                 repetition,
                                 attempts,
                                 DeadlineScope.FULL_RESPONSE,
-                                beginBy)),
+                                beginBy,
+                                mPrompt)),
                 START);
     }
 
@@ -139,6 +151,66 @@
         assertThat(started(next).endpoint(), is(not(first)));
     }
 
+    /**
+     * Guards against a quarantined call that reaches a runner, or one without the part that does
+     * not.
+     */
+    @Test
+    void arrivingCallWithQuarantinedPromptIsRefused() {
+        table(FIRST);
+        decide(new RoutingEvent.QuarantineChanged(QUARANTINE), START);
+        mPrompt = DEADLY_PROMPT;
+        assertThat(
+                arrive(Repetition.RESUMABLE, 2),
+                is(List.of(refused(RefusalReason.QUARANTINED, WorkState.NOT_RUN))));
+        mPrompt = new Prompt(List.of(new PromptPart("first")), new PromptPart("own"));
+        assertThat(started(arrive(Repetition.RESUMABLE, 2)).endpoint(), is(FIRST));
+    }
+
+    /** Guards against calls in the queue that are sent although their prompt was quarantined. */
+    @Test
+    void waitingCallIsRefusedWhenItsPromptIsQuarantined() {
+        table();
+        mPrompt = DEADLY_PROMPT;
+        arrive(Repetition.RESUMABLE, 2);
+        List<RoutingDecision> decisions =
+                decide(new RoutingEvent.QuarantineChanged(QUARANTINE), START.plusSeconds(1));
+        assertThat(decisions, is(List.of(refused(RefusalReason.QUARANTINED, WorkState.NOT_RUN))));
+        table(FIRST);
+        assertThat(decide(new RoutingEvent.TimerFired(), START.plusSeconds(2)), is(empty()));
+    }
+
+    /** Guards against the repeat of a call under which a runner ended, and a false "not run". */
+    @Test
+    void brokenCallIsNotRepeatedIfItsPromptIsQuarantined() {
+        table(FIRST, SECOND);
+        mPrompt = DEADLY_PROMPT;
+        arrive(Repetition.RESUMABLE, 2);
+        decide(new RoutingEvent.ResponseBegan(new AttemptId(CALL, 1)), START.plusSeconds(1));
+        assertThat(
+                decide(new RoutingEvent.QuarantineChanged(QUARANTINE), START.plusSeconds(1)),
+                is(empty()));
+        assertThat(
+                decide(ended(1, new AttemptOutcome.Failed("reset", true)), START.plusSeconds(2)),
+                is(List.of(refused(RefusalReason.QUARANTINED, WorkState.UNKNOWN))));
+    }
+
+    /**
+     * Guards against an attempt that goes on to crash its runner, also as the repeat of another.
+     */
+    @Test
+    void attemptThatIsNotAnsweredYetIsCancelledByTheQuarantine() {
+        table(FIRST, SECOND);
+        mPrompt = DEADLY_PROMPT;
+        arrive(Repetition.RESUMABLE, 2);
+        decide(new RoutingEvent.ResponseBegan(new AttemptId(CALL, 1)), START.plusSeconds(1));
+        decide(ended(1, new AttemptOutcome.Failed("reset", true)), START.plusSeconds(2));
+        List<RoutingDecision> decisions =
+                decide(new RoutingEvent.QuarantineChanged(QUARANTINE), START.plusSeconds(3));
+        assertThat(decisions.get(0), instanceOf(RoutingDecision.CancelAttempt.class));
+        assertThat(decisions.get(1), is(refused(RefusalReason.QUARANTINED, WorkState.UNKNOWN)));
+    }
+
     /** Guards against repeating a call that may run at most once. */
     @Test
     void failedNonIdempotentCallIsNotRepeated() {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -188,6 +188,9 @@
     }
 
     private static Optional<LeaseHolder> decodeHolder(StoredValue value) {
+        if (!value.key().path().startsWith(GatewayKeys.LEASES.path())) {
+            return Optional.empty();
+        }
         return LeaseValueCodec.decode(value.bytes())
                 .filter(leaseValue -> !leaseValue.isReleased())
                 .map(LeaseValue::writer)
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewayKeys.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewayKeys.java
@@ -12,8 +12,14 @@
     /** The prefix of the runners' registry entries; each is written by its runner only. */
     public static final StoreKey RUNNERS = new StoreKey("/servers/");
 
+    /** The prefix of the keys that the daemons write. */
+    public static final StoreKey DAEMONS = new StoreKey("/oleanderspring/");
+
     /** The prefix of the daemons' leases. */
-    public static final StoreKey LEASES = new StoreKey("/oleanderspring/leases/");
+    public static final StoreKey LEASES = new StoreKey(DAEMONS.path() + "leases/");
+
+    /** The entries of the quarantine. */
+    public static final StoreKey QUARANTINE = new StoreKey(DAEMONS.path() + "quarantine");
 
     /** The lease whose holder is the only daemon that sends orders to runners. */
     public static final LeaseName PLACEMENT = new LeaseName("placement");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
@@ -14,9 +14,11 @@
 
 /**
  * Writes refusals whose status code shows whether the request was executed: 503 guarantees that it
- * was not executed and never will be; 502 and 504 leave it open.
+ * was not executed and never will be; 502 and 504 leave it open. Status 400 tells a client not to
+ * repeat a request whose prompt is quarantined.
  */
 public final class StatusRefusalWriter implements RefusalWriter {
+    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
     private static final int BAD_GATEWAY = 502;
@@ -62,6 +64,8 @@
         return switch (refusal.message()) {
             case UNKNOWN_PATH, UNKNOWN_TARGET -> NOT_FOUND;
             case BODY_TOO_LARGE -> TOO_LARGE;
+            case QUARANTINED ->
+                    refusal.workState() == WorkState.NOT_RUN ? BAD_REQUEST : BAD_GATEWAY;
             case DEADLINE_PASSED ->
                     refusal.workState() == WorkState.NOT_RUN ? UNAVAILABLE : GATEWAY_TIMEOUT;
             default -> refusal.workState() == WorkState.NOT_RUN ? UNAVAILABLE : BAD_GATEWAY;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.coordination.store.query.PacedWatch;
 import org.oleanderspring.coordination.store.query.PrefixQueries;
 import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.quarantine.command.DefaultQuarantineDecider;
 import org.oleanderspring.core.residency.command.DefaultResidencyDecider;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.LeastLoadedSelector;
@@ -38,6 +39,9 @@
 import org.oleanderspring.daemon.gateway.front.query.ResolveHandler;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyDuty;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyPorts;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineDuty;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineMeters;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantinePorts;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayMeters;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayPorts;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingDuty;
@@ -69,6 +73,11 @@
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(800);
     private static final Duration RUNNER_TIMEOUT = Duration.ofSeconds(1);
 
+    /**
+     * A runner that runs answers within milliseconds; the port of one that ended refuses at once.
+     */
+    private static final Duration RUNNER_CHECK_TIMEOUT = Duration.ofMillis(500);
+
     /** Longer than the timeout of any route, so that only deadlines end a response. */
     private static final Duration RESPONSE_SILENCE_LIMIT = Duration.ofMinutes(5);
 
@@ -145,6 +154,7 @@
         messenger.connect(started.transport());
         startRouting(messenger);
         ResidencyDuty placement = startPlacement(messenger);
+        startQuarantine(messenger);
         String failure = openPorts();
         if (failure != null) {
             return failure;
@@ -173,7 +183,9 @@
                         new SlidingWindowRetryBudget());
         GatewayPorts ports =
                 new GatewayPorts(
-                        new HostedEndpointCommands(mClient, RESPONSE_SILENCE_LIMIT), messenger);
+                        new HostedEndpointCommands(mClient, RESPONSE_SILENCE_LIMIT),
+                        messenger,
+                        mRings);
         mRings.routing()
                 .start(
                         new GatewayRoutingDuty(
@@ -216,6 +228,29 @@
         return duty;
     }
 
+    private void startQuarantine(PeerMessenger messenger) {
+        HttpCallSender calls = new HttpCallSender(mClient, MAX_CONCURRENT_CALLS);
+        QuarantinePorts ports =
+                new QuarantinePorts(
+                        new HostedKeyValueCommands(calls, mSettings.store(), STORE_TIMEOUT),
+                        new HostedRunnerStateQueries(calls, RUNNER_CHECK_TIMEOUT),
+                        messenger,
+                        quarantine ->
+                                mRings.routingSink()
+                                        .offer(
+                                                new GatewayRoutingInput.QuarantineChanged(
+                                                        quarantine)));
+        mRings.quarantine()
+                .start(
+                        new QuarantineDuty(
+                                new DefaultQuarantineDecider(mSettings.self().id()),
+                                ports,
+                                new QuarantineMeters(mMetrics),
+                                new MonotonicClock(Clock.systemUTC()),
+                                mRings.timer(),
+                                mRings.quarantineSink()));
+    }
+
     private HostedKeyValueQueries storeQueries(HttpCallSender calls) {
         return new HostedKeyValueQueries(
                 calls, mClient.jettyClient().getScheduler(), mSettings.store(), STORE_TIMEOUT);
@@ -223,7 +258,7 @@
 
     private void watchStore() {
         PrefixQueries queries = storeQueries(new HttpCallSender(mClient, MAX_CONCURRENT_CALLS));
-        for (StoreKey prefix : List.of(GatewayKeys.CONFIGURATION, GatewayKeys.LEASES)) {
+        for (StoreKey prefix : List.of(GatewayKeys.CONFIGURATION, GatewayKeys.DAEMONS)) {
             mOpenResources.add(queries.follow(prefix, new StoreUpdatePublisher(prefix, mRings)));
         }
         PacedWatch runners =
@@ -236,6 +271,7 @@
     private @Nullable String openPorts() {
         registerRingGauges("routing", mRings.routing());
         registerRingGauges("placement", mRings.placement());
+        registerRingGauges("quarantine", mRings.quarantine());
         Handler frontHandler =
                 new GatewayRequestHandler(
                         mRings,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -2,14 +2,21 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.core.quarantine.command.QuarantineEvent;
 import org.oleanderspring.core.residency.command.ResidencyEvent;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.gateway.front.command.GatewayIntake;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineInput;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRequest;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
+import org.oleanderspring.daemon.gateway.routing.command.PromptObserver;
 import org.oleanderspring.duty.command.DutyThread;
 import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.command.EventSink;
@@ -18,9 +25,10 @@
 import org.oleanderspring.duty.command.RetryingSink;
 
 /** The threads of the gateway's duties, each with its bounded ring, and their timer. */
-final class GatewayRings implements GatewayIntake, AutoCloseable {
+final class GatewayRings implements GatewayIntake, PromptObserver, AutoCloseable {
     private static final int ROUTING_CAPACITY = 8_192;
     private static final int PLACEMENT_CAPACITY = 2_048;
+    private static final int QUARANTINE_CAPACITY = 1_024;
 
     /**
      * Messages of other daemons about their demand, which are repeated several times a second,
@@ -33,6 +41,9 @@
 
     private static final Duration PLACEMENT_TICK = Duration.ofMillis(100);
 
+    /** Ends retention times and refusals, which last minutes. */
+    private static final Duration QUARANTINE_TICK = Duration.ofSeconds(1);
+
     /**
      * How often the running, waiting and arrived calls for each model are reported to the holder of
      * the placement lease.
@@ -43,10 +54,14 @@
             new DutyThread<>("routing", ROUTING_CAPACITY);
     private final DutyThread<ResidencyInput> mPlacement =
             new DutyThread<>("placement", PLACEMENT_CAPACITY);
+    private final DutyThread<QuarantineInput> mQuarantine =
+            new DutyThread<>("quarantine", QUARANTINE_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
     private final EventSink<GatewayRoutingInput> mRoutingSink =
             new RetryingSink<>(mRouting, mTimer);
     private final EventSink<ResidencyInput> mPlacementSink = new RetryingSink<>(mPlacement, mTimer);
+    private final EventSink<QuarantineInput> mQuarantineSink =
+            new RetryingSink<>(mQuarantine, mTimer);
     private final EventSink<ResidencyInput> mDemandSink =
             new ReservingSink<>(mPlacement, mPlacement, PLACEMENT_RESERVE);
 
@@ -58,6 +73,15 @@
         return mPlacement;
     }
 
+    DutyThread<QuarantineInput> quarantine() {
+        return mQuarantine;
+    }
+
+    /** Returns the sink for events of the quarantine duty that must not be lost. */
+    EventSink<QuarantineInput> quarantineSink() {
+        return mQuarantineSink;
+    }
+
     /** Returns the sink for events of the routing duty that must not be lost. */
     EventSink<GatewayRoutingInput> routingSink() {
         return mRoutingSink;
@@ -81,6 +105,10 @@
         mTimer.scheduleAtFixedRate(
                 DEMAND_PERIOD, mRouting, GatewayRoutingInput.DemandReportDue::new);
         mTimer.scheduleAtFixedRate(PLACEMENT_TICK, mPlacement, ResidencyInput.TimerFired::new);
+        mTimer.scheduleAtFixedRate(
+                QUARANTINE_TICK,
+                mQuarantine,
+                () -> new QuarantineInput.Event(new QuarantineEvent.TimerFired()));
     }
 
     @Override
@@ -94,6 +122,23 @@
                 new GatewayRoutingInput.Event(new RoutingEvent.CallerDisconnected(call)));
     }
 
+    @Override
+    public void answerBroken(RunnerRegistration runner, SuspectCall call) {
+        mQuarantineSink.offer(
+                new QuarantineInput.AnswerBroken(runner.id(), runner.address(), call));
+    }
+
+    /** Offers answered prompts to the quarantine duty; lost if its ring is full. */
+    @Override
+    public void callsAnswered(Set<Prompt> prompts) {
+        mQuarantine.offer(new QuarantineInput.Event(new QuarantineEvent.CallsAnswered(prompts)));
+    }
+
+    /** Offers a message of another daemon to the quarantine duty; lost if its ring is full. */
+    OfferResult offerQuarantine(QuarantineEvent event) {
+        return mQuarantine.offer(new QuarantineInput.Event(event));
+    }
+
     /** Returns whether the daemon is ready; false if the routing ring is full. */
     CompletableFuture<Boolean> readiness() {
         CompletableFuture<Boolean> reply = new CompletableFuture<>();
@@ -126,6 +171,7 @@
     public void close() {
         mTimer.close();
         mPlacement.close();
+        mQuarantine.close();
         mRouting.close();
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -1,7 +1,9 @@
 package org.oleanderspring.daemon.gateway.process.command;
 
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.CellName;
@@ -9,6 +11,10 @@
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.placement.ModelUse;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.QuarantineEntry;
+import org.oleanderspring.core.quarantine.RunnerCrash;
+import org.oleanderspring.core.quarantine.command.QuarantineEvent;
 import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.command.ResidencyEvent;
@@ -16,8 +22,10 @@
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyNotifier;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineNotifier;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
 import org.oleanderspring.daemon.gateway.routing.command.PlacementNotifier;
+import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.duty.command.OfferResult;
 import org.oleanderspring.peer.PeerMessage;
@@ -31,9 +39,13 @@
  * has no room for it. In these messages a cell represents a service, with all its runners.
  */
 final class PeerMessenger
-        implements PlacementNotifier, ResidencyNotifier, EventSink<ReceivedMessage> {
+        implements PlacementNotifier,
+                ResidencyNotifier,
+                QuarantineNotifier,
+                EventSink<ReceivedMessage> {
     private final GatewaySettings mSettings;
     private final GatewayRings mRings;
+    private final MonotonicClock mClock = new MonotonicClock(Clock.systemUTC());
     private volatile @Nullable PeerSender mSender;
 
     PeerMessenger(GatewaySettings settings, GatewayRings rings) {
@@ -117,6 +129,29 @@
         mRings.routing().offer(new GatewayRoutingInput.ReadinessEstimated(target, readyAfter));
     }
 
+    @Override
+    public void sendCrash(GatewayMember member, RunnerCrash crash) {
+        send(member, new PeerMessage.CrashReport(mSettings.self().id(), crash));
+    }
+
+    @Override
+    public void sendSoundParts(GatewayMember member, Set<PromptPart> parts) {
+        send(member, new PeerMessage.SoundParts(parts));
+    }
+
+    @Override
+    public void sendEntry(GatewayMember member, QuarantineEntry entry, Duration remaining) {
+        send(
+                member,
+                new PeerMessage.QuarantineNotice(
+                        entry.pattern(),
+                        entry.generation(),
+                        entry.isWithdrawn(),
+                        remaining,
+                        entry.runners(),
+                        entry.requests()));
+    }
+
     /**
      * Sends a message as a datagram, which a peer that has stopped responding cannot hold up, or
      * over a connection if it is too large. Before {@link #connect}, the message is dropped.
@@ -139,6 +174,10 @@
             return mRings.routing()
                     .offer(new GatewayRoutingInput.ResidencyReceived(statement.residency()));
         }
+        QuarantineEvent quarantineEvent = quarantineEvent(message);
+        if (quarantineEvent != null) {
+            return mRings.offerQuarantine(quarantineEvent);
+        }
         if (message instanceof PeerMessage.ReadyNotice notice) {
             offerEstimate(target(notice.cell(), notice.model()), notice.readyAfter());
         } else if (message instanceof PeerMessage.UseReport report) {
@@ -149,6 +188,27 @@
         return OfferResult.ACCEPTED;
     }
 
+    /** Returns the event of a message about prompts, or null if it is about something else. */
+    private @Nullable QuarantineEvent quarantineEvent(PeerMessage message) {
+        if (message instanceof PeerMessage.CrashReport report) {
+            return new QuarantineEvent.CrashReported(report.reporter(), report.crash());
+        }
+        if (message instanceof PeerMessage.SoundParts sound) {
+            return new QuarantineEvent.SoundPartsReported(sound.parts());
+        }
+        if (message instanceof PeerMessage.QuarantineNotice notice) {
+            return new QuarantineEvent.EntryReceived(
+                    new QuarantineEntry(
+                            notice.pattern(),
+                            notice.generation(),
+                            notice.isWithdrawn(),
+                            mClock.now().plus(notice.remaining()),
+                            notice.runners(),
+                            notice.requests()));
+        }
+        return null;
+    }
+
     private static ResidencyEvent demandEvent(PeerMessage.UseReport report) {
         List<ModelDemand> demands =
                 report.uses().stream()
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -5,13 +5,15 @@
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
 import org.oleanderspring.coordination.store.query.StoreChange;
+import org.oleanderspring.daemon.gateway.GatewayKeys;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
+import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineInput;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
 
 /**
  * Offers the updates of one watched key prefix of the key-value service to the routing and
- * placement duties.
+ * placement duties, and those of the daemons' own keys to the quarantine duty as well.
  */
 final class StoreUpdatePublisher implements PrefixListener {
     private final StoreKey mPrefix;
@@ -45,5 +47,8 @@
     private void offer(StoreUpdate update) {
         mRings.routingSink().offer(new GatewayRoutingInput.StoreChanged(update));
         mRings.placementSink().offer(new ResidencyInput.StoreChanged(update));
+        if (mPrefix.equals(GatewayKeys.DAEMONS)) {
+            mRings.quarantineSink().offer(new QuarantineInput.StoreChanged(update));
+        }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineInput.java
@@ -0,0 +1,34 @@
+package org.oleanderspring.daemon.gateway.quarantine.command;
+
+import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.core.quarantine.command.QuarantineEvent;
+import org.oleanderspring.daemon.gateway.StoreUpdate;
+
+/** An event in the ring of the quarantine duty. */
+public sealed interface QuarantineInput {
+    /**
+     * An event that is passed to the decider.
+     *
+     * @param event the event
+     */
+    record Event(QuarantineEvent event) implements QuarantineInput {}
+
+    /**
+     * A runner closed the connection of a call that it was beginning to answer.
+     *
+     * @param runner the run of the runner's process
+     * @param address the address of the runner
+     * @param call the call
+     */
+    record AnswerBroken(EndpointId runner, Address address, SuspectCall call)
+            implements QuarantineInput {}
+
+    /**
+     * The keys that the daemons share in the key-value service changed.
+     *
+     * @param update the change
+     */
+    record StoreChanged(StoreUpdate update) implements QuarantineInput {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
@@ -0,0 +1,53 @@
+package org.oleanderspring.daemon.gateway.routing.command;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.core.routing.AttemptOutcome;
+
+/**
+ * Tells the {@link PromptObserver} which prompts were answered and under which ones connections to
+ * runners broke. Answered prompts are collected and reported together, and always before a broken
+ * one that follows.
+ */
+final class AnswerRecorder {
+    private final PromptObserver mObserver;
+    private final Set<Prompt> mAnswered = new HashSet<>();
+
+    AnswerRecorder(PromptObserver observer) {
+        mObserver = observer;
+    }
+
+    void attemptEnded(GatewayCall call, ActiveAttempt attempt, AttemptOutcome outcome) {
+        Prompt prompt = call.call().prompt();
+        if (prompt.sharedParts().isEmpty()) {
+            return;
+        }
+        if (attempt.provesPromptSound(outcome)) {
+            mAnswered.add(prompt);
+        } else if (attempt.suggestsCrash(outcome)) {
+            report();
+            mObserver.answerBroken(attempt.runner(), new SuspectCall(call.attemptName(), prompt));
+        }
+    }
+
+    /** Adds the prompts of calls that are being answered. */
+    void answering(Collection<Prompt> prompts) {
+        for (Prompt prompt : prompts) {
+            if (!prompt.sharedParts().isEmpty()) {
+                mAnswered.add(prompt);
+            }
+        }
+    }
+
+    /** Reports the prompts that were answered since the last report. */
+    void report() {
+        if (mAnswered.isEmpty()) {
+            return;
+        }
+        mObserver.callsAnswered(mAnswered);
+        mAnswered.clear();
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.routing.command.RoutingDecision;
 import org.oleanderspring.core.routing.command.RoutingEvent;
@@ -36,8 +37,16 @@
                         + "\"");
     }
 
-    /** Logs the refusal of a call, with the estimated time until its target is ready, if known. */
-    static void refused(GatewayCall call, RoutingDecision.Refuse refuse, Duration elapsed) {
+    /**
+     * Logs the refusal of a call, with the estimated time until its target is ready, if known.
+     *
+     * @param pattern the pattern by which the call is quarantined, or null
+     */
+    static void refused(
+            GatewayCall call,
+            RoutingDecision.Refuse refuse,
+            @Nullable PromptPattern pattern,
+            Duration elapsed) {
         Duration readyIn = refuse.readyIn();
         log(
                 "refused "
@@ -47,6 +56,9 @@
                         + " work="
                         + refuse.workState()
                         + (readyIn == null ? "" : " ready-in-ms=" + readyIn.toMillis())
+                        + (pattern == null
+                                ? ""
+                                : " quarantine=" + pattern.id() + " parts=" + pattern)
                         + " held-ms="
                         + elapsed.toMillis());
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
@@ -20,6 +20,7 @@
     private int mLineLength;
     private boolean mAfterCarriageReturn;
     private boolean mEventEndedByCarriageReturn;
+    private int mCompleteEvents;
 
     /**
      * Adds bytes to the buffer and returns the complete events in it, or an empty array.
@@ -39,6 +40,11 @@
         return events;
     }
 
+    /** Returns the number of complete events so far. */
+    int completeEvents() {
+        return mCompleteEvents;
+    }
+
     /** Returns whether the buffer holds a part of an event. */
     boolean isInsideEvent() {
         return mPending.size() > 0;
@@ -76,6 +82,7 @@
         boolean empty = mLineLength == 0;
         mLineLength = 0;
         mEventEndedByCarriageReturn = empty && mAfterCarriageReturn;
+        mCompleteEvents += empty ? 1 : 0;
         return empty;
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
@@ -47,7 +47,8 @@
                         repetition(route),
                         route.attemptLimit(),
                         DeadlineScope.FULL_RESPONSE,
-                        callerDisconnectsAt.isBefore(deadline) ? callerDisconnectsAt : deadline);
+                        callerDisconnectsAt.isBefore(deadline) ? callerDisconnectsAt : deadline,
+                        request.head().prompt());
         return new GatewayCall(request, route, call, new CallerResponse(request.stream()));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.Target;
 
@@ -66,6 +67,14 @@
         }
     }
 
+    /**
+     * Counts a call that was refused because of its prompt. There are few of these metrics, because
+     * several runners crash before a pattern is decided.
+     */
+    void quarantined(PromptPattern pattern) {
+        mRegistry.counter("gateway.quarantined." + pattern.id()).inc();
+    }
+
     void callerDisconnected() {
         mCallersDisconnected.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayPorts.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayPorts.java
@@ -8,11 +8,14 @@
  *
  * @param endpoints sends attempts to runners
  * @param placement sends demand reports and load requests to the holder of the placement lease
+ * @param prompts receives what answers show about prompts
  */
-public record GatewayPorts(EndpointCommands endpoints, PlacementNotifier placement) {
+public record GatewayPorts(
+        EndpointCommands endpoints, PlacementNotifier placement, PromptObserver prompts) {
     /** Rejects null components. */
     public GatewayPorts {
         Objects.requireNonNull(endpoints, "endpoints");
         Objects.requireNonNull(placement, "placement");
+        Objects.requireNonNull(prompts, "prompts");
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
@@ -21,6 +21,7 @@
     private final @Nullable EventStreamSplitter mSplitter;
     private final CompletableFuture<Boolean> mAdmitted = new CompletableFuture<>();
     private volatile boolean mStopped;
+    private volatile int mCompleteEvents;
 
     GatewayResponseRelay(
             AttemptId attempt,
@@ -44,6 +45,11 @@
         mAdmitted.complete(false);
     }
 
+    /** Returns the number of complete events that the runner has sent in this attempt. */
+    int completeEvents() {
+        return mCompleteEvents;
+    }
+
     @Override
     public void responseBegan(int status, List<Header> headers) {
         mSink.offer(new GatewayRoutingInput.ResponseBegan(mAttempt, this, status, headers));
@@ -64,6 +70,7 @@
             return;
         }
         byte[] events = mSplitter.append(bytes);
+        mCompleteEvents = mSplitter.completeEvents();
         if (events.length == 0) {
             if (mSplitter.isEventTooLong()) {
                 stop();
@@ -86,12 +93,12 @@
 
     /** Turns the completion of a stream that ended inside an event into a failure. */
     private AttemptOutcome failIfTruncated(AttemptOutcome outcome) {
-        boolean truncated =
-                outcome instanceof AttemptOutcome.Completed
-                        && mSplitter != null
-                        && mSplitter.isInsideEvent();
-        return truncated
-                ? new AttemptOutcome.Failed("the stream ended inside an event", true)
-                : outcome;
+        if (outcome instanceof AttemptOutcome.Completed completed
+                && mSplitter != null
+                && mSplitter.isInsideEvent()) {
+            return new AttemptOutcome.Failed(
+                    "the stream ended inside an event", true, !completed.isDelimited());
+        }
+        return outcome;
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -16,6 +16,9 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.command.RunningAttempt;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.residency.query.HostedRoutingTableBuilder;
 import org.oleanderspring.core.residency.query.ResidencyView;
 import org.oleanderspring.core.route.FleetConfiguration;
@@ -74,6 +77,7 @@
     private final Map<CallId, GatewayCall> mCalls = new HashMap<>();
     private final Map<AttemptId, ActiveAttempt> mActiveAttempts = new HashMap<>();
     private final ModelDemandCounter mDemandCounter = new ModelDemandCounter();
+    private final AnswerRecorder mAnswerRecorder;
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
     private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
     private @Nullable RouteIndex mRoutes;
@@ -81,27 +85,8 @@
     private GatewaySettings mSettings;
     private boolean mShuttingDown;
 
-    /**
-     * An attempt at a runner.
-     *
-     * @param attempt cancels the attempt
-     * @param relay forwards the response
-     * @param endpoint the runner
-     * @param responseBeganAt when the response began, or null if it has not
-     */
-    private record ActiveAttempt(
-            RunningAttempt attempt,
-            GatewayResponseRelay relay,
-            EndpointId endpoint,
-            @Nullable Instant responseBeganAt) {
-        ActiveAttempt withResponse(Instant beganAt) {
-            return new ActiveAttempt(attempt, relay, endpoint, beganAt);
-        }
-
-        @Nullable Duration responseAge(Instant now) {
-            return responseBeganAt == null ? null : Duration.between(responseBeganAt, now);
-        }
-    }
+    /** The prompts whose calls are refused, or null before they are known. */
+    private @Nullable Quarantine mQuarantine;
 
     /**
      * Creates the duty.
@@ -124,6 +109,7 @@
         mSettings = settings;
         mDecider = decider;
         mPorts = ports;
+        mAnswerRecorder = new AnswerRecorder(ports.prompts());
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -149,7 +135,10 @@
             decide(
                     new RoutingEvent.ReadinessEstimated(
                             estimated.target(), mClock.now().plus(estimated.readyAfter())));
+        } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
+            quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
+            reportAnswers();
             reportDemand();
         } else {
             handleControlInput(input);
@@ -180,7 +169,7 @@
     }
 
     private boolean isReady() {
-        return mFleet.configuration() != null && mFleet.hasRunners();
+        return mFleet.configuration() != null && mFleet.hasRunners() && mQuarantine != null;
     }
 
     private List<String> addresses() {
@@ -213,9 +202,19 @@
             updateTable();
         }
         updateLimits();
+        updateAuthority();
+    }
+
+    private void updateAuthority() {
         decide(new RoutingEvent.AuthorityChanged(isReady()));
     }
 
+    private void quarantineChanged(Quarantine quarantine) {
+        mQuarantine = quarantine;
+        decide(new RoutingEvent.QuarantineChanged(quarantine));
+        updateAuthority();
+    }
+
     private void updateTable() {
         if (mTableBuilder == null) {
             return;
@@ -294,7 +293,9 @@
             began.relay().stop();
             return;
         }
-        mActiveAttempts.put(began.attempt(), active.withResponse(mClock.now()));
+        mActiveAttempts.put(
+                began.attempt(),
+                active.withResponse(new ActiveAttempt.Response(mClock.now(), began.status())));
         call.response().begin(began.status(), began.headers());
         began.relay().admit();
     }
@@ -337,10 +338,12 @@
             return;
         }
         mMeters.attemptEnded(finished.outcome());
+        mAnswerRecorder.attemptEnded(call, active, finished.outcome());
         if (finished.outcome() instanceof AttemptOutcome.Completed) {
             return;
         }
-        CallLog.attemptFailed(call, finished, active.endpoint(), active.responseAge(mClock.now()));
+        CallLog.attemptFailed(
+                call, finished, active.runner().id(), active.responseAge(mClock.now()));
     }
 
     private void removeDisconnected(CallId id) {
@@ -396,7 +399,7 @@
                         .start(
                                 GatewayCallFactory.newAttempt(call, runner, start.deadline(), now),
                                 relay);
-        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, start.endpoint(), null));
+        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, runner, null));
     }
 
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
@@ -405,10 +408,16 @@
             return;
         }
         Duration elapsed = Duration.between(call.request().arrivedAt(), now);
-        CallLog.refused(call, refuse, elapsed);
+        PromptPattern pattern =
+                refuse.reason() == RefusalReason.QUARANTINED && mQuarantine != null
+                        ? mQuarantine.find(call.call().prompt())
+                        : null;
+        CallLog.refused(call, refuse, pattern, elapsed);
         ErrorMessage message = ErrorMessage.valueOf(refuse.reason().name());
         mMeters.refused(message);
-        if (refuse.reason() != RefusalReason.UNKNOWN_TARGET) {
+        if (pattern != null) {
+            mMeters.quarantined(pattern);
+        } else if (refuse.reason() != RefusalReason.UNKNOWN_TARGET) {
             mMeters.unserved(call.call().target());
         }
         call.response()
@@ -435,7 +444,7 @@
         if (active == null) {
             return;
         }
-        CallLog.attemptCancelled(call, cancel, active.endpoint());
+        CallLog.attemptCancelled(call, cancel, active.runner().id());
         active.relay().stop();
         active.attempt().cancel();
     }
@@ -454,6 +463,19 @@
                                         Duration.between(now, request.earliestDeadline())));
     }
 
+    private void reportAnswers() {
+        List<Prompt> answering = new ArrayList<>();
+        mActiveAttempts.forEach(
+                (attempt, active) -> {
+                    GatewayCall call = mCalls.get(attempt.call());
+                    if (call != null && active.provesPromptSound()) {
+                        answering.add(call.call().prompt());
+                    }
+                });
+        mAnswerRecorder.answering(answering);
+        mAnswerRecorder.report();
+    }
+
     private void reportDemand() {
         Optional<GatewayMember> holder = mFleet.placementHolder();
         if (holder.isEmpty()) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.core.port.Header;
+import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.Target;
@@ -82,6 +83,13 @@
      */
     record SettingsChanged(GatewaySettings settings) implements GatewayRoutingInput {}
 
+    /**
+     * The prompts whose calls are refused changed, or became known.
+     *
+     * @param quarantine the patterns of these prompts
+     */
+    record QuarantineChanged(Quarantine quarantine) implements GatewayRoutingInput {}
+
     /** The next report of the demand for models is due. */
     record DemandReportDue() implements GatewayRoutingInput {}
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/DeadlyPromptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/DeadlyPromptTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.standin.hosted.HostedRunnerStandin;
 
@@ -66,7 +65,6 @@
      * sends the next request with it to another runner.
      */
     @Test
-    @Tag("known-red")
     void requestsWithADeadlyPartStopReachingRunners() throws Exception {
         for (int request = 0; request < REQUESTS; request++) {
             status(request % DAEMONS, "d" + request, "first,dead,own" + request);
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.ClaimId;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
@@ -18,6 +19,9 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.residency.Residency;
 
 /**
@@ -171,6 +175,51 @@
      */
     record ResidencyStatement(Residency residency) implements PeerMessage {}
 
+    /**
+     * Reports the end of a runner and the calls that it was beginning to answer.
+     *
+     * @param reporter the daemon at which the calls were
+     * @param crash the runner and the calls
+     */
+    record CrashReport(MemberId reporter, RunnerCrash crash) implements PeerMessage {}
+
+    /**
+     * Replies to a {@link CrashReport}: names the suspected parts that were answered at the sender.
+     *
+     * @param parts the parts
+     */
+    record SoundParts(Set<PromptPart> parts) implements PeerMessage {
+        /** Makes a defensive copy of the set. */
+        public SoundParts {
+            parts = Set.copyOf(parts);
+        }
+    }
+
+    /**
+     * Announces that calls with certain prompts are refused, or no longer are.
+     *
+     * @param pattern the parts that such prompts contain
+     * @param generation the number of the decision
+     * @param isWithdrawn whether the decision is withdrawn
+     * @param remaining the time for which calls are refused; negative if it is over
+     * @param runners the runners whose ends led to the decision
+     * @param requests the requests under which they ended
+     */
+    record QuarantineNotice(
+            PromptPattern pattern,
+            int generation,
+            boolean isWithdrawn,
+            Duration remaining,
+            List<EndpointId> runners,
+            List<String> requests)
+            implements PeerMessage {
+        /** Makes defensive copies of the lists. */
+        public QuarantineNotice {
+            runners = List.copyOf(runners);
+            requests = List.copyOf(requests);
+        }
+    }
+
     /**
      * Returns whether the message may be sent as a datagram. This holds for messages whose loss is
      * harmless because they are repeated after a short time.
@@ -180,6 +229,9 @@
                 || this instanceof UseReport
                 || this instanceof ActivationRequest
                 || this instanceof ReadyNotice
-                || this instanceof ResidencyStatement;
+                || this instanceof ResidencyStatement
+                || this instanceof CrashReport
+                || this instanceof SoundParts
+                || this instanceof QuarantineNotice;
     }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -1,27 +1,19 @@
 package org.oleanderspring.peer.codec;
 
-import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.ClaimId;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.coordination.document.DocumentDigest;
 import org.oleanderspring.coordination.document.DocumentName;
-import org.oleanderspring.coordination.document.DocumentVersion;
-import org.oleanderspring.coordination.document.VersionedDocument;
-import org.oleanderspring.coordination.document.WitnessAge;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.coordination.membership.Member;
 import org.oleanderspring.coordination.membership.MemberId;
-import org.oleanderspring.coordination.membership.MemberState;
-import org.oleanderspring.coordination.membership.MembershipMessage;
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelName;
@@ -53,24 +45,31 @@
     public byte[] encode(Address sender, PeerMessage message) {
         PeerProtocol.Envelope.Builder envelope = PeerProtocol.Envelope.newBuilder();
         if (message instanceof PeerMessage.Membership membership) {
-            encodeMembership(envelope, membership.message());
+            MembershipCodec.encodeMembership(envelope, membership.message());
             return envelope.build().toByteArray();
         }
-        envelope.setSender(encodeAddress(sender));
+        envelope.setSender(WireValues.encodeAddress(sender));
         if (message instanceof PeerMessage.DocumentPush push) {
-            envelope.getDocumentPushBuilder().setDocument(encodeDocument(push.document()));
+            envelope.getDocumentPushBuilder()
+                    .setDocument(DocumentCodec.encodeDocument(push.document()));
         } else if (message instanceof PeerMessage.DocumentFetch fetch) {
             envelope.getDocumentFetchBuilder()
                     .setRequestId(fetch.requestId())
                     .setName(fetch.name().value());
         } else if (message instanceof PeerMessage.DocumentReply reply) {
-            envelope.setDocumentReply(encodeDocumentReply(reply));
+            envelope.setDocumentReply(DocumentCodec.encodeDocumentReply(reply));
         } else if (message instanceof PeerMessage.EndpointNotice notice) {
             envelope.getEndpointNoticeBuilder()
                     .setEndpoint(notice.endpoint().value())
                     .setCondition(encodeCondition(notice.condition()));
         } else if (message instanceof PeerMessage.ResidencyStatement statement) {
             envelope.setResidencyStatement(ResidencyCodec.encode(statement.residency()));
+        } else if (message instanceof PeerMessage.CrashReport report) {
+            envelope.setCrashReport(QuarantineCodec.encode(report));
+        } else if (message instanceof PeerMessage.SoundParts sound) {
+            envelope.setSoundParts(QuarantineCodec.encode(sound));
+        } else if (message instanceof PeerMessage.QuarantineNotice notice) {
+            envelope.setQuarantineNotice(QuarantineCodec.encode(notice));
         } else {
             encodePlacement(envelope, message);
             encodeDispatch(envelope, message);
@@ -91,7 +90,7 @@
             Address sender =
                     message instanceof PeerMessage.Membership membership
                             ? membership.message().sender().peerAddress()
-                            : decodeAddress(envelope.getSender());
+                            : WireValues.decodeAddress(envelope.getSender());
             return new PeerDecodeResult.Decoded(new ReceivedMessage(sender, message));
         } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
             return new PeerDecodeResult.Malformed(String.valueOf(malformed.getMessage()));
@@ -104,7 +103,7 @@
      * @param digest the digest
      */
     public byte[] encodeDigest(DocumentDigest digest) {
-        return encodeDocumentDigest(digest).toByteArray();
+        return DocumentCodec.encodeDocumentDigest(digest).toByteArray();
     }
 
     /**
@@ -114,40 +113,14 @@
      */
     public Optional<DocumentDigest> decodeDigest(byte[] bytes) {
         try {
-            return Optional.of(decodeDocumentDigest(PeerProtocol.DocumentDigest.parseFrom(bytes)));
+            return Optional.of(
+                    DocumentCodec.decodeDocumentDigest(
+                            PeerProtocol.DocumentDigest.parseFrom(bytes)));
         } catch (InvalidProtocolBufferException | IllegalArgumentException malformed) {
             return Optional.empty();
         }
     }
 
-    private static void encodeMembership(
-            PeerProtocol.Envelope.Builder envelope, MembershipMessage message) {
-        List<PeerProtocol.MemberRecord> updates =
-                message.updates().stream().map(PeerCodec::encodeMember).toList();
-        ByteString digest = ByteString.copyFrom(message.digest());
-        if (message instanceof MembershipMessage.Probe probe) {
-            envelope.getProbeBuilder()
-                    .setSequence(probe.sequence())
-                    .setSender(encodeMember(probe.sender()))
-                    .setWantsMembers(probe.wantsMembers())
-                    .addAllUpdates(updates)
-                    .setDigest(digest);
-        } else if (message instanceof MembershipMessage.ProbeRequest request) {
-            envelope.getProbeRequestBuilder()
-                    .setSequence(request.sequence())
-                    .setSender(encodeMember(request.sender()))
-                    .setTarget(encodeAddress(request.target()))
-                    .addAllUpdates(updates)
-                    .setDigest(digest);
-        } else if (message instanceof MembershipMessage.Acknowledgement acknowledgement) {
-            envelope.getAcknowledgementBuilder()
-                    .setSequence(acknowledgement.sequence())
-                    .setSender(encodeMember(acknowledgement.sender()))
-                    .addAllUpdates(updates)
-                    .setDigest(digest);
-        }
-    }
-
     private static void encodePlacement(
             PeerProtocol.Envelope.Builder envelope, PeerMessage message) {
         if (message instanceof PeerMessage.ActivationRequest activation) {
@@ -161,7 +134,7 @@
             envelope.getReadinessNoticeBuilder()
                     .setCell(ready.cell().value())
                     .setModel(ready.model().value())
-                    .setReadyAfterMillis(nonNegativeMillis(ready.readyAfter()));
+                    .setReadyAfterMillis(WireValues.nonNegativeMillis(ready.readyAfter()));
         } else if (message instanceof PeerMessage.UnreadyNotice unready) {
             envelope.getReadinessNoticeBuilder()
                     .setCell(unready.cell().value())
@@ -191,7 +164,7 @@
             envelope.getClaimRequestBuilder()
                     .setClaim(encodeClaimId(request.claim()))
                     .setKey(request.key().value())
-                    .setUntilDeadlineMillis(nonNegativeMillis(request.untilDeadline()));
+                    .setUntilDeadlineMillis(WireValues.nonNegativeMillis(request.untilDeadline()));
         } else if (message instanceof PeerMessage.ClaimReply reply) {
             PeerProtocol.ClaimReply.Builder encoded =
                     envelope.getClaimReplyBuilder().setClaim(encodeClaimId(reply.claim()));
@@ -212,15 +185,15 @@
     private static PeerMessage decodeMessage(PeerProtocol.Envelope envelope) {
         return switch (envelope.getMessageCase()) {
             case PROBE, PROBE_REQUEST, ACKNOWLEDGEMENT ->
-                    new PeerMessage.Membership(decodeMembership(envelope));
+                    new PeerMessage.Membership(MembershipCodec.decodeMembership(envelope));
             case DOCUMENT_PUSH ->
                     new PeerMessage.DocumentPush(
-                            decodeDocument(envelope.getDocumentPush().getDocument()));
+                            DocumentCodec.decodeDocument(envelope.getDocumentPush().getDocument()));
             case DOCUMENT_FETCH ->
                     new PeerMessage.DocumentFetch(
                             envelope.getDocumentFetch().getRequestId(),
                             new DocumentName(envelope.getDocumentFetch().getName()));
-            case DOCUMENT_REPLY -> decodeDocumentReply(envelope.getDocumentReply());
+            case DOCUMENT_REPLY -> DocumentCodec.decodeDocumentReply(envelope.getDocumentReply());
             case WAKE_REQUEST -> decodeActivationRequest(envelope.getWakeRequest());
             case READINESS_NOTICE -> decodeReadinessNotice(envelope.getReadinessNotice());
             case USE_REPORT -> decodeUseReport(envelope.getUseReport());
@@ -235,206 +208,39 @@
                             decodeRecordState(envelope.getOutcomeReport().getCondition()));
             case ENDPOINT_NOTICE ->
                     new PeerMessage.EndpointNotice(
-                            new EndpointId(nonEmpty(envelope.getEndpointNotice().getEndpoint())),
+                            new EndpointId(
+                                    WireValues.nonEmpty(
+                                            envelope.getEndpointNotice().getEndpoint())),
                             decodeCondition(envelope.getEndpointNotice().getCondition()));
             case RESIDENCY_STATEMENT ->
                     new PeerMessage.ResidencyStatement(
                             ResidencyCodec.decode(envelope.getResidencyStatement()));
+            case CRASH_REPORT -> QuarantineCodec.decode(envelope.getCrashReport());
+            case SOUND_PARTS -> QuarantineCodec.decode(envelope.getSoundParts());
+            case QUARANTINE_NOTICE -> QuarantineCodec.decode(envelope.getQuarantineNotice());
             case MESSAGE_NOT_SET -> throw new IllegalArgumentException("unknown message type");
         };
     }
 
-    private static MembershipMessage decodeMembership(PeerProtocol.Envelope envelope) {
-        if (envelope.hasProbe()) {
-            PeerProtocol.Probe probe = envelope.getProbe();
-            return new MembershipMessage.Probe(
-                    probe.getSequence(),
-                    decodeMember(probe.getSender()),
-                    probe.getWantsMembers(),
-                    decodeMembers(probe.getUpdatesList()),
-                    probe.getDigest().toByteArray());
-        }
-        if (envelope.hasProbeRequest()) {
-            PeerProtocol.ProbeRequest request = envelope.getProbeRequest();
-            return new MembershipMessage.ProbeRequest(
-                    request.getSequence(),
-                    decodeMember(request.getSender()),
-                    decodeAddress(request.getTarget()),
-                    decodeMembers(request.getUpdatesList()),
-                    request.getDigest().toByteArray());
-        }
-        PeerProtocol.Acknowledgement acknowledgement = envelope.getAcknowledgement();
-        return new MembershipMessage.Acknowledgement(
-                acknowledgement.getSequence(),
-                decodeMember(acknowledgement.getSender()),
-                decodeMembers(acknowledgement.getUpdatesList()),
-                acknowledgement.getDigest().toByteArray());
-    }
-
-    private static PeerProtocol.PeerAddress encodeAddress(Address address) {
-        return PeerProtocol.PeerAddress.newBuilder()
-                .setIp(address.ip())
-                .setPort(address.port())
-                .build();
-    }
-
-    private static Address decodeAddress(PeerProtocol.PeerAddress address) {
-        return new Address(nonEmpty(address.getIp()), address.getPort());
-    }
-
-    private static PeerProtocol.MemberRecord encodeMember(Member member) {
-        PeerProtocol.MemberRecord.Builder encoded =
-                PeerProtocol.MemberRecord.newBuilder()
-                        .setId(member.id().value())
-                        .setPeerAddress(encodeAddress(member.peerAddress()))
-                        .setCallerPort(member.callerAddress().port())
-                        .setFailureDomain(member.failureDomain())
-                        .setIncarnation(member.incarnation())
-                        .setCondition(encodeMemberState(member.state()));
-        if (!member.callerAddress().ip().equals(member.peerAddress().ip())) {
-            encoded.setCallerIp(member.callerAddress().ip());
-        }
-        return encoded.build();
-    }
-
-    private static Member decodeMember(PeerProtocol.MemberRecord member) {
-        Address peer = decodeAddress(member.getPeerAddress());
-        String callerIp = member.getCallerIp().isEmpty() ? peer.ip() : member.getCallerIp();
-        return new Member(
-                new MemberId(member.getId()),
-                peer,
-                new Address(callerIp, member.getCallerPort()),
-                member.getFailureDomain(),
-                member.getIncarnation(),
-                decodeMemberState(member.getCondition()));
-    }
-
-    private static List<Member> decodeMembers(List<PeerProtocol.MemberRecord> members) {
-        return members.stream().map(PeerCodec::decodeMember).toList();
-    }
-
-    private static PeerProtocol.MemberCondition encodeMemberState(MemberState state) {
-        return switch (state) {
-            case ALIVE -> PeerProtocol.MemberCondition.MEMBER_ALIVE;
-            case DRAINING -> PeerProtocol.MemberCondition.MEMBER_DRAINING;
-            case SUSPECTED -> PeerProtocol.MemberCondition.MEMBER_SUSPECTED;
-            case FAILED -> PeerProtocol.MemberCondition.MEMBER_FAILED;
-            case LEFT -> PeerProtocol.MemberCondition.MEMBER_LEFT;
-        };
-    }
-
-    private static MemberState decodeMemberState(PeerProtocol.MemberCondition condition) {
-        return switch (condition) {
-            case MEMBER_ALIVE -> MemberState.ALIVE;
-            case MEMBER_DRAINING -> MemberState.DRAINING;
-            case MEMBER_SUSPECTED -> MemberState.SUSPECTED;
-            case MEMBER_FAILED -> MemberState.FAILED;
-            case MEMBER_LEFT -> MemberState.LEFT;
-            case MEMBER_CONDITION_UNSPECIFIED, UNRECOGNIZED -> throw unknown("member condition");
-        };
-    }
-
-    private static PeerProtocol.Document encodeDocument(VersionedDocument document) {
-        return PeerProtocol.Document.newBuilder()
-                .setName(document.name().value())
-                .setNumber(document.number())
-                .setContent(ByteString.copyFrom(document.bytes()))
-                .build();
-    }
-
-    private static VersionedDocument decodeDocument(PeerProtocol.Document document) {
-        return new VersionedDocument(
-                new DocumentName(document.getName()),
-                document.getNumber(),
-                document.getContent().toByteArray());
-    }
-
-    private static PeerProtocol.DocumentReply encodeDocumentReply(PeerMessage.DocumentReply reply) {
-        PeerProtocol.DocumentReply.Builder encoded =
-                PeerProtocol.DocumentReply.newBuilder()
-                        .setRequestId(reply.requestId())
-                        .setDigest(encodeDocumentDigest(reply.digest()));
-        VersionedDocument document = reply.document();
-        if (document != null) {
-            encoded.setDocument(encodeDocument(document));
-        }
-        return encoded.build();
-    }
-
-    private static PeerMessage decodeDocumentReply(PeerProtocol.DocumentReply reply) {
-        @Nullable VersionedDocument document =
-                reply.hasDocument() ? decodeDocument(reply.getDocument()) : null;
-        return new PeerMessage.DocumentReply(
-                reply.getRequestId(), document, decodeDocumentDigest(reply.getDigest()));
-    }
-
-    /** Rounds ages up, so that no daemon appears to have more recent information than it has. */
-    private static PeerProtocol.DocumentDigest encodeDocumentDigest(DocumentDigest digest) {
-        PeerProtocol.DocumentDigest.Builder encoded = PeerProtocol.DocumentDigest.newBuilder();
-        for (DocumentVersion version : digest.versions()) {
-            encoded.addVersionsBuilder()
-                    .setName(version.name().value())
-                    .setNumber(version.number())
-                    .setChecksum(version.checksum());
-        }
-        Duration age = digest.serviceAge();
-        if (age != null) {
-            encoded.setServiceAgeMillis(millisRoundedUp(age));
-        }
-        for (WitnessAge witness : digest.witnesses()) {
-            encoded.addWitnessesBuilder()
-                    .setWitness(encodeAddress(witness.witness()))
-                    .setAgeMillis(millisRoundedUp(witness.age()));
-        }
-        return encoded.build();
-    }
-
-    private static DocumentDigest decodeDocumentDigest(PeerProtocol.DocumentDigest digest) {
-        List<DocumentVersion> versions =
-                digest.getVersionsList().stream()
-                        .map(
-                                version ->
-                                        new DocumentVersion(
-                                                new DocumentName(version.getName()),
-                                                version.getNumber(),
-                                                version.getChecksum()))
-                        .toList();
-        @Nullable Duration age =
-                digest.hasServiceAgeMillis() ? decodeDuration(digest.getServiceAgeMillis()) : null;
-        List<WitnessAge> witnesses =
-                digest.getWitnessesList().stream()
-                        .map(
-                                witness ->
-                                        new WitnessAge(
-                                                decodeAddress(witness.getWitness()),
-                                                decodeDuration(witness.getAgeMillis())))
-                        .toList();
-        return new DocumentDigest(versions, age, witnesses);
-    }
-
-    private static long millisRoundedUp(Duration age) {
-        return age.plusNanos(999_999).toMillis();
-    }
-
     private static PeerMessage decodeActivationRequest(PeerProtocol.WakeRequest activation) {
         return new PeerMessage.ActivationRequest(
                 new MemberId(activation.getDaemon()),
-                new CellName(nonEmpty(activation.getCell())),
-                new ModelName(nonEmpty(activation.getModel())),
+                new CellName(WireValues.nonEmpty(activation.getCell())),
+                new ModelName(WireValues.nonEmpty(activation.getModel())),
                 Duration.ofMillis(activation.getUntilDeadlineMillis()),
-                requireNonNegative(activation.getWaiting()));
+                WireValues.requireNonNegative(activation.getWaiting()));
     }
 
     private static PeerMessage decodeReadinessNotice(PeerProtocol.ReadinessNotice notice) {
-        CellName cell = new CellName(nonEmpty(notice.getCell()));
-        ModelName model = new ModelName(nonEmpty(notice.getModel()));
+        CellName cell = new CellName(WireValues.nonEmpty(notice.getCell()));
+        ModelName model = new ModelName(WireValues.nonEmpty(notice.getModel()));
         return switch (notice.getReadinessCase()) {
             case READY_AFTER_MILLIS ->
                     new PeerMessage.ReadyNotice(
-                            cell, model, decodeDuration(notice.getReadyAfterMillis()));
+                            cell, model, WireValues.decodeDuration(notice.getReadyAfterMillis()));
             case REASON ->
                     new PeerMessage.UnreadyNotice(cell, model, decodeReason(notice.getReason()));
-            case READINESS_NOT_SET -> throw unknown("readiness");
+            case READINESS_NOT_SET -> throw WireValues.unknown("readiness");
         };
     }
 
@@ -455,7 +261,8 @@
             case UNREADY_NO_MEMORY -> UnreadyReason.NO_MEMORY;
             case UNREADY_NO_RUNNER -> UnreadyReason.NO_RUNNER;
             case UNREADY_PLAN_FULL -> UnreadyReason.PLAN_FULL;
-            case UNREADY_REASON_UNSPECIFIED, UNRECOGNIZED -> throw unknown("unready reason");
+            case UNREADY_REASON_UNSPECIFIED, UNRECOGNIZED ->
+                    throw WireValues.unknown("unready reason");
         };
     }
 
@@ -474,18 +281,20 @@
                         .map(
                                 use ->
                                         new ModelUse(
-                                                new ModelName(nonEmpty(use.getModel())),
+                                                new ModelName(WireValues.nonEmpty(use.getModel())),
                                                 use.getInFlight(),
                                                 use.getQueued(),
                                                 use.getArrived()))
                         .toList();
         return new PeerMessage.UseReport(
-                new MemberId(report.getDaemon()), new CellName(nonEmpty(report.getCell())), uses);
+                new MemberId(report.getDaemon()),
+                new CellName(WireValues.nonEmpty(report.getCell())),
+                uses);
     }
 
     private static PeerMessage decodeTermAnnouncement(PeerProtocol.TermAnnouncement announcement) {
         return new PeerMessage.TermAnnouncement(
-                new CellName(nonEmpty(announcement.getCell())),
+                new CellName(WireValues.nonEmpty(announcement.getCell())),
                 new FencingToken(announcement.getTerm()),
                 new MemberId(announcement.getHolder()));
     }
@@ -493,7 +302,7 @@
     private static PeerMessage decodeTermAcknowledgement(
             PeerProtocol.TermAcknowledgement acknowledgement) {
         return new PeerMessage.TermAcknowledgement(
-                new CellName(nonEmpty(acknowledgement.getCell())),
+                new CellName(WireValues.nonEmpty(acknowledgement.getCell())),
                 new FencingToken(acknowledgement.getTerm()),
                 new MemberId(acknowledgement.getMember()));
     }
@@ -513,7 +322,7 @@
         return new PeerMessage.ClaimRequest(
                 decodeClaimId(request.getClaim()),
                 new IdempotencyKey(request.getKey()),
-                decodeDuration(request.getUntilDeadlineMillis()));
+                WireValues.decodeDuration(request.getUntilDeadlineMillis()));
     }
 
     private static PeerMessage decodeClaimReply(PeerProtocol.ClaimReply reply) {
@@ -524,14 +333,14 @@
                             new ClaimResult.AlreadyClaimed(
                                     decodeRecordState(reply.getAlreadyClaimed()));
                     case UNAVAILABLE -> new ClaimResult.Unavailable(reply.getUnavailable());
-                    case RESULT_NOT_SET -> throw unknown("claim result");
+                    case RESULT_NOT_SET -> throw WireValues.unknown("claim result");
                 };
         return new PeerMessage.ClaimReply(decodeClaimId(reply.getClaim()), result);
     }
 
     private static ClaimResult decodeClaimed(PeerProtocol.ClaimReply reply) {
         if (!reply.getClaimed()) {
-            throw unknown("claim result");
+            throw WireValues.unknown("claim result");
         }
         return new ClaimResult.Claimed();
     }
@@ -549,7 +358,8 @@
             case RECORD_DISPATCHED -> RecordState.DISPATCHED;
             case RECORD_RAN -> RecordState.RAN;
             case RECORD_NOT_RUN -> RecordState.NOT_RUN;
-            case RECORD_CONDITION_UNSPECIFIED, UNRECOGNIZED -> throw unknown("record condition");
+            case RECORD_CONDITION_UNSPECIFIED, UNRECOGNIZED ->
+                    throw WireValues.unknown("record condition");
         };
     }
 
@@ -565,36 +375,7 @@
             case ENDPOINT_DRAINING -> EndpointCondition.DRAINING;
             case ENDPOINT_GONE -> EndpointCondition.GONE;
             case ENDPOINT_CONDITION_UNSPECIFIED, UNRECOGNIZED ->
-                    throw unknown("endpoint condition");
+                    throw WireValues.unknown("endpoint condition");
         };
     }
-
-    private static long nonNegativeMillis(Duration duration) {
-        return Math.max(0, duration.toMillis());
-    }
-
-    private static Duration decodeDuration(long millis) {
-        if (millis < 0) {
-            throw new IllegalArgumentException("negative duration: " + millis + " ms");
-        }
-        return Duration.ofMillis(millis);
-    }
-
-    private static int requireNonNegative(int value) {
-        if (value < 0) {
-            throw new IllegalArgumentException("negative count: " + value);
-        }
-        return value;
-    }
-
-    private static String nonEmpty(String name) {
-        if (name.isEmpty()) {
-            throw new IllegalArgumentException("a required name or IP address is empty");
-        }
-        return name;
-    }
-
-    private static IllegalArgumentException unknown(String field) {
-        return new IllegalArgumentException("missing or unknown " + field);
-    }
 }
--- /dev/null
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
@@ -0,0 +1,101 @@
+package org.oleanderspring.peer.codec;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.RunnerCrash;
+import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.peer.PeerMessage;
+import org.oleanderspring.peer.generated.PeerProtocol;
+
+/** Encodes and decodes the messages about prompts that crash runners. */
+final class QuarantineCodec {
+    private QuarantineCodec() {}
+
+    static PeerProtocol.CrashReport encode(PeerMessage.CrashReport report) {
+        PeerProtocol.CrashReport.Builder encoded =
+                PeerProtocol.CrashReport.newBuilder()
+                        .setReporter(report.reporter().value())
+                        .setRunner(report.crash().runner().value());
+        for (SuspectCall call : report.crash().calls()) {
+            PromptPart own = call.prompt().ownPart();
+            encoded.addCallsBuilder()
+                    .setRequest(call.request())
+                    .addAllSharedParts(ids(call.prompt().sharedParts()))
+                    .setOwnPart(own == null ? "" : own.id());
+        }
+        return encoded.build();
+    }
+
+    static PeerMessage decode(PeerProtocol.CrashReport report) {
+        requireNonEmpty(report.getRunner());
+        List<SuspectCall> calls =
+                report.getCallsList().stream().map(QuarantineCodec::decodeCall).toList();
+        return new PeerMessage.CrashReport(
+                new MemberId(report.getReporter()),
+                new RunnerCrash(new EndpointId(report.getRunner()), calls));
+    }
+
+    private static SuspectCall decodeCall(PeerProtocol.SuspectCall call) {
+        @Nullable PromptPart own =
+                call.getOwnPart().isEmpty() ? null : new PromptPart(call.getOwnPart());
+        return new SuspectCall(
+                call.getRequest(), new Prompt(parts(call.getSharedPartsList()), own));
+    }
+
+    static PeerProtocol.SoundParts encode(PeerMessage.SoundParts sound) {
+        return PeerProtocol.SoundParts.newBuilder()
+                .addAllParts(ids(sound.parts().stream().sorted().toList()))
+                .build();
+    }
+
+    static PeerMessage decode(PeerProtocol.SoundParts sound) {
+        return new PeerMessage.SoundParts(new HashSet<>(parts(sound.getPartsList())));
+    }
+
+    static PeerProtocol.QuarantineNotice encode(PeerMessage.QuarantineNotice notice) {
+        return PeerProtocol.QuarantineNotice.newBuilder()
+                .addAllParts(ids(notice.pattern().parts()))
+                .setGeneration(notice.generation())
+                .setWithdrawn(notice.isWithdrawn())
+                .setRemainingMillis(notice.remaining().toMillis())
+                .addAllRunners(notice.runners().stream().map(EndpointId::value).toList())
+                .addAllRequests(notice.requests())
+                .build();
+    }
+
+    static PeerMessage decode(PeerProtocol.QuarantineNotice notice) {
+        if (notice.getGeneration() < 1) {
+            throw new IllegalArgumentException("generation is not positive");
+        }
+        notice.getRunnersList().forEach(QuarantineCodec::requireNonEmpty);
+        return new PeerMessage.QuarantineNotice(
+                new PromptPattern(parts(notice.getPartsList())),
+                notice.getGeneration(),
+                notice.getWithdrawn(),
+                Duration.ofMillis(notice.getRemainingMillis()),
+                notice.getRunnersList().stream().map(EndpointId::new).toList(),
+                notice.getRequestsList());
+    }
+
+    private static List<String> ids(Collection<PromptPart> parts) {
+        return parts.stream().map(PromptPart::id).toList();
+    }
+
+    private static List<PromptPart> parts(List<String> ids) {
+        return ids.stream().map(PromptPart::new).toList();
+    }
+
+    private static void requireNonEmpty(String name) {
+        if (name.isEmpty()) {
+            throw new IllegalArgumentException("the name of a runner is empty");
+        }
+    }
+}
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -22,6 +22,11 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.RunnerCrash;
+import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.runner.LoadedModel;
 
@@ -38,6 +43,9 @@
     private static final IdempotencyKey KEY = new IdempotencyKey("order-17");
     private static final ClaimId CLAIM = new ClaimId(DAEMON, 5);
 
+    private static final PromptPart PART = new PromptPart("5c1e07a2");
+    private static final PromptPart OTHER_PART = new PromptPart("91bd3f06");
+
     private static final Residency RESIDENCY =
             new Residency(
                     new EndpointId("runner-7@1733300000000"),
@@ -82,6 +90,23 @@
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
+        SuspectCall call =
+                new SuspectCall("c5d7a7c49db7f424", new Prompt(List.of(PART, OTHER_PART), PART));
+        samples.add(
+                new PeerMessage.CrashReport(
+                        DAEMON,
+                        new RunnerCrash(
+                                RESIDENCY.runner(),
+                                List.of(call, new SuspectCall("", Prompt.UNKNOWN)))));
+        samples.add(new PeerMessage.SoundParts(Set.of(PART, OTHER_PART)));
+        samples.add(
+                new PeerMessage.QuarantineNotice(
+                        new PromptPattern(List.of(PART, OTHER_PART)),
+                        2,
+                        true,
+                        Duration.ofMillis(-5),
+                        List.of(RESIDENCY.runner()),
+                        List.of("c5d7a7c49db7f424")));
         samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
         samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
         samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
