Measure the error rates of the quarantine, and search patterns only after new evidence

bench quarantine simulates runners that crash under deadly prompts and for other reasons. The search for patterns ran at every event and took most of a core when many runners had crashed; it now runs after new evidence only and compares bit sets. A report named at most eight calls, so the deadly one could be missing when many calls had moved to a runner; longer reports are split.

--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -3,6 +3,7 @@
 import org.oleanderspring.bench.command.ColdStartSubcommand;
 import org.oleanderspring.bench.command.OverloadSubcommand;
 import org.oleanderspring.bench.command.PlacementSubcommand;
+import org.oleanderspring.bench.command.QuarantineSubcommand;
 import org.oleanderspring.bench.command.RoutingSubcommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -20,6 +21,7 @@
             OverloadSubcommand.class,
             ColdStartSubcommand.class,
             PlacementSubcommand.class,
+            QuarantineSubcommand.class,
             ControlSubcommand.class
         })
 public final class BenchTool {
--- /dev/null
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
@@ -0,0 +1,327 @@
+package org.oleanderspring.bench.command;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.bench.query.QuarantineResult;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.coordination.membership.query.RendezvousRanking;
+import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.core.quarantine.command.DefaultQuarantineDecider;
+import org.oleanderspring.core.quarantine.command.QuarantineDecision;
+import org.oleanderspring.core.quarantine.command.QuarantineEvent;
+import org.oleanderspring.core.quarantine.query.Quarantine;
+
+/**
+ * Calls at several daemons and runners that crash, some under calls with a deadly part and some for
+ * other reasons. Calls prefer the runner of their prefix, and the calls of a crashed runner are
+ * repeated together at the next one, first by the daemon and then by the client, so bystanders move
+ * with the deadly call. There is no key-value service. The same seed gives the same run.
+ */
+final class QuarantineSimulation {
+    private static final int FIRST_PARTS = 3;
+    private static final int SUBJECTS = 111;
+    private static final PromptPart DEADLY = new PromptPart("deadly");
+    private static final Duration RESTART_TIME = Duration.ofMillis(3_200);
+    private static final Duration EVENT_INTERVAL = Duration.ofMillis(60);
+    private static final Duration REPORT_PERIOD = Duration.ofMillis(250);
+    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration MESSAGE_DELAY = Duration.ofMillis(2);
+    private static final Duration CLIENT_PAUSE = Duration.ofMillis(300);
+
+    /** The prompt is read before the first event. */
+    private static final int MAX_READ_MILLIS = 200;
+
+    private static final double MEAN_EVENTS = 40;
+    private static final int PROOF_EVENTS = 8;
+    private static final int ATTEMPTS = 2;
+    private static final int CRASHES_IN_BOUND = 5;
+    private static final Duration BOUND = Duration.ofSeconds(3);
+
+    private final QuarantineScenario mScenario;
+    private final SplittableRandom mRandom;
+    private final VirtualScheduler mScheduler = new VirtualScheduler();
+    private final List<Daemon> mDaemons = new ArrayList<>();
+    private final List<Runner> mRunners = new ArrayList<>();
+    private int mNextName;
+    private int mDeadlyCrashes;
+    private int mOtherCrashes;
+    private int mDeadlyCallsAfterBound;
+    private int mSoundCalls;
+    private int mSoundCallsRefused;
+    private Instant mBoundFrom = Instant.MAX;
+
+    QuarantineSimulation(QuarantineScenario scenario, long seed) {
+        mScenario = scenario;
+        mRandom = new SplittableRandom(seed);
+        for (int index = 0; index < scenario.daemons(); index++) {
+            mDaemons.add(new Daemon(new MemberId("vm-" + index)));
+        }
+        for (int index = 0; index < scenario.runners(); index++) {
+            mRunners.add(new Runner());
+        }
+    }
+
+    /** A daemon with the decider of its quarantine. */
+    private final class Daemon {
+        private final MemberId mId;
+        private final DefaultQuarantineDecider mDecider;
+        private final Set<Prompt> mAnswered = new HashSet<>();
+        private Quarantine mEnforced = Quarantine.NONE;
+
+        Daemon(MemberId id) {
+            mId = id;
+            mDecider = new DefaultQuarantineDecider(id, mScenario.limits());
+        }
+
+        boolean refuses(Prompt prompt) {
+            return mEnforced.find(prompt) != null;
+        }
+
+        void reportAnswers() {
+            if (!mAnswered.isEmpty()) {
+                decide(new QuarantineEvent.CallsAnswered(mAnswered));
+                mAnswered.clear();
+            }
+        }
+
+        void decide(QuarantineEvent event) {
+            mDecider.decide(event, mScheduler.now()).forEach(this::execute);
+        }
+
+        private void execute(QuarantineDecision decision) {
+            if (decision instanceof QuarantineDecision.CheckRunner check) {
+                QuarantineEvent event = new QuarantineEvent.RunnerChecked(check.runner(), false);
+                mScheduler.schedule(MESSAGE_DELAY, () -> decide(event));
+            } else if (decision instanceof QuarantineDecision.SendCrash send) {
+                deliver(send.recipients(), new QuarantineEvent.CrashReported(mId, send.crash()));
+            } else if (decision instanceof QuarantineDecision.SendSoundParts send) {
+                deliver(
+                        List.of(send.recipient()),
+                        new QuarantineEvent.SoundPartsReported(send.parts()));
+            } else if (decision instanceof QuarantineDecision.SendEntry send) {
+                deliver(send.recipients(), new QuarantineEvent.EntryReceived(send.entry()));
+            } else if (decision instanceof QuarantineDecision.Enforce enforce) {
+                mEnforced = enforce.quarantine();
+            }
+        }
+    }
+
+    private void deliver(Collection<MemberId> recipients, QuarantineEvent event) {
+        for (Daemon daemon : mDaemons) {
+            if (recipients.contains(daemon.mId)
+                    && mRandom.nextDouble() >= mScenario.messageLoss()) {
+                mScheduler.schedule(MESSAGE_DELAY, () -> daemon.decide(event));
+            }
+        }
+    }
+
+    /** A runner, which gets a new identity with each start. */
+    private final class Runner {
+        private EndpointId mId = new EndpointId("runner-" + mNextName++);
+        private boolean mIsUp = true;
+        private final List<Attempt> mAttempts = new ArrayList<>();
+
+        void crash() {
+            mIsUp = false;
+            List<Attempt> broken = List.copyOf(mAttempts);
+            mAttempts.clear();
+            broken.forEach(attempt -> attempt.breakOff(mId));
+            mScheduler.schedule(
+                    RESTART_TIME,
+                    () -> {
+                        mId = new EndpointId("runner-" + mNextName++);
+                        mIsUp = true;
+                    });
+        }
+    }
+
+    /** An attempt of a call at a runner. */
+    private final class Attempt {
+        private final Call mCall;
+        private final Runner mRunner;
+        private int mEvents;
+        private boolean mEnded;
+
+        Attempt(Call call, Runner runner) {
+            mCall = call;
+            mRunner = runner;
+            runner.mAttempts.add(this);
+            mScheduler.schedule(
+                    Duration.ofMillis(1 + mRandom.nextInt(MAX_READ_MILLIS)), this::nextEvent);
+        }
+
+        private void nextEvent() {
+            if (mEnded) {
+                return;
+            }
+            if (mCall.isDeadly()) {
+                mDeadlyCrashes++;
+                if (mDeadlyCrashes == CRASHES_IN_BOUND) {
+                    mBoundFrom = mScheduler.now().plus(BOUND);
+                }
+                mRunner.crash();
+                return;
+            }
+            mEvents++;
+            if (mEvents == PROOF_EVENTS || mEvents >= mCall.mLength) {
+                mCall.mDaemon.mAnswered.add(mCall.mPrompt);
+            }
+            if (mEvents >= mCall.mLength) {
+                mEnded = true;
+                mRunner.mAttempts.remove(this);
+                return;
+            }
+            mScheduler.schedule(EVENT_INTERVAL, this::nextEvent);
+        }
+
+        void breakOff(EndpointId runner) {
+            mEnded = true;
+            if (mEvents < PROOF_EVENTS) {
+                mCall.mDaemon.reportAnswers();
+                mCall.mDaemon.decide(
+                        new QuarantineEvent.AnswerBroken(
+                                runner, new SuspectCall(mCall.mRequest, mCall.mPrompt)));
+            }
+            mScheduler.schedule(MESSAGE_DELAY, mCall::start);
+        }
+    }
+
+    /** A request of a client at a daemon. */
+    private final class Call {
+        private final String mRequest = "request-" + mNextName++;
+        private final Prompt mPrompt;
+        private final Daemon mDaemon = mDaemons.get(mRandom.nextInt(mDaemons.size()));
+        private final int mLength;
+        private final boolean mIsRepeat;
+        private int mAttempts;
+
+        Call(Prompt prompt, int length, boolean isRepeat) {
+            mPrompt = prompt;
+            mLength = length;
+            mIsRepeat = isRepeat;
+        }
+
+        boolean isDeadly() {
+            return mPrompt.sharedParts().contains(DEADLY);
+        }
+
+        void start() {
+            if (mDaemon.refuses(mPrompt)) {
+                mSoundCallsRefused += isDeadly() ? 0 : 1;
+                return;
+            }
+            Runner runner = mAttempts < ATTEMPTS ? chooseRunner(mPrompt) : null;
+            if (runner != null) {
+                mAttempts++;
+                boolean isLate = isDeadly() && mScheduler.now().isAfter(mBoundFrom);
+                mDeadlyCallsAfterBound += isLate ? 1 : 0;
+                new Attempt(this, runner);
+            } else if (!mIsRepeat) {
+                mScheduler.schedule(CLIENT_PAUSE, () -> new Call(mPrompt, mLength, true).start());
+            }
+        }
+    }
+
+    private @Nullable Runner chooseRunner(Prompt prompt) {
+        String key = prompt.sharedParts().toString();
+        Runner best = null;
+        for (Runner runner : mRunners) {
+            if (runner.mIsUp
+                    && (best == null
+                            || RendezvousRanking.weight(key, runner.mId.value())
+                                    > RendezvousRanking.weight(key, best.mId.value()))) {
+                best = runner;
+            }
+        }
+        return best;
+    }
+
+    QuarantineResult run() {
+        Set<MemberId> members = new HashSet<>();
+        mDaemons.forEach(daemon -> members.add(daemon.mId));
+        for (Daemon daemon : mDaemons) {
+            daemon.decide(new QuarantineEvent.EntriesStored(List.of(), Revision.ABSENT));
+            daemon.decide(new QuarantineEvent.MembersChanged(members));
+            repeat(() -> REPORT_PERIOD, daemon::reportAnswers);
+            repeat(() -> TICK, () -> daemon.decide(new QuarantineEvent.TimerFired()));
+        }
+        repeat(() -> untilNext(mScenario.callsPerSecond()), this::arrive);
+        if (mScenario.otherCrashesPerSecond() > 0) {
+            repeat(() -> untilNext(mScenario.otherCrashesPerSecond()), this::crashAnyRunner);
+        }
+        mScheduler.runUntil(Instant.EPOCH.plus(mScenario.length()));
+        return new QuarantineResult(
+                mDeadlyCrashes,
+                mOtherCrashes,
+                mDeadlyCallsAfterBound,
+                mSoundCalls,
+                mSoundCallsRefused,
+                wrongPatterns());
+    }
+
+    private void repeat(Supplier<Duration> pause, Runnable action) {
+        mScheduler.schedule(
+                pause.get(),
+                () -> {
+                    action.run();
+                    repeat(pause, action);
+                });
+    }
+
+    private Duration untilNext(double perSecond) {
+        double seconds = -Math.log(1 - mRandom.nextDouble()) / perSecond;
+        return Duration.ofNanos((long) (seconds * Duration.ofSeconds(1).toNanos()));
+    }
+
+    private void arrive() {
+        boolean deadly = mRandom.nextDouble() < mScenario.deadlyShare();
+        List<PromptPart> shared = new ArrayList<>();
+        shared.add(new PromptPart("first-" + mRandom.nextInt(deadly ? 1 : FIRST_PARTS)));
+        shared.add(new PromptPart("subject-" + (deadly ? 0 : mRandom.nextInt(SUBJECTS))));
+        if (deadly) {
+            shared.add(DEADLY);
+        }
+        mSoundCalls += deadly ? 0 : 1;
+        int length = 1 + (int) (-Math.log(1 - mRandom.nextDouble()) * MEAN_EVENTS);
+        Prompt prompt = new Prompt(shared, new PromptPart("own-" + mNextName++));
+        new Call(prompt, length, false).start();
+    }
+
+    private void crashAnyRunner() {
+        Runner runner = mRunners.get(mRandom.nextInt(mRunners.size()));
+        if (runner.mIsUp) {
+            mOtherCrashes++;
+            runner.crash();
+        }
+    }
+
+    /** Returns how many of the sound prompts of shared parts only are refused by any daemon. */
+    private int wrongPatterns() {
+        int wrong = 0;
+        for (int first = 0; first < FIRST_PARTS; first++) {
+            for (int subject = 0; subject < SUBJECTS; subject++) {
+                Prompt prompt =
+                        new Prompt(
+                                List.of(
+                                        new PromptPart("first-" + first),
+                                        new PromptPart("subject-" + subject)),
+                                null);
+                boolean refused = mDaemons.stream().anyMatch(daemon -> daemon.refuses(prompt));
+                wrong += refused ? 1 : 0;
+            }
+        }
+        return wrong;
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
@@ -22,10 +22,13 @@
     static final Duration RETENTION = Duration.ofMinutes(5);
 
     /** Beyond this number the oldest crash is forgotten. */
-    static final int MAX_CRASHES = 128;
+    static final int MAX_CRASHES = 64;
 
-    /** A runner is beginning few answers at a time; further calls are not recorded. */
-    static final int MAX_CALLS = 32;
+    /**
+     * Further calls are not recorded. A runner may be beginning many answers, because the calls of
+     * another crashed runner are repeated there at the same time.
+     */
+    static final int MAX_CALLS = 128;
 
     private final Map<EndpointId, Crash> mCrashes = new LinkedHashMap<>();
 
@@ -44,8 +47,9 @@
         return crash.mCalls.size() > before;
     }
 
-    void expire(Instant now) {
-        mCrashes.values().removeIf(crash -> !now.isBefore(crash.mSeenAt.plus(RETENTION)));
+    /** Removes crashes that are no longer evidence. Returns whether there were any. */
+    boolean expire(Instant now) {
+        return mCrashes.values().removeIf(crash -> !now.isBefore(crash.mSeenAt.plus(RETENTION)));
     }
 
     /** Removes the calls that contain all of the given parts, for example after a withdrawal. */
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -17,6 +17,7 @@
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
+import org.oleanderspring.core.quarantine.QuarantineLimits;
 import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.query.Quarantine;
@@ -44,10 +45,11 @@
     /** The number of daemons that send what they know to a daemon that joins. */
     private static final int SPONSORS = 3;
 
-    /** The number of reported calls fits into a datagram with prompts of usual length. */
-    private static final int MAX_REPORTED_CALLS = 8;
+    /** A report of this many calls fits into a datagram, if the prompts have few parts. */
+    private static final int MAX_CALLS_IN_A_REPORT = 8;
 
     private final MemberId mSelf;
+    private final QuarantineLimits mLimits;
     private final SoundParts mOwnSoundParts = new SoundParts();
     private final SoundParts mReportedSoundParts = new SoundParts();
     private final CrashLog mCrashes = new CrashLog();
@@ -70,6 +72,8 @@
 
     private boolean mStoreRead;
     private boolean mUndecided;
+    private boolean mEvidenceChanged;
+    private List<PatternFinder.Finding> mFindings = List.of();
 
     /**
      * Creates a decider without entries.
@@ -77,7 +81,18 @@
      * @param self this daemon
      */
     public DefaultQuarantineDecider(MemberId self) {
+        this(self, QuarantineLimits.DEFAULT);
+    }
+
+    /**
+     * Creates a decider without entries.
+     *
+     * @param self this daemon
+     * @param limits how many crashes are evidence; equal at all daemons
+     */
+    public DefaultQuarantineDecider(MemberId self, QuarantineLimits limits) {
         mSelf = self;
+        mLimits = limits;
     }
 
     @Override
@@ -109,6 +124,7 @@
             crashReported(reported, now, decisions);
         } else if (event instanceof QuarantineEvent.SoundPartsReported sound) {
             sound.parts().forEach(part -> mReportedSoundParts.add(part, now));
+            mEvidenceChanged = true;
         } else if (event instanceof QuarantineEvent.EntryReceived received) {
             adopt(received.entry(), "received from a daemon", now, decisions);
         } else if (event instanceof QuarantineEvent.EntriesStored stored) {
@@ -151,19 +167,31 @@
         if (crash.calls().isEmpty()) {
             return;
         }
-        mCrashes.add(crash, now);
+        mEvidenceChanged |= mCrashes.add(crash, now);
         mReportedAt.putIfAbsent(crash.runner(), now);
-        mCrashRepetitions.add(crash, now);
-        decisions.add(new QuarantineDecision.SendCrash(otherMembers(), crash, false));
+        for (RunnerCrash report : split(crash)) {
+            mCrashRepetitions.add(report, now);
+            decisions.add(new QuarantineDecision.SendCrash(otherMembers(), report, false));
+        }
         renewEntriesOnProbation(crash, now, decisions);
     }
 
+    private static List<RunnerCrash> split(RunnerCrash crash) {
+        List<RunnerCrash> reports = new ArrayList<>();
+        int calls = crash.calls().size();
+        for (int start = 0; start < calls; start += MAX_CALLS_IN_A_REPORT) {
+            int end = Math.min(calls, start + MAX_CALLS_IN_A_REPORT);
+            reports.add(new RunnerCrash(crash.runner(), crash.calls().subList(start, end)));
+        }
+        return reports;
+    }
+
     /** Leaves out the calls all of whose shared parts are sound. */
     private RunnerCrash withSuspects(RunnerCrash crash, Instant now) {
         List<SuspectCall> suspects =
                 crash.calls().stream()
                         .filter(call -> hasSuspectedPart(call.prompt(), now))
-                        .limit(MAX_REPORTED_CALLS)
+                        .limit(CrashLog.MAX_CALLS)
                         .toList();
         return new RunnerCrash(crash.runner(), suspects);
     }
@@ -207,6 +235,7 @@
         }
         newlySound.retainAll(suspectedParts());
         if (!newlySound.isEmpty()) {
+            mEvidenceChanged = true;
             for (MemberId reporter : mReporters.keySet()) {
                 decisions.add(new QuarantineDecision.SendSoundParts(reporter, newlySound));
             }
@@ -226,6 +255,7 @@
             Instant now,
             List<QuarantineDecision> decisions) {
         if (mCrashes.add(reported.crash(), now)) {
+            mEvidenceChanged = true;
             decisions.add(new QuarantineDecision.LogCrash(reported.reporter(), reported.crash()));
         }
         mReporters.put(reported.reporter(), now);
@@ -257,7 +287,9 @@
     private void share(MemberId newcomer, List<QuarantineDecision> decisions) {
         Set<MemberId> recipient = Set.of(newcomer);
         for (RunnerCrash crash : mCrashes.reports()) {
-            decisions.add(new QuarantineDecision.SendCrash(recipient, crash, true));
+            for (RunnerCrash report : split(crash)) {
+                decisions.add(new QuarantineDecision.SendCrash(recipient, report, true));
+            }
         }
         for (QuarantineEntry entry : mTable.entries()) {
             decisions.add(new QuarantineDecision.SendEntry(recipient, entry));
@@ -271,7 +303,7 @@
     }
 
     private void timerFired(Instant now, List<QuarantineDecision> decisions) {
-        mCrashes.expire(now);
+        mEvidenceChanged |= mCrashes.expire(now);
         mTable.expire(now);
         mReportedAt.values().removeIf(at -> !now.isBefore(at.plus(CrashLog.RETENTION)));
         mReporters.values().removeIf(at -> !now.isBefore(at.plus(CrashLog.RETENTION)));
@@ -288,11 +320,7 @@
      */
     private void decideAboutPatterns(Instant now, List<QuarantineDecision> decisions) {
         mUndecided = false;
-        if (mReportedAt.isEmpty()) {
-            return;
-        }
-        for (PatternFinder.Finding finding :
-                PatternFinder.find(mCrashes.crashes(), part -> isSound(part, now))) {
+        for (PatternFinder.Finding finding : findings(now)) {
             Instant reportedAt = firstReport(finding.runners());
             if (reportedAt.equals(Instant.MAX) || mTable.covers(finding.pattern(), now)) {
                 continue;
@@ -305,6 +333,15 @@
         }
     }
 
+    /** Returns the patterns that explain the crashes, searched again only after new evidence. */
+    private List<PatternFinder.Finding> findings(Instant now) {
+        if (mEvidenceChanged) {
+            mEvidenceChanged = false;
+            mFindings = PatternFinder.find(mCrashes.crashes(), part -> isSound(part, now), mLimits);
+        }
+        return mFindings;
+    }
+
     private Instant firstReport(Collection<EndpointId> runners) {
         Instant first = Instant.MAX;
         for (EndpointId runner : runners) {
@@ -356,6 +393,7 @@
         }
         if (entry.isWithdrawn()) {
             mCrashes.removeCallsWith(entry.pattern().parts());
+            mEvidenceChanged = true;
         }
         decisions.add(new QuarantineDecision.LogEntry(entry, reason));
         mStore.requestWrite(now.plus(writeDelay(entry)));
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
@@ -1,17 +1,17 @@
 package org.oleanderspring.core.quarantine.command;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.QuarantineLimits;
 import org.oleanderspring.core.quarantine.SuspectCall;
 
 /**
@@ -20,9 +20,9 @@
  * <p>A crash has several suspects: the calls that the runner was beginning to answer, each with
  * several parts. One of these parts may be deadly, that is, crash every runner that answers it. A
  * deadly part is never answered, and so a part that was answered lately is not considered. The last
- * part of a prompt is never considered on its own. Of the others, a part is reported if {@link
- * #CRASHES_REQUIRED} runners crashed under calls with it, and no other part explains these crashes
- * better.
+ * part of a prompt is never considered on its own. Of the others, a part is reported if several
+ * runners ({@link QuarantineLimits#crashesRequired}) crashed under calls with it, and no other part
+ * explains these crashes better.
  *
  * <p>The comparison with other parts is needed because calls move together: the calls of a crashed
  * runner are repeated at the next one beside the deadly call, so that a rare sound part is found at
@@ -36,38 +36,43 @@
  *       at further crashes.
  * </ul>
  *
- * <p>If two parts in different calls are at the same crashes, neither is reported until {@link
- * #CRASHES_IF_AMBIGUOUS} runners have crashed, because the next crash usually tells them apart.
+ * <p>If two parts in different calls are at the same crashes, neither is reported before more
+ * runners ({@link QuarantineLimits#crashesIfAmbiguous}) have crashed, because the next crash
+ * usually tells them apart.
  *
  * <p>The reported pattern contains all parts that always accompany the found part at the crashes,
  * except answered ones. A caller that adds the parts of others to deadly prompts therefore cannot
  * cause the calls of others to be refused.
  */
 final class PatternFinder {
-    /**
-     * Number of crashes that make a part suspicious. The repeats of one call can account for two or
-     * three crashes, so a fourth one usually comes from another call.
-     */
-    static final int CRASHES_REQUIRED = 4;
-
-    /** Number of crashes after which parts are reported although several explain the crashes. */
-    static final int CRASHES_IF_AMBIGUOUS = 7;
-
+    private final List<SuspectCall> mCalls = new ArrayList<>();
+    private final List<EndpointId> mRunners = new ArrayList<>();
     private final Map<PromptPart, Suspicion> mSuspicions = new HashMap<>();
     private final Predicate<PromptPart> mIsSound;
+    private final QuarantineLimits mLimits;
 
-    private PatternFinder(Collection<CrashLog.Crash> crashes, Predicate<PromptPart> isSound) {
+    private PatternFinder(
+            Collection<CrashLog.Crash> crashes,
+            Predicate<PromptPart> isSound,
+            QuarantineLimits limits) {
         mIsSound = isSound;
+        mLimits = limits;
         for (CrashLog.Crash crash : crashes) {
-            for (SuspectCall call : crash.calls()) {
-                Occurrence occurrence = new Occurrence(crash.runner(), call);
-                for (PromptPart part : call.prompt().sharedParts()) {
-                    if (!isSound.test(part)) {
-                        mSuspicions.computeIfAbsent(part, key -> new Suspicion()).add(occurrence);
-                    }
-                }
+            crash.calls().forEach(this::add);
+            mRunners.add(crash.runner());
+        }
+    }
+
+    /** Adds a call at the runner that is added next. */
+    private void add(SuspectCall call) {
+        for (PromptPart part : call.prompt().sharedParts()) {
+            if (!mIsSound.test(part)) {
+                Suspicion suspicion = mSuspicions.computeIfAbsent(part, key -> new Suspicion());
+                suspicion.mRunners.set(mRunners.size());
+                suspicion.mCalls.set(mCalls.size());
             }
         }
+        mCalls.add(call);
     }
 
     /**
@@ -75,9 +80,13 @@
      *
      * @param crashes the crashes
      * @param isSound whether a part was answered lately
+     * @param limits how many crashes are evidence
      */
-    static List<Finding> find(Collection<CrashLog.Crash> crashes, Predicate<PromptPart> isSound) {
-        return new PatternFinder(crashes, isSound).find();
+    static List<Finding> find(
+            Collection<CrashLog.Crash> crashes,
+            Predicate<PromptPart> isSound,
+            QuarantineLimits limits) {
+        return new PatternFinder(crashes, isSound, limits).find();
     }
 
     /**
@@ -89,31 +98,27 @@
      */
     record Finding(PromptPattern pattern, List<EndpointId> runners, List<String> requests) {}
 
-    private record Occurrence(EndpointId runner, SuspectCall call) {}
-
-    /** The calls with one part, and the runners that crashed under them. */
+    /** The calls with one part and the runners that crashed under them, by their indexes. */
     private static final class Suspicion {
-        private final Set<EndpointId> mRunners = new LinkedHashSet<>();
-        private final Set<Occurrence> mOccurrences = new LinkedHashSet<>();
+        private final BitSet mRunners = new BitSet();
+        private final BitSet mCalls = new BitSet();
 
-        void add(Occurrence occurrence) {
-            mRunners.add(occurrence.runner());
-            mOccurrences.add(occurrence);
+        int crashes() {
+            return mRunners.cardinality();
         }
     }
 
     private List<Finding> find() {
         // Parts that always occur together lead to the same pattern, so one of them is enough.
-        Map<Set<Occurrence>, Suspicion> distinct = new HashMap<>();
+        Map<BitSet, Suspicion> distinct = new LinkedHashMap<>();
         for (Suspicion suspicion : mSuspicions.values()) {
-            if (suspicion.mRunners.size() >= CRASHES_REQUIRED) {
-                distinct.put(suspicion.mOccurrences, suspicion);
+            if (suspicion.crashes() >= mLimits.crashesRequired()) {
+                distinct.put(suspicion.mCalls, suspicion);
             }
         }
-        List<Suspicion> candidates = List.copyOf(distinct.values());
         Map<PromptPattern, Finding> findings = new HashMap<>();
-        for (Suspicion candidate : candidates) {
-            if (!isExplained(candidate, candidates)) {
+        for (Suspicion candidate : distinct.values()) {
+            if (!isExplained(candidate, distinct.values())) {
                 Finding finding = finding(candidate);
                 findings.put(finding.pattern(), finding);
             }
@@ -121,7 +126,7 @@
         return List.copyOf(findings.values());
     }
 
-    private boolean isExplained(Suspicion candidate, List<Suspicion> others) {
+    private boolean isExplained(Suspicion candidate, Collection<Suspicion> others) {
         for (Suspicion other : others) {
             if (other != candidate && explains(other, candidate)) {
                 return true;
@@ -130,43 +135,33 @@
         return false;
     }
 
-    private static boolean explains(Suspicion other, Suspicion candidate) {
-        if (candidate.mOccurrences.containsAll(other.mOccurrences)) {
-            boolean isMoreSpecific = other.mOccurrences.size() < candidate.mOccurrences.size();
-            return isMoreSpecific && unexplained(candidate, other) < CRASHES_REQUIRED;
-        }
-        if (other.mOccurrences.containsAll(candidate.mOccurrences)) {
-            return false;
+    private boolean explains(Suspicion other, Suspicion candidate) {
+        int unexplained = countWithout(candidate.mRunners, other.mRunners);
+        if (countWithout(other.mCalls, candidate.mCalls) == 0) {
+            return unexplained < mLimits.crashesRequired();
         }
-        if (unexplained(candidate, other) > 0) {
+        if (unexplained > 0 || countWithout(candidate.mCalls, other.mCalls) == 0) {
             return false;
         }
-        return other.mRunners.size() > candidate.mRunners.size()
-                || candidate.mRunners.size() < CRASHES_IF_AMBIGUOUS;
+        return other.crashes() > candidate.crashes()
+                || candidate.crashes() < mLimits.crashesIfAmbiguous();
     }
 
-    private static int unexplained(Suspicion candidate, Suspicion other) {
-        Set<EndpointId> rest = new HashSet<>(candidate.mRunners);
-        rest.removeAll(other.mRunners);
-        return rest.size();
+    /** Returns the number of elements of a set that are not in another set. */
+    private static int countWithout(BitSet set, BitSet other) {
+        BitSet rest = (BitSet) set.clone();
+        rest.andNot(other);
+        return rest.cardinality();
     }
 
     private Finding finding(Suspicion suspicion) {
-        List<PromptPart> common = null;
-        Set<String> requests = new LinkedHashSet<>();
-        for (Occurrence occurrence : suspicion.mOccurrences) {
-            List<PromptPart> parts = occurrence.call().prompt().parts();
-            if (common == null) {
-                common = new ArrayList<>(parts);
-            } else {
-                common.retainAll(parts);
-            }
-            requests.add(occurrence.call().request());
-        }
-        List<PromptPart> pattern = common == null ? List.of() : common;
+        List<SuspectCall> calls = suspicion.mCalls.stream().mapToObj(mCalls::get).toList();
+        List<PromptPart> common = new ArrayList<>(calls.get(0).prompt().parts());
+        calls.forEach(call -> common.retainAll(call.prompt().parts()));
+        common.removeIf(mIsSound);
         return new Finding(
-                new PromptPattern(pattern.stream().filter(mIsSound.negate()).toList()),
-                List.copyOf(suspicion.mRunners),
-                List.copyOf(requests));
+                new PromptPattern(common),
+                suspicion.mRunners.stream().mapToObj(mRunners::get).toList(),
+                calls.stream().map(SuspectCall::request).distinct().toList());
     }
 }
