Ignore registry entries with an impossible number of slots

One entry of another writer with slots made every runner of its service look full: the sum of the slots overflowed, and all calls waited until their deadline. Such an entry now names no runner. Entries that are deeply nested, have a port out of range or a number with thousands of digits were ignored before already; the same test covers them.

--- a/core/src/main/java/org/oleanderspring/core/runner/RunnerRegistration.java
+++ b/core/src/main/java/org/oleanderspring/core/runner/RunnerRegistration.java
@@ -34,7 +34,16 @@
         @Nullable Duration remainingTime,
         List<LoadedModel> models,
         CachedWeights cachedWeights) {
-    /** Copies the models and rejects null components, except for the remaining time. */
+    /**
+     * The largest number of slots that is accepted. The sum over all runners of a service must not
+     * overflow, and no runner takes nearly as many calls at once.
+     */
+    public static final int MAX_SLOTS = 100_000;
+
+    /**
+     * Copies the models; rejects null components, except for the remaining time, and a number of
+     * slots that is negative or above {@link #MAX_SLOTS}.
+     */
     public RunnerRegistration {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(instance, "instance");
@@ -43,5 +52,8 @@
         Objects.requireNonNull(failureDomain, "failureDomain");
         models = List.copyOf(models);
         Objects.requireNonNull(cachedWeights, "cachedWeights");
+        if (slots < 0 || slots > MAX_SLOTS) {
+            throw new IllegalArgumentException("number of slots is out of range: " + slots);
+        }
     }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
@@ -260,4 +260,33 @@
         assertThat(afterStop.headers().firstValue("Connection"), is(Optional.of("close")));
         assertThat(afterStop.body(), not(containsString("sealed")));
     }
+
+    /**
+     * Guards against one entry of another writer among those of the runners that stops a daemon
+     * from following the list, or makes all runners of its service look full.
+     */
+    @Test
+    void oddEntriesAmongTheRunnersHaveNoEffectOnOthers() {
+        mFixture.configure(1, "ledger");
+        mFixture.awaitReady();
+        String entry =
+                """
+                {"service":"ledger","address":"127.0.0.1:%s","zone":"east","version":"v1",
+                 "slots":%s,"state":"ready","seq":1,"born":%s,"models":%s}
+                """;
+        String nested = "[".repeat(100_000) + "]".repeat(100_000);
+        mFixture.store().put("servers/nested", entry.formatted("9", "4", "1", nested));
+        mFixture.store().put("servers/slots", entry.formatted("9", "2147483647", "1", "[]"));
+        mFixture.store().put("servers/more-slots", entry.formatted("9", "9e99", "1", "[]"));
+        mFixture.store().put("servers/port", entry.formatted("99999", "4", "1", "[]"));
+        mFixture.store().put("servers/born", entry.formatted("9", "4", "9".repeat(5_000), "[]"));
+        mFixture.store().put("servers/list", "[1,2");
+        mFixture.addRunner("i-1", "ledger");
+        GatewayFixture.await(
+                "the runner that is listed last is used",
+                () -> mFixture.order("c1").body().contains("i-1"));
+        for (int call = 0; call < 10; call++) {
+            assertThat(mFixture.order("d" + call).statusCode(), is(200));
+        }
+    }
 }
