--- a/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
@@ -17,6 +17,9 @@
 
 /** Encodes and decodes the messages about prompts that crash runners. */
 final class QuarantineCodec {
+    /** Longer than any entry is kept; a much longer time could not be added to the present one. */
+    private static final Duration MAX_REMAINING = Duration.ofDays(1);
+
     private QuarantineCodec() {}
 
     static PeerProtocol.CrashReport encode(PeerMessage.CrashReport report) {
@@ -75,12 +78,16 @@
         if (notice.getGeneration() < 1) {
             throw new IllegalArgumentException("generation is not positive");
         }
+        long remaining = notice.getRemainingMillis();
+        if (remaining > MAX_REMAINING.toMillis() || remaining < -MAX_REMAINING.toMillis()) {
+            throw new IllegalArgumentException("remaining time is out of range");
+        }
         notice.getRunnersList().forEach(QuarantineCodec::requireNonEmpty);
         return new PeerMessage.QuarantineNotice(
                 new PromptPattern(parts(notice.getPartsList())),
                 notice.getGeneration(),
                 notice.getWithdrawn(),
-                Duration.ofMillis(notice.getRemainingMillis()),
+                Duration.ofMillis(remaining),
                 notice.getRunnersList().stream().map(EndpointId::new).toList(),
                 notice.getRequestsList());
     }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -206,6 +206,7 @@
     private void handleCall(Exchange exchange) {
         String instance = exchange.header("Expect-Instance");
         String model = exchange.header("Model");
+        exchange.withHeader("Attempt-Id", String.valueOf(exchange.header("Attempt-Id")));
         synchronized (this) {
             boolean otherInstance = instance != null && !instance.equals(mInstance);
             if (otherInstance || model != null && !mModels.contains(model)) {
@@ -215,7 +216,6 @@
             }
             mExecutedAttempts.add(String.valueOf(exchange.header("Attempt-Id")));
         }
-        exchange.withHeader("Attempt-Id", String.valueOf(exchange.header("Attempt-Id")));
         exchange.withHeader("Server-Seal", "sealed-by-" + mInstance);
         if (model == null) {
             exchange.reply(OK, Json.object().put("from", mInstance).put("path", exchange.path()));
