Let operators list and withdraw quarantined prompts

oleanderspring quarantine list and withdraw work on the entries in the key-value service, which the daemons follow. A withdrawal is kept as an entry, so a daemon that missed it cannot bring the decision back.

--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -63,7 +63,11 @@
     /** A port cannot be opened. */
     PORT_UNAVAILABLE(201, Severity.ERROR, "cannot listen on {0}: {1}"),
     /** A daemon cannot be reached. */
-    DAEMON_UNREACHABLE(202, Severity.ERROR, "cannot reach {0}: {1}");
+    DAEMON_UNREACHABLE(202, Severity.ERROR, "cannot reach {0}: {1}"),
+    /** The platform's key-value service does not answer, or its content cannot be read. */
+    STORE_UNAVAILABLE(203, Severity.ERROR, "cannot use the metadata store at {0}: {1}"),
+    /** No entry of the quarantine with the given id is in force. */
+    NOT_QUARANTINED(204, Severity.ERROR, "no entry with this id is in force");
 
     private final int mNumber;
     private final Severity mSeverity;
--- a/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.daemon;
 
 import org.oleanderspring.daemon.cli.command.GatewayCommand;
+import org.oleanderspring.daemon.cli.command.QuarantineCommand;
 import org.oleanderspring.daemon.cli.command.ServeCommand;
 import org.oleanderspring.daemon.cli.command.SettingsCommand;
 import org.oleanderspring.daemon.cli.query.EntryCommand;
@@ -23,6 +24,7 @@
         subcommands = {
             ServeCommand.class,
             GatewayCommand.class,
+            QuarantineCommand.class,
             SettingsCommand.class,
             StatusCommand.class,
             EntryCommand.class
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayTest.java
@@ -11,9 +11,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
@@ -289,4 +293,35 @@
             assertThat(mFixture.order("d" + call).statusCode(), is(200));
         }
     }
+
+    /**
+     * Guards against requests that a daemon has just accepted when it stops, and cuts off without
+     * an answer. Clients keep using their open connections until the stop has ended.
+     */
+    @Test
+    void plannedStopUnderLoadAnswersEveryRequest() throws Exception {
+        mFixture.configure(1, "ledger");
+        mFixture.addRunner("i-1", "ledger");
+        mFixture.awaitReady();
+        AtomicBoolean stopped = new AtomicBoolean();
+        Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+        List<CompletableFuture<Void>> clients = new ArrayList<>();
+        for (int client = 0; client < 8; client++) {
+            String name = "c" + client + "-";
+            clients.add(
+                    CompletableFuture.runAsync(
+                            () -> {
+                                for (int call = 0; !stopped.get(); call++) {
+                                    int status = mFixture.order(name + call).statusCode();
+                                    statuses.merge(status, 1, Integer::sum);
+                                }
+                            }));
+        }
+        mFixture.gateway().stop();
+        stopped.set(true);
+        for (CompletableFuture<Void> client : clients) {
+            client.get(15, TimeUnit.SECONDS);
+        }
+        assertThat(statuses.keySet(), is(Set.of(200, 503)));
+    }
 }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
@@ -123,6 +123,18 @@
         completeWatches();
     }
 
+    /**
+     * Returns the value of a key as text, empty if the key does not exist.
+     *
+     * @param key the key
+     */
+    public synchronized String text(String key) {
+        HostedItem item = mItems.get(key);
+        return item == null
+                ? ""
+                : new String(Base64.getDecoder().decode(item.value()), StandardCharsets.UTF_8);
+    }
+
     /**
      * Removes a key.
      *
