--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
@@ -119,9 +119,9 @@
     }
 
     private void deliver(Collection<MemberId> recipients, QuarantineEvent event) {
+        Set<MemberId> included = new HashSet<>(recipients);
         for (Daemon daemon : mDaemons) {
-            if (recipients.contains(daemon.mId)
-                    && mRandom.nextDouble() >= mScenario.messageLoss()) {
+            if (included.contains(daemon.mId) && mRandom.nextDouble() >= mScenario.messageLoss()) {
                 mScheduler.schedule(MESSAGE_DELAY, () -> daemon.decide(event));
             }
         }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -272,13 +272,17 @@
         }
     }
 
+    /** Sends what is known about crashes and patterns, if anything, to daemons that join. */
     private void membersChanged(Set<MemberId> members, List<QuarantineDecision> decisions) {
         Set<MemberId> joined = new HashSet<>(members);
         joined.removeAll(mMembers);
         joined.remove(mSelf);
         mMembers = members;
+        if (mCrashes.crashes().isEmpty() && mTable.entries().isEmpty()) {
+            return;
+        }
         for (MemberId newcomer : joined) {
-            if (isAmongFirst(newcomer.value(), SPONSORS, newcomer)) {
+            if (rank(newcomer.value(), newcomer) < SPONSORS) {
                 share(newcomer, decisions);
             }
         }
@@ -296,10 +300,17 @@
         }
     }
 
-    private boolean isAmongFirst(String key, int count, MemberId excluded) {
-        List<MemberId> candidates =
-                mMembers.stream().filter(member -> !member.equals(excluded)).toList();
-        return RendezvousRanking.top(key, candidates, MemberId::value, count).contains(mSelf);
+    /** Returns the number of members before this one in the ranking for a key. */
+    private int rank(String key, @Nullable MemberId excluded) {
+        long ownWeight = RendezvousRanking.weight(key, mSelf.value());
+        int rank = 0;
+        for (MemberId member : mMembers) {
+            boolean isBefore =
+                    !member.equals(excluded)
+                            && RendezvousRanking.weight(key, member.value()) > ownWeight;
+            rank += isBefore ? 1 : 0;
+        }
+        return rank;
     }
 
     private void timerFired(Instant now, List<QuarantineDecision> decisions) {
@@ -401,12 +412,7 @@
 
     /** The time by which a daemon of a lower rank should have written the entry. */
     private Duration writeDelay(QuarantineEntry entry) {
-        String key = entry.pattern().id();
-        long ownWeight = RendezvousRanking.weight(key, mSelf.value());
-        long rank =
-                mMembers.stream()
-                        .filter(member -> RendezvousRanking.weight(key, member.value()) > ownWeight)
-                        .count();
+        int rank = rank(entry.pattern().id(), null);
         return EntryStore.RANK_DELAY.multipliedBy(rank + 1);
     }
 
