Stop waiting for a write once the key-value service has all entries

A daemon of low rank kept a scheduled write, and with it ten ticks a second, until its turn came, although the entry had been written by another one: about an hour with 1,700 daemons. The test of a large fleet now also checks that no daemon waits.

--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -423,8 +423,9 @@
         for (QuarantineEntry entry : stored.entries()) {
             adopt(entry, "read from the key-value service", now, decisions);
         }
-        if (mStore.isBehind(mTable)) {
-            mStore.requestWrite(now.plus(EntryStore.RANK_DELAY));
+        QuarantineEntry missing = mStore.firstMissing(mTable);
+        if (missing != null) {
+            mStore.requestWrite(now.plus(writeDelay(missing)));
         }
     }
 
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryStore.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryStore.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
@@ -28,13 +29,14 @@
     private Duration mRetryDelay = FIRST_RETRY_DELAY;
     private boolean mWriting;
 
-    /** Records the entries that the key-value service has. */
+    /** Records the entries that the key-value service has, and withdraws a scheduled write. */
     void stored(List<QuarantineEntry> entries, Revision revision) {
         mStored.clear();
         entries.forEach(entry -> mStored.put(entry.pattern(), entry));
         mRevision = revision;
         mRetryDelay = FIRST_RETRY_DELAY;
         mWriting = false;
+        mWriteAt = Instant.MAX;
     }
 
     /** Records that a write failed; it is tried again after a growing delay. */
@@ -52,15 +54,18 @@
         }
     }
 
-    /** Returns whether the key-value service lacks an entry or has one that is superseded. */
-    boolean isBehind(EntryTable table) {
+    /**
+     * Returns the first entry that the key-value service lacks or has in a superseded form, or null
+     * if there is none.
+     */
+    @Nullable QuarantineEntry firstMissing(EntryTable table) {
         for (QuarantineEntry entry : table.entries()) {
             QuarantineEntry stored = mStored.get(entry.pattern());
             if (stored == null || entry.supersedes(stored)) {
-                return true;
+                return entry;
             }
         }
-        return false;
+        return null;
     }
 
     /** Returns whether a write is due now, and if so, counts it as begun. */
@@ -69,7 +74,7 @@
             return false;
         }
         mWriteAt = Instant.MAX;
-        mWriting = isBehind(table);
+        mWriting = firstMissing(table) != null;
         return mWriting;
     }
 
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
@@ -301,7 +301,7 @@
                 List.of(new SuspectCall("r" + index, mFleet.prompt("first", "part" + index))));
     }
 
-    /** Guards against every daemon of a large fleet writing or replying at the same time. */
+    /** Guards against every daemon of a large fleet writing, replying or waiting for long. */
     @Test
     void crashInALargeFleetCausesFewWrites() {
         int daemons = 200;
@@ -313,6 +313,9 @@
         fleet.pass(BOUND);
         assertThat(fleet.isRefusedEverywhere(fleet.prompt("first", "dead")), is(true));
         assertThat(fleet.writes(), is(lessThanOrEqualTo(5)));
+        for (int daemon = 0; daemon < daemons; daemon++) {
+            assertThat("daemon " + daemon + " waits", fleet.isWaiting(daemon), is(false));
+        }
         int announcements = 3 * (5 + 5) * (daemons - 1);
         assertThat(fleet.messages(), is(lessThanOrEqualTo(announcements + 5 * daemons)));
     }
