--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/QuarantineFlags.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/QuarantineFlags.java
@@ -2,14 +2,15 @@
 
 import java.io.PrintWriter;
 import java.time.Instant;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
-import org.oleanderspring.daemon.gateway.process.command.QuarantineAdministration;
 import org.oleanderspring.daemon.gateway.quarantine.AdministrationResult;
 import org.oleanderspring.daemon.process.ExitCode;
+import org.oleanderspring.platform.http.HttpClientOptions;
+import org.oleanderspring.platform.http.SharedHttpClient;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -34,14 +35,15 @@
     /**
      * Runs an action and prints its result.
      *
-     * @param action the action
+     * @param action the action, with a client and the address of the key-value service
      * @return the exit code
      */
-    public int run(Function<QuarantineAdministration, AdministrationResult> action) {
+    public int run(BiFunction<SharedHttpClient, Address, AdministrationResult> action) {
         PrintWriter out = mSpec.commandLine().getOut();
         PrintWriter error = mSpec.commandLine().getErr();
-        try (QuarantineAdministration administration = new QuarantineAdministration(store())) {
-            AdministrationResult result = action.apply(administration);
+        Address store = store();
+        try (SharedHttpClient client = new SharedHttpClient(HttpClientOptions.DEFAULT)) {
+            AdministrationResult result = action.apply(client, store);
             if (result instanceof AdministrationResult.Entries entries) {
                 entries.entries().forEach(entry -> out.println(format(entry, Instant.now())));
                 return ExitCode.SUCCESS;
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/QuarantineWithdrawCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/QuarantineWithdrawCommand.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.concurrent.Callable;
 import org.oleanderspring.daemon.cli.QuarantineFlags;
+import org.oleanderspring.daemon.gateway.process.command.QuarantineWithdrawal;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
@@ -24,6 +25,8 @@
 
     @Override
     public Integer call() {
-        return mFlags.run(administration -> administration.withdraw(mId, Instant.now()));
+        return mFlags.run(
+                (client, store) ->
+                        new QuarantineWithdrawal(client, store).withdraw(mId, Instant.now()));
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/query/QuarantineListCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/query/QuarantineListCommand.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.Callable;
 import org.oleanderspring.daemon.cli.QuarantineFlags;
-import org.oleanderspring.daemon.gateway.process.command.QuarantineAdministration;
+import org.oleanderspring.daemon.gateway.process.query.QuarantineReader;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 
@@ -21,6 +21,6 @@
 
     @Override
     public Integer call() {
-        return mFlags.run(QuarantineAdministration::list);
+        return mFlags.run((client, store) -> new QuarantineReader(client, store).read().result());
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/QuarantineAdministration.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/QuarantineWithdrawal.java
@@ -4,68 +4,42 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreLeaseId;
-import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
 import org.oleanderspring.coordination.store.command.WriteResult;
-import org.oleanderspring.coordination.store.query.ReadResult;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
 import org.oleanderspring.daemon.gateway.GatewayKeys;
+import org.oleanderspring.daemon.gateway.process.query.QuarantineReader;
 import org.oleanderspring.daemon.gateway.quarantine.AdministrationResult;
 import org.oleanderspring.daemon.gateway.quarantine.QuarantineEntryCodec;
 import org.oleanderspring.platform.hosted.command.HostedKeyValueCommands;
-import org.oleanderspring.platform.hosted.query.HostedKeyValueQueries;
 import org.oleanderspring.platform.http.HttpCallSender;
-import org.oleanderspring.platform.http.HttpClientOptions;
 import org.oleanderspring.platform.http.SharedHttpClient;
 
 /**
- * Reads and withdraws the entries of the quarantine in the key-value service, where the daemons
- * follow them. Its methods block.
+ * Withdraws entries of the quarantine in the key-value service, where the daemons follow them. Its
+ * methods block.
  */
-public final class QuarantineAdministration implements AutoCloseable {
+public final class QuarantineWithdrawal {
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     /** Another writer may change the entries between the read and the write. */
     private static final int WRITE_ATTEMPTS = 5;
 
-    private final SharedHttpClient mClient = new SharedHttpClient(HttpClientOptions.DEFAULT);
+    private final QuarantineReader mReader;
     private final HostedKeyValueCommands mCommands;
-    private final HostedKeyValueQueries mQueries;
 
     /**
-     * Creates a client; it connects with the first command.
+     * Creates the command; it connects with the first call.
      *
+     * @param client sends the requests
      * @param store the address of the platform's key-value service
      */
-    public QuarantineAdministration(Address store) {
-        HttpCallSender calls = new HttpCallSender(mClient, 1);
-        mCommands = new HostedKeyValueCommands(calls, store, TIMEOUT);
-        mQueries =
-                new HostedKeyValueQueries(
-                        calls, mClient.jettyClient().getScheduler(), store, TIMEOUT);
-    }
-
-    /** Returns all entries, also those that were withdrawn or have ended. */
-    public AdministrationResult list() {
-        ReadResult result = mQueries.read(GatewayKeys.QUARANTINE).join();
-        if (result instanceof ReadResult.Unavailable unavailable) {
-            return new AdministrationResult.Unavailable(unavailable.reason());
-        }
-        List<StoredValue> values = ((ReadResult.Found) result).values();
-        return values.isEmpty()
-                ? new AdministrationResult.Entries(List.of())
-                : decode(values.get(0));
-    }
-
-    private static AdministrationResult decode(StoredValue value) {
-        Optional<List<QuarantineEntry>> entries = QuarantineEntryCodec.decode(value.bytes());
-        return entries.isPresent()
-                ? new AdministrationResult.Entries(entries.get())
-                : new AdministrationResult.Unavailable("the entries are not readable");
+    public QuarantineWithdrawal(SharedHttpClient client, Address store) {
+        mReader = new QuarantineReader(client, store);
+        mCommands = new HostedKeyValueCommands(new HttpCallSender(client, 1), store, TIMEOUT);
     }
 
     /**
@@ -78,15 +52,7 @@
     public AdministrationResult withdraw(String id, Instant now) {
         AdministrationResult result = new AdministrationResult.NotFound();
         for (int attempt = 0; attempt < WRITE_ATTEMPTS; attempt++) {
-            ReadResult read = mQueries.read(GatewayKeys.QUARANTINE).join();
-            if (read instanceof ReadResult.Unavailable unavailable) {
-                return new AdministrationResult.Unavailable(unavailable.reason());
-            }
-            List<StoredValue> values = ((ReadResult.Found) read).values();
-            if (values.isEmpty()) {
-                return new AdministrationResult.NotFound();
-            }
-            result = withdraw(id, values.get(0), now);
+            result = tryToWithdraw(id, now);
             if (!(result instanceof AdministrationResult.Unavailable)) {
                 return result;
             }
@@ -94,10 +60,10 @@
         return result;
     }
 
-    private AdministrationResult withdraw(String id, StoredValue value, Instant now) {
-        AdministrationResult known = decode(value);
-        if (!(known instanceof AdministrationResult.Entries entries)) {
-            return known;
+    private AdministrationResult tryToWithdraw(String id, Instant now) {
+        QuarantineReader.Stored stored = mReader.read();
+        if (!(stored.result() instanceof AdministrationResult.Entries entries)) {
+            return stored.result();
         }
         List<QuarantineEntry> changed = new ArrayList<>();
         List<QuarantineEntry> withdrawn = new ArrayList<>();
@@ -110,7 +76,7 @@
         }
         return withdrawn.isEmpty()
                 ? new AdministrationResult.NotFound()
-                : write(value.revision(), changed, withdrawn);
+                : write(stored.revision(), changed, withdrawn);
     }
 
     private AdministrationResult write(
@@ -128,9 +94,4 @@
                 ? new AdministrationResult.Entries(withdrawn)
                 : new AdministrationResult.Unavailable(result.toString());
     }
-
-    @Override
-    public void close() {
-        mClient.close();
-    }
 }
