--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -51,11 +51,11 @@
     private static final Duration DEMAND_PERIOD = Duration.ofMillis(250);
 
     private final DutyThread<GatewayRoutingInput> mRouting =
-            new DutyThread<>("routing", ROUTING_CAPACITY);
+            new DutyThread<>("routing", ROUTING_CAPACITY, DutyEventKinds::of);
     private final DutyThread<ResidencyInput> mPlacement =
-            new DutyThread<>("placement", PLACEMENT_CAPACITY);
+            new DutyThread<>("placement", PLACEMENT_CAPACITY, DutyEventKinds::of);
     private final DutyThread<QuarantineInput> mQuarantine =
-            new DutyThread<>("quarantine", QUARANTINE_CAPACITY);
+            new DutyThread<>("quarantine", QUARANTINE_CAPACITY, DutyEventKinds::of);
     private final DutyTimer mTimer = new DutyTimer();
     private final EventSink<GatewayRoutingInput> mRoutingSink =
             new RetryingSink<>(mRouting, mTimer);
@@ -65,6 +65,12 @@
     private final EventSink<ResidencyInput> mDemandSink =
             new ReservingSink<>(mPlacement, mPlacement, PLACEMENT_RESERVE);
 
+    GatewayRings() {
+        mRouting.onLoad(load -> DutyLoadLog.log("routing", load));
+        mPlacement.onLoad(load -> DutyLoadLog.log("placement", load));
+        mQuarantine.onLoad(load -> DutyLoadLog.log("quarantine", load));
+    }
+
     DutyThread<GatewayRoutingInput> routing() {
         return mRouting;
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -388,6 +388,11 @@
             return 0;
         }
 
+        @Override
+        public Duration busy() {
+            return Duration.ZERO;
+        }
+
         @Override
         public Duration lastWait() {
             return Duration.ZERO;
--- a/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
+++ b/duty/src/main/java/org/oleanderspring/duty/command/DutyThread.java
@@ -14,7 +14,10 @@
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.StampedLock;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.duty.query.DutyLoad;
 import org.oleanderspring.duty.query.RingUsage;
 
 /**
@@ -35,16 +38,21 @@
 
     private static final long FULL_RING_RETRY_MILLIS = 1;
 
+    private static final Duration LOAD_PERIOD = Duration.ofSeconds(5);
+
     private final String mName;
     private final Disruptor<RingEntry<T>> mDisruptor;
     private final RingBuffer<RingEntry<T>> mRing;
     private final EntryHandler mEntryHandler = new EntryHandler();
     private final LongAdder mRejectedOffers = new LongAdder();
+    private final DutyLoadRecorder<T> mLoadRecorder;
     private final StampedLock mStopLock = new StampedLock();
     private final CountDownLatch mTerminated = new CountDownLatch(1);
     private boolean mStopped;
     private volatile boolean mStarted;
     private volatile long mLastWaitNanos;
+    private volatile long mBusyNanos;
+    private volatile Consumer<DutyLoad> mLoadListener = load -> {};
 
     /**
      * Creates the ring and the thread. The ring accepts events immediately; they are handled after
@@ -54,7 +62,19 @@
      * @param capacity the capacity of the ring in events; a power of two
      */
     public DutyThread(String name, int capacity) {
+        this(name, capacity, event -> event.getClass().getSimpleName());
+    }
+
+    /**
+     * Creates the ring and the thread, like {@link #DutyThread(String, int)}.
+     *
+     * @param name the name of the thread
+     * @param capacity the capacity of the ring in events; a power of two
+     * @param kindOf names the kind of an event, by which the work is measured
+     */
+    public DutyThread(String name, int capacity, Function<T, String> kindOf) {
         mName = Objects.requireNonNull(name, "name");
+        mLoadRecorder = new DutyLoadRecorder<>(kindOf, System.nanoTime());
         ThreadFactory threads =
                 task -> {
                     Thread thread = new Thread(task, name);
@@ -74,6 +94,16 @@
         mRing = mDisruptor.getRingBuffer();
     }
 
+    /**
+     * Sets the listener that the duty's thread informs of its work, after the first event of each
+     * period.
+     *
+     * @param listener called on the duty's thread
+     */
+    public void onLoad(Consumer<DutyLoad> listener) {
+        mLoadListener = listener;
+    }
+
     /**
      * Starts the thread. Must be called at most once, and not after {@link #close}.
      *
@@ -133,6 +163,11 @@
         return Duration.ofNanos(mLastWaitNanos);
     }
 
+    @Override
+    public Duration busy() {
+        return Duration.ofNanos(mBusyNanos);
+    }
+
     @Override
     public long rejectedOffers() {
         return mRejectedOffers.sum();
@@ -187,8 +222,24 @@
                 mDisruptor.halt();
                 return;
             }
-            mLastWaitNanos = System.nanoTime() - entry.mOfferedAtNanos;
-            mHandler.handle(event);
+            long takenAt = System.nanoTime();
+            long waitNanos = takenAt - entry.mOfferedAtNanos;
+            mLastWaitNanos = waitNanos;
+            try {
+                mHandler.handle(event);
+            } finally {
+                recordLoad(event, waitNanos, takenAt);
+            }
+        }
+
+        private void recordLoad(T event, long waitNanos, long takenAt) {
+            long now = System.nanoTime();
+            // Only this thread writes the field.
+            mBusyNanos = mBusyNanos + now - takenAt;
+            mLoadRecorder.record(event, waitNanos, now - takenAt);
+            if (now - mLoadRecorder.periodStart() >= LOAD_PERIOD.toNanos()) {
+                mLoadListener.accept(mLoadRecorder.take(now));
+            }
         }
 
         @Override
--- a/duty/src/main/java/org/oleanderspring/duty/query/RingUsage.java
+++ b/duty/src/main/java/org/oleanderspring/duty/query/RingUsage.java
@@ -16,6 +16,9 @@
     /** Returns how long the event that was taken last had waited; zero before the first event. */
     Duration lastWait();
 
+    /** Returns for how long events have been handled since the start. */
+    Duration busy();
+
     /** Returns how many offers were rejected since the start because the ring was full. */
     long rejectedOffers();
 }
