--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -129,6 +129,8 @@
         } else if (event instanceof RoutingEvent.TableChanged changed) {
             fleet.apply(changed.table(), context.now());
             mState.markWaitingForDispatch();
+        } else if (event instanceof RoutingEvent.ReplicasChanged changed) {
+            fleet.apply(changed.replicas(), context.now()).forEach(mState::markForDispatch);
         } else if (event instanceof RoutingEvent.EndpointDraining draining) {
             fleet.drain(draining.endpoint(), context.now());
             mState.markWaitingForDispatch();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.core.routing.command;
 
 import java.time.Instant;
+import java.util.List;
+import java.util.Map;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.query.Quarantine;
@@ -8,6 +10,7 @@
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingLimits;
 import org.oleanderspring.core.routing.RoutingTable;
 import org.oleanderspring.core.routing.Target;
@@ -58,6 +61,19 @@
      */
     record TableChanged(RoutingTable table) implements RoutingEvent {}
 
+    /**
+     * The replicas of some targets changed. All other targets and the set of known targets stay the
+     * same.
+     *
+     * @param replicas the replicas of each target that changed; empty for a target without any
+     */
+    record ReplicasChanged(Map<Target, List<Replica>> replicas) implements RoutingEvent {
+        /** Copies the map. */
+        public ReplicasChanged {
+            replicas = Map.copyOf(replicas);
+        }
+    }
+
     /**
      * An endpoint accepts no new work.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -45,9 +46,31 @@
             }
         }
         mTargets.values().removeIf(state -> !isKnown(state.target()) && state.isUnused());
+        removeUnusedEndpoints();
+    }
+
+    private void removeUnusedEndpoints() {
         mEndpoints.values().removeIf(state -> state.isUnused() && !state.isDraining());
     }
 
+    /**
+     * Replaces the replicas of some targets. Afterwards endpoints without a replica and running
+     * attempts are removed, unless they are draining.
+     *
+     * @return the states of these targets
+     */
+    List<TargetState> apply(Map<Target, List<Replica>> replicas, Instant now) {
+        List<TargetState> changed = new ArrayList<>();
+        replicas.forEach(
+                (target, list) -> {
+                    TargetState state = target(target);
+                    state.updateReplicas(list, id -> endpoint(id, now), now);
+                    changed.add(state);
+                });
+        removeUnusedEndpoints();
+        return changed;
+    }
+
     boolean isKnown(Target target) {
         return mTable.knownTargets().contains(target);
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
+import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.query.HostedRoutingTableBuilder;
 import org.oleanderspring.core.residency.query.ResidencyView;
 import org.oleanderspring.core.route.FleetConfiguration;
@@ -29,7 +30,9 @@
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
+import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingLimits;
+import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.RoutingDecision;
 import org.oleanderspring.core.routing.command.RoutingEvent;
@@ -128,9 +131,7 @@
         } else if (input instanceof GatewayRoutingInput.StoreChanged changed) {
             apply(mFleet.apply(changed.update(), mClock.now()));
         } else if (input instanceof GatewayRoutingInput.ResidencyReceived received) {
-            if (mResidency.applyStatement(received.residency(), mClock.now())) {
-                updateTable();
-            }
+            applyStatement(received.residency());
         } else if (input instanceof GatewayRoutingInput.ReadinessEstimated estimated) {
             decide(
                     new RoutingEvent.ReadinessEstimated(
@@ -199,7 +200,7 @@
             mTableBuilder = new HostedRoutingTableBuilder(configuration);
         }
         if (change != FleetView.Change.DAEMONS) {
-            updateTable();
+            updateTable(change == FleetView.Change.CONFIGURATION);
         }
         updateLimits();
         updateAuthority();
@@ -215,17 +216,36 @@
         updateAuthority();
     }
 
-    private void updateTable() {
-        if (mTableBuilder == null) {
+    /** Applies the registered runners. Only a new configuration changes the whole table. */
+    private void updateTable(boolean isNewConfiguration) {
+        HostedRoutingTableBuilder builder = mTableBuilder;
+        if (builder == null) {
             return;
         }
+        Instant now = mClock.now();
         List<RunnerRegistration> runners = mFleet.runners();
         mRunners.clear();
         runners.forEach(runner -> mRunners.put(runner.id(), runner));
-        mResidency.applyRegistrations(runners, mClock.now());
-        decide(
-                new RoutingEvent.TableChanged(
-                        mTableBuilder.build(runners, mResidency, mClock.now())));
+        mResidency.applyRegistrations(runners, now);
+        if (isNewConfiguration) {
+            decide(new RoutingEvent.TableChanged(builder.build(runners, mResidency, now)));
+            return;
+        }
+        replicasChanged(builder.update(runners, mResidency, now));
+    }
+
+    private void applyStatement(Residency residency) {
+        Instant now = mClock.now();
+        RunnerRegistration runner = mRunners.get(residency.runner());
+        if (mResidency.applyStatement(residency, now) && runner != null && mTableBuilder != null) {
+            replicasChanged(mTableBuilder.update(runner, mResidency, now));
+        }
+    }
+
+    private void replicasChanged(Map<Target, List<Replica>> replicas) {
+        if (!replicas.isEmpty()) {
+            decide(new RoutingEvent.ReplicasChanged(replicas));
+        }
     }
 
     /**
