--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseOptions.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/LeaseOptions.java
@@ -14,13 +14,15 @@
  * @param retryDelay time between a failed operation and the next attempt
  * @param rankDelay delay per rank before a candidate tries to acquire a free lease, so that
  *     candidates of lower rank try first
+ * @param pollInterval average time after which a candidate reads the key of another holder again
  */
 public record LeaseOptions(
         Duration timeToLive,
         Duration safetyMargin,
         Duration operationTimeout,
         Duration retryDelay,
-        Duration rankDelay) {
+        Duration rankDelay,
+        Duration pollInterval) {
     /** Defaults for a key-value service that replies within milliseconds. */
     public static final LeaseOptions DEFAULT =
             new LeaseOptions(
@@ -40,6 +42,7 @@
         requirePositive(timeToLive, "timeToLive");
         requirePositive(operationTimeout, "operationTimeout");
         requirePositive(retryDelay, "retryDelay");
+        requirePositive(pollInterval, "pollInterval");
         Objects.requireNonNull(safetyMargin, "safetyMargin");
         Objects.requireNonNull(rankDelay, "rankDelay");
         if (safetyMargin.isNegative() || rankDelay.isNegative()) {
@@ -55,6 +58,26 @@
         }
     }
 
+    /**
+     * Creates options with a poll interval of one time to live, by which time the key of a failed
+     * holder has been removed.
+     *
+     * @param timeToLive how long the key-value service keeps a lease without renewal
+     * @param safetyMargin how long before the end of the time to live the holder considers its
+     *     lease lost
+     * @param operationTimeout time after which an operation without a reply counts as failed
+     * @param retryDelay time between a failed operation and the next attempt
+     * @param rankDelay delay per rank before a candidate tries to acquire a free lease
+     */
+    public LeaseOptions(
+            Duration timeToLive,
+            Duration safetyMargin,
+            Duration operationTimeout,
+            Duration retryDelay,
+            Duration rankDelay) {
+        this(timeToLive, safetyMargin, operationTimeout, retryDelay, rankDelay, timeToLive);
+    }
+
     /** Returns the time between two renewals: a third of the time to live. */
     public Duration renewalPeriod() {
         return timeToLive.dividedBy(RENEWALS_PER_TIME_TO_LIVE);
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
@@ -39,8 +39,8 @@
  * on the revision last seen, so only one of several candidates succeeds. After a write without a
  * reply the key is read and its value compared: a value of this daemon run with the current service
  * lease means that the lease is held, whichever of the writes took effect. A key of another writer
- * is read again after about one time to live, by which time the key of a failed holder has been
- * removed. The delay is randomized so that the candidates do not read at the same time.
+ * is read again after about one poll interval. The delay is randomized so that the candidates do
+ * not read at the same time.
  *
  * <p>A lease is released by writing a value without a service lease (see {@link
  * LeaseValue#isReleased}), because the key-value port has no operation that removes a single key.
@@ -48,7 +48,7 @@
  * leases together are released by revoking the service lease.
  */
 public final class DefaultLeaseDecider implements LeaseDecider, LeaseQueries {
-    /** A key of another writer is read again after 0.75 to 1.25 times the time to live. */
+    /** A key of another writer is read again after 0.75 to 1.25 times the poll interval. */
     private static final double MIN_POLL_FACTOR = 0.75;
 
     private static final double MAX_POLL_FACTOR = 1.25;
@@ -397,6 +397,6 @@
 
     private Duration pollDelay() {
         double factor = mJitter.nextDouble(MIN_POLL_FACTOR, MAX_POLL_FACTOR);
-        return Duration.ofMillis((long) (mOptions.timeToLive().toMillis() * factor));
+        return Duration.ofMillis((long) (mOptions.pollInterval().toMillis() * factor));
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewayKeys.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewayKeys.java
@@ -15,6 +15,9 @@
     /** The prefix of the keys that the daemons write. */
     public static final StoreKey DAEMONS = new StoreKey("/oleanderspring/");
 
+    /** The common beginning of {@link #CONFIGURATION} and {@link #DAEMONS}. */
+    public static final StoreKey CONFIGURATION_AND_DAEMONS = new StoreKey("/o");
+
     /** The prefix of the daemons' leases. */
     public static final StoreKey LEASES = new StoreKey(DAEMONS.path() + "leases/");
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -9,13 +9,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 import org.eclipse.jetty.server.Handler;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.LeaseOptions;
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.query.PacedWatch;
 import org.oleanderspring.coordination.store.query.PrefixQueries;
 import org.oleanderspring.core.message.ErrorMessage;
@@ -95,6 +95,9 @@
     private static final ListenerOptions AUXILIARY_OPTIONS =
             new ListenerOptions(6, 3, 16 * 1024, Duration.ofSeconds(30), false);
 
+    /** The watch reports released keys at once, so reading them is needed only if it missed one. */
+    private static final Duration LEASE_POLL_INTERVAL = Duration.ofSeconds(15);
+
     /**
      * A holder that cannot renew the placement lease stops sending orders a safety margin before
      * the lease expires.
@@ -105,7 +108,8 @@
                     GatewayStop.SAFETY_MARGIN,
                     Duration.ofMillis(800),
                     Duration.ofMillis(200),
-                    Duration.ofMillis(100));
+                    Duration.ofMillis(100),
+                    LEASE_POLL_INTERVAL);
 
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
@@ -258,9 +262,15 @@
 
     private void watchStore() {
         PrefixQueries queries = storeQueries(new HttpCallSender(mClient, MAX_CONCURRENT_CALLS));
-        for (StoreKey prefix : List.of(GatewayKeys.CONFIGURATION, GatewayKeys.DAEMONS)) {
-            mOpenResources.add(queries.follow(prefix, new StoreUpdatePublisher(prefix, mRings)));
-        }
+        mOpenResources.add(
+                queries.follow(
+                        GatewayKeys.CONFIGURATION_AND_DAEMONS,
+                        new PrefixSplitter(
+                                Map.of(
+                                        GatewayKeys.CONFIGURATION,
+                                        new StoreUpdatePublisher(GatewayKeys.CONFIGURATION, mRings),
+                                        GatewayKeys.DAEMONS,
+                                        new StoreUpdatePublisher(GatewayKeys.DAEMONS, mRings)))));
         PacedWatch runners =
                 queries.follow(
                         GatewayKeys.RUNNERS, new StoreUpdatePublisher(GatewayKeys.RUNNERS, mRings));
