--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/CallerDisconnectWatch.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/CallerDisconnectWatch.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.daemon.gateway.routing.query.CallerPresence;
 
 /**
  * Detects that a caller closes its connection while its request is handled.
@@ -19,13 +20,14 @@
  * withdrawn before the response completes, and the lock ensures that no read by this class is still
  * in progress at that time.
  */
-final class CallerDisconnectWatch implements Callback {
+final class CallerDisconnectWatch implements Callback, CallerPresence {
     private static final int READ_BYTES = 4 * 1024;
 
     private final Connection mConnection;
     private final Runnable mOnDisconnect;
     private boolean mWatching;
     private boolean mStopped;
+    private volatile boolean mDisconnected;
 
     CallerDisconnectWatch(Request request, Runnable onDisconnect) {
         mConnection = request.getConnectionMetaData().getConnection();
@@ -62,12 +64,12 @@
 
     @Override
     public void succeeded() {
-        if (hasCallerDisconnected()) {
-            mOnDisconnect.run();
+        if (readDisconnection()) {
+            reportDisconnection();
         }
     }
 
-    private synchronized boolean hasCallerDisconnected() {
+    private synchronized boolean readDisconnection() {
         mWatching = false;
         if (mStopped) {
             return false;
@@ -98,7 +100,17 @@
             disconnected = !mStopped;
         }
         if (disconnected) {
-            mOnDisconnect.run();
+            reportDisconnection();
         }
     }
+
+    private void reportDisconnection() {
+        mDisconnected = true;
+        mOnDisconnect.run();
+    }
+
+    @Override
+    public boolean hasDisconnected() {
+        return mDisconnected;
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayRequestHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayRequestHandler.java
@@ -103,7 +103,8 @@
                         mHeadReader.read(headers),
                         body,
                         mClock.now(),
-                        stream);
+                        stream,
+                        watch);
         if (mIntake.accept(accepted) != OfferResult.ACCEPTED) {
             stream.refuse(Refusal.notRun(ErrorMessage.OVERLOADED));
             return;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRequest.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRequest.java
@@ -7,6 +7,7 @@
 import org.oleanderspring.core.port.RequestHead;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.daemon.front.ResponseStream;
+import org.oleanderspring.daemon.gateway.routing.query.CallerPresence;
 
 /**
  * A request of a client of the hosted platform.
@@ -20,6 +21,7 @@
  * @param body the body; must not be modified
  * @param arrivedAt when the request was completely read
  * @param stream the response to the client
+ * @param caller whether the client still waits
  */
 public record GatewayRequest(
         CallId id,
@@ -30,7 +32,8 @@
         RequestHead head,
         byte[] body,
         Instant arrivedAt,
-        ResponseStream stream) {
+        ResponseStream stream,
+        CallerPresence caller) {
     /** Copies the headers; rejects null components. */
     public GatewayRequest {
         Objects.requireNonNull(id, "id");
@@ -42,6 +45,7 @@
         Objects.requireNonNull(body, "body");
         Objects.requireNonNull(arrivedAt, "arrivedAt");
         Objects.requireNonNull(stream, "stream");
+        Objects.requireNonNull(caller, "caller");
     }
 
     /** Returns the path without the query. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -266,6 +266,10 @@
     }
 
     private void accept(GatewayRequest request) {
+        if (request.caller().hasDisconnected()) {
+            request.stream().abandon();
+            return;
+        }
         FleetConfiguration configuration = mFleet.configuration();
         if (configuration == null || mRoutes == null) {
             refuse(request, Refusal.notRun(ErrorMessage.NO_AUTHORITY));
@@ -404,6 +408,10 @@
                                     "the call has ended or the runner is not registered", true)));
             return;
         }
+        if (call.request().caller().hasDisconnected()) {
+            mPendingEvents.add(new RoutingEvent.CallerDisconnected(attempt.call()));
+            return;
+        }
         Duration waited = Duration.between(call.request().arrivedAt(), now);
         CallLog.attemptStarted(call, start, waited, mFleet.configuration());
         mMeters.attemptStarted();
