--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/load/EndpointLoad.java
@@ -0,0 +1,25 @@
+package org.oleanderspring.core.load;
+
+import java.util.Objects;
+import org.oleanderspring.core.fleet.EndpointId;
+
+/**
+ * The calls of all daemons at one endpoint.
+ *
+ * @param endpoint the endpoint
+ * @param running the number of running calls
+ * @param slowness the time to the first byte relative to other endpoints with the same targets; 1
+ *     if it is as usual or unknown
+ */
+public record EndpointLoad(EndpointId endpoint, int running, double slowness) {
+    /** Rejects a negative count and a slowness that is not a positive number. */
+    public EndpointLoad {
+        Objects.requireNonNull(endpoint, "endpoint");
+        if (running < 0) {
+            throw new IllegalArgumentException("negative number of calls: " + running);
+        }
+        if (!(slowness > 0) || Double.isInfinite(slowness)) {
+            throw new IllegalArgumentException("slowness is not positive: " + slowness);
+        }
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -37,7 +37,9 @@
         }
         call.responseBegan();
         mState.calls().responseBegan(call);
-        call.target().times().recordFirstByte(Duration.between(attempt.startedAt(), now));
+        Duration firstByte = Duration.between(attempt.startedAt(), now);
+        call.target().times().recordFirstByte(firstByte);
+        attempt.replica().endpoint().addSlowness(mState.usualTimes().compare(call, firstByte));
         recordResponse(attempt);
     }
 
@@ -80,6 +82,12 @@
             return;
         }
         context.add(new RoutingDecision.CancelAttempt(call.lastAttempt(), reason));
+        if (!call.isBeingAnswered()) {
+            Duration elapsed = Duration.between(attempt.startedAt(), context.now());
+            mState.usualTimes()
+                    .compareUnanswered(call, elapsed)
+                    .ifPresent(attempt.replica().endpoint()::addSlowness);
+        }
         detach(call, attempt);
         call.markPossiblyRun();
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -136,6 +136,10 @@
             mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.EndpointLoadObserved load) {
             fleet.updateLoad(load.endpoint(), load.callsOfOtherDaemons(), load.observedAt());
+        } else if (event instanceof RoutingEvent.EndpointLoadsReported reported) {
+            fleet.loadsReported(reported.loads(), context.now());
+        } else if (event instanceof RoutingEvent.EndpointUseReportDue) {
+            context.add(new RoutingDecision.ReportEndpointUse(fleet.takeUses()));
         } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
             fleet.readinessEstimated(estimated.target(), estimated.readyAt(), context.now());
             mAdmission.recheckWaiting(estimated.target(), mCloser, context);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.load.EndpointUse;
 
 /** The routing state of one endpoint, shared by all targets that it serves. */
 final class EndpointState {
@@ -21,6 +24,15 @@
      */
     private static final int UNANSWERED_LIMIT = 3;
 
+    /** From this slowness on, an endpoint counts as slow; smaller differences have other causes. */
+    private static final double SLOW = 1.5;
+
+    /**
+     * The calls that a slow endpoint seems to run in addition, for each multiple of the usual time
+     * to the first byte. Other replicas of the same model then take the calls, up to this number.
+     */
+    private static final int SLOW_ENDPOINT_CALLS = 4;
+
     private final EndpointId mId;
     private final EndpointBackoff mBackoff = new EndpointBackoff();
     private final List<TargetState> mTargets = new ArrayList<>(1);
@@ -30,6 +42,10 @@
     private int mCallsOfOtherDaemons;
     private int mConsecutiveUnanswered;
     private Instant mLoadObservedAt = Instant.MIN;
+    private double mSlowness = 1;
+    private int mReportedRunning;
+    private int mSamples;
+    private double mSlownessSum;
 
     EndpointState(EndpointId id, Instant now) {
         mId = id;
@@ -108,6 +124,47 @@
         return mRunning + mCallsOfOtherDaemons;
     }
 
+    /** Applies a report of the load over all daemons, in which this daemon's last report counts. */
+    void loadReported(EndpointLoad load, Instant now) {
+        updateLoad(Math.max(0, load.running() - mReportedRunning), now);
+        mSlowness = load.slowness();
+    }
+
+    /**
+     * Returns the number of calls that would load an endpoint of usual speed as much as this one is
+     * loaded; see {@link #SLOW_ENDPOINT_CALLS}.
+     */
+    int equivalentCalls(Instant now) {
+        int calls = callsOfAllDaemons(now);
+        if (mSlowness < SLOW || mLoadObservedAt.plus(LOAD_VALIDITY).isBefore(now)) {
+            return calls;
+        }
+        return calls + (int) Math.round((mSlowness - 1) * SLOW_ENDPOINT_CALLS);
+    }
+
+    /**
+     * Adds a sample of the time to the first byte, relative to the usual one.
+     *
+     * @param slowness the time divided by the usual time
+     */
+    void addSlowness(double slowness) {
+        mSamples++;
+        mSlownessSum += slowness;
+    }
+
+    /** Returns the use since the last call, or null if there is nothing to report. */
+    @Nullable EndpointUse takeUse() {
+        if (mRunning == 0 && mReportedRunning == 0 && mSamples == 0) {
+            return null;
+        }
+        double slowness = mSamples == 0 ? 1 : mSlownessSum / mSamples;
+        EndpointUse use = new EndpointUse(mId, mRunning, mSamples, slowness);
+        mReportedRunning = mRunning;
+        mSamples = 0;
+        mSlownessSum = 0;
+        return use;
+    }
+
     /** Returns whether no target lists the endpoint and no attempt of this daemon runs there. */
     boolean isUnused() {
         return mTargets.isEmpty() && mRunning == 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/PrefixAffinitySelector.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/PrefixAffinitySelector.java
@@ -20,12 +20,19 @@
      */
     private static final double LOAD_BOUND = 1.25;
 
+    /**
+     * The share of an endpoint's concurrency up to which it is chosen for a prefix. Above it, a
+     * call would soon wait there, which costs more than reading the prefix again elsewhere.
+     */
+    private static final double HEADROOM = 0.75;
+
     private final EndpointSelector mFallback;
 
     /**
      * Creates a selector.
      *
-     * @param fallback chooses for calls without a prefix hash
+     * @param fallback chooses for calls without a prefix hash, and if the replica for the prefix is
+     *     nearly full
      */
     public PrefixAffinitySelector(EndpointSelector fallback) {
         mFallback = fallback;
@@ -49,8 +56,11 @@
                 bestWeight = weight;
             }
         }
-        return best < 0
-                ? Optional.empty()
+        if (best < 0) {
+            return Optional.empty();
+        }
+        return candidates.load(best) + 1 > HEADROOM * candidates.concurrency(best)
+                ? mFallback.select(call, candidates)
                 : Optional.of(new EndpointChoice(best, "prefix affinity"));
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
@@ -23,9 +23,17 @@
 
     /**
      * Returns the number of calls running on the endpoint of a replica, as far as this daemon
-     * knows.
+     * knows; more for a slow endpoint.
      *
      * @param index from 0 to {@link #size()} - 1
      */
     int load(int index);
+
+    /**
+     * Returns the number of calls that the endpoint of a replica runs at a time; further ones wait
+     * there.
+     *
+     * @param index from 0 to {@link #size()} - 1
+     */
+    int concurrency(int index);
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -100,4 +102,16 @@
      * @param call the call
      */
     record FinishCall(CallId call) implements RoutingDecision {}
+
+    /**
+     * Report the calls of this daemon at endpoints.
+     *
+     * @param uses the endpoints at which it runs calls or received responses
+     */
+    record ReportEndpointUse(List<EndpointUse> uses) implements RoutingDecision {
+        /** Copies the list. */
+        public ReportEndpointUse {
+            uses = List.copyOf(uses);
+        }
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -128,6 +129,21 @@
         }
     }
 
+    /**
+     * The load of endpoints over all daemons, including this one.
+     *
+     * @param loads the endpoints that run calls or are slow
+     */
+    record EndpointLoadsReported(List<EndpointLoad> loads) implements RoutingEvent {
+        /** Copies the list. */
+        public EndpointLoadsReported {
+            loads = List.copyOf(loads);
+        }
+    }
+
+    /** The next report of this daemon's calls at endpoints is due. */
+    record EndpointUseReportDue() implements RoutingEvent {}
+
     /**
      * The daemon begins to shut down and accepts no new calls. Calls already admitted are still
      * served.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingTable;
 import org.oleanderspring.core.routing.Target;
@@ -100,6 +102,27 @@
         }
     }
 
+    void loadsReported(List<EndpointLoad> loads, Instant now) {
+        for (EndpointLoad load : loads) {
+            EndpointState state = mEndpoints.get(load.endpoint());
+            if (state != null) {
+                state.loadReported(load, now);
+            }
+        }
+    }
+
+    /** Returns the use of all endpoints since the last call. */
+    List<EndpointUse> takeUses() {
+        List<EndpointUse> uses = new ArrayList<>();
+        for (EndpointState state : mEndpoints.values()) {
+            EndpointUse use = state.takeUse();
+            if (use != null) {
+                uses.add(use);
+            }
+        }
+        return uses;
+    }
+
     /** Excludes an endpoint from all selections. Its running attempts continue. */
     void drain(EndpointId id, Instant now) {
         EndpointState state = endpoint(id, now);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -12,6 +12,7 @@
 final class RoutingState {
     private final CallTable mCalls = new CallTable();
     private final RoutingFleetState mFleet = new RoutingFleetState();
+    private final UsualTimes mUsualTimes = new UsualTimes();
     private final RetryBudget mRetryBudget;
     private final RoutingStatistics mStatistics = new RoutingStatistics();
     private final Set<TargetState> mWaitingTargets = new LinkedHashSet<>();
@@ -34,6 +35,10 @@
         return mFleet;
     }
 
+    UsualTimes usualTimes() {
+        return mUsualTimes;
+    }
+
     RetryBudget retryBudget() {
         return mRetryBudget;
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
@@ -31,6 +31,11 @@
 
     @Override
     public int load(int index) {
-        return mReplicas.get(index).endpoint().callsOfAllDaemons(mNow);
+        return mReplicas.get(index).endpoint().equivalentCalls(mNow);
+    }
+
+    @Override
+    public int concurrency(int index) {
+        return mReplicas.get(index).concurrency();
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -78,6 +78,7 @@
     private final Map<EndpointId, RunnerRegistration> mRunners = new HashMap<>();
     private final Duration mSafetyMargin;
     private final OrderHistory mOrderHistory;
+    private final EndpointLoadPublisher mEndpointLoads;
     private boolean mOrdersEnded;
 
     /** The token of the last tenure. */
@@ -113,6 +114,7 @@
         mLeases = leases;
         mSafetyMargin = safetyMargin;
         mOrderHistory = new OrderHistory(settings.pauseBeforeOrders());
+        mEndpointLoads = new EndpointLoadPublisher(ports.notifier());
         mDecider = decider;
         mPorts = ports;
         mLeaseStoreOperations =
@@ -144,12 +146,17 @@
         } else if (input instanceof ResidencyInput.StoreChanged changed) {
             detectReleaseOfPlacementLease(changed.update());
             apply(mFleet.apply(changed.update(), mClock.now()));
+        } else if (input instanceof ResidencyInput.EndpointUseReported reported) {
+            mEndpointLoads.report(reported, mClock.now());
         } else if (input instanceof ResidencyInput.TimerFired) {
             decide(new LeaseEvent.TimerFired());
             if (mFleet.expire(mClock.now())) {
                 apply(FleetView.Change.RUNNERS);
             }
             decide(new ResidencyEvent.TimerFired());
+            if (mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())) {
+                mEndpointLoads.publishIfDue(mFleet.members(), mClock.now());
+            }
         } else if (input instanceof ResidencyInput.OrdersEnded) {
             LOGGER.log(Level.INFO, "[placement] orders-ended");
             mOrdersEnded = true;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyInput.java
@@ -1,7 +1,10 @@
 package org.oleanderspring.daemon.gateway.placement.command;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
+import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.residency.command.ResidencyEvent;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 
@@ -28,6 +31,19 @@
      */
     record StoreChanged(StoreUpdate update) implements ResidencyInput {}
 
+    /**
+     * A daemon reported its calls at endpoints.
+     *
+     * @param daemon the daemon
+     * @param uses the endpoints at which it runs calls or received responses
+     */
+    record EndpointUseReported(MemberId daemon, List<EndpointUse> uses) implements ResidencyInput {
+        /** Copies the list. */
+        public EndpointUseReported {
+            uses = List.copyOf(uses);
+        }
+    }
+
     /** The periodic tick of the duty. */
     record TimerFired() implements ResidencyInput {}
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyNotifier.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyNotifier.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.daemon.gateway.placement.command;
 
 import java.time.Duration;
+import java.util.List;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.daemon.gateway.GatewayMember;
@@ -27,4 +29,12 @@
      */
     void notifyReadyTime(
             GatewayMember member, Target.ServiceModelTarget target, Duration readyAfter);
+
+    /**
+     * Sends the calls of all daemons at endpoints.
+     *
+     * @param member the receiving daemon
+     * @param loads the endpoints that run calls or are slow
+     */
+    void notifyEndpointLoads(GatewayMember member, List<EndpointLoad> loads);
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -170,7 +170,12 @@
      * part of the ring that is reserved for replies is free.
      */
     void offerDemand(ResidencyEvent event) {
-        mDemandSink.offer(new ResidencyInput.Placement(event));
+        offerDemand(new ResidencyInput.Placement(event));
+    }
+
+    /** Offers a message about the calls at a daemon, like {@link #offerDemand(ResidencyEvent)}. */
+    void offerDemand(ResidencyInput input) {
+        mDemandSink.offer(input);
     }
 
     @Override
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -10,6 +10,8 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
@@ -21,6 +23,7 @@
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyNotifier;
 import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineNotifier;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
@@ -43,6 +46,9 @@
                 ResidencyNotifier,
                 QuarantineNotifier,
                 EventSink<ReceivedMessage> {
+    /** The number of endpoints in a message that still fits into a datagram. */
+    private static final int LOADS_PER_DATAGRAM = 28;
+
     private final GatewaySettings mSettings;
     private final GatewayRings mRings;
     private final MonotonicClock mClock = new MonotonicClock(Clock.systemUTC());
@@ -125,6 +131,27 @@
                         readyAfter));
     }
 
+    @Override
+    public void reportEndpointUse(GatewayMember holder, List<EndpointUse> uses) {
+        if (holder.equals(mSettings.self())) {
+            mRings.offerDemand(new ResidencyInput.EndpointUseReported(holder.id(), uses));
+            return;
+        }
+        send(holder, new PeerMessage.EndpointUseReport(mSettings.self().id(), uses));
+    }
+
+    @Override
+    public void notifyEndpointLoads(GatewayMember member, List<EndpointLoad> loads) {
+        if (member.equals(mSettings.self())) {
+            mRings.routing().offer(new GatewayRoutingInput.EndpointLoadsReceived(loads));
+            return;
+        }
+        for (int from = 0; from < loads.size(); from += LOADS_PER_DATAGRAM) {
+            int to = Math.min(loads.size(), from + LOADS_PER_DATAGRAM);
+            send(member, new PeerMessage.EndpointLoadNotice(loads.subList(from, to)));
+        }
+    }
+
     private void offerEstimate(Target.ServiceModelTarget target, Duration readyAfter) {
         mRings.routing().offer(new GatewayRoutingInput.ReadinessEstimated(target, readyAfter));
     }
@@ -178,7 +205,13 @@
         if (quarantineEvent != null) {
             return mRings.offerQuarantine(quarantineEvent);
         }
-        if (message instanceof PeerMessage.ReadyNotice notice) {
+        if (message instanceof PeerMessage.EndpointUseReport report) {
+            mRings.offerDemand(
+                    new ResidencyInput.EndpointUseReported(report.daemon(), report.uses()));
+        } else if (message instanceof PeerMessage.EndpointLoadNotice notice) {
+            return mRings.routing()
+                    .offer(new GatewayRoutingInput.EndpointLoadsReceived(notice.loads()));
+        } else if (message instanceof PeerMessage.ReadyNotice notice) {
             offerEstimate(target(notice.cell(), notice.model()), notice.readyAfter());
         } else if (message instanceof PeerMessage.UseReport report) {
             mRings.offerDemand(demandEvent(report));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -6,39 +6,29 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
-import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
-import org.oleanderspring.core.residency.Residency;
-import org.oleanderspring.core.residency.query.HostedRoutingTableBuilder;
-import org.oleanderspring.core.residency.query.ResidencyView;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.route.Route;
 import org.oleanderspring.core.route.RouteKind;
-import org.oleanderspring.core.route.query.RouteIndex;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
-import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingLimits;
-import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.RoutingDecision;
 import org.oleanderspring.core.routing.command.RoutingEvent;
 import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.front.Refusal;
-import org.oleanderspring.daemon.gateway.FleetView;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.process.MonotonicClock;
@@ -74,17 +64,13 @@
     private final GatewayMeters mMeters;
     private final MonotonicClock mClock;
     private final EventSink<GatewayRoutingInput> mOwnRing;
-    private final FleetView mFleet = new FleetView("[gateway]");
-    private final ResidencyView mResidency = new ResidencyView();
-    private final Map<EndpointId, RunnerRegistration> mRunners = new HashMap<>();
+    private final HostedFleet mFleet = new HostedFleet();
     private final Map<CallId, GatewayCall> mCalls = new HashMap<>();
     private final Map<AttemptId, ActiveAttempt> mActiveAttempts = new HashMap<>();
-    private final ModelDemandCounter mDemandCounter = new ModelDemandCounter();
+    private final DemandReporter mDemandReporter;
     private final AnswerRecorder mAnswerRecorder;
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
     private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
-    private @Nullable RouteIndex mRoutes;
-    private @Nullable HostedRoutingTableBuilder mTableBuilder;
     private GatewaySettings mSettings;
     private boolean mShuttingDown;
 
@@ -113,6 +99,7 @@
         mDecider = decider;
         mPorts = ports;
         mAnswerRecorder = new AnswerRecorder(ports.prompts());
+        mDemandReporter = new DemandReporter(ports.placement(), mFleet);
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -131,16 +118,19 @@
         } else if (input instanceof GatewayRoutingInput.StoreChanged changed) {
             apply(mFleet.apply(changed.update(), mClock.now()));
         } else if (input instanceof GatewayRoutingInput.ResidencyReceived received) {
-            applyStatement(received.residency());
+            mFleet.apply(received.residency(), mClock.now()).ifPresent(this::decide);
         } else if (input instanceof GatewayRoutingInput.ReadinessEstimated estimated) {
             decide(
                     new RoutingEvent.ReadinessEstimated(
                             estimated.target(), mClock.now().plus(estimated.readyAfter())));
+        } else if (input instanceof GatewayRoutingInput.EndpointLoadsReceived received) {
+            decide(new RoutingEvent.EndpointLoadsReported(received.loads()));
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
             reportAnswers();
-            reportDemand();
+            mDemandReporter.reportDemand(mCalls.values(), mActiveAttempts.keySet());
+            decide(new RoutingEvent.EndpointUseReportDue());
         } else {
             handleControlInput(input);
         }
@@ -148,8 +138,8 @@
     }
 
     private void handle(RoutingEvent event) {
-        if (event instanceof RoutingEvent.TimerFired && mFleet.expire(mClock.now())) {
-            apply(FleetView.Change.RUNNERS);
+        if (event instanceof RoutingEvent.TimerFired) {
+            mFleet.expire(mClock.now()).ifPresent(this::decide);
         }
         decide(event);
     }
@@ -170,38 +160,18 @@
     }
 
     private boolean isReady() {
-        return mFleet.configuration() != null && mFleet.hasRunners() && mQuarantine != null;
+        return mFleet.isKnown() && mQuarantine != null;
     }
 
     private List<String> addresses() {
-        List<String> addresses = new ArrayList<>();
-        for (GatewayMember member : mFleet.members()) {
-            if (!member.equals(mSelf)) {
-                addresses.add(formatAddress(member));
-            }
-        }
-        if (!mShuttingDown && isReady()) {
-            addresses.add(formatAddress(mSelf));
-        }
-        return addresses;
+        return mFleet.addresses(mSelf, !mShuttingDown && isReady());
     }
 
-    private static String formatAddress(GatewayMember member) {
-        return member.frontAddress().ip() + ":" + member.frontAddress().port();
-    }
-
-    private void apply(FleetView.Change change) {
-        FleetConfiguration configuration = mFleet.configuration();
-        if (change == FleetView.Change.NONE || configuration == null) {
+    private void apply(Optional<RoutingEvent> tableChange) {
+        if (!mFleet.hasConfiguration()) {
             return;
         }
-        if (change == FleetView.Change.CONFIGURATION) {
-            mRoutes = new RouteIndex(configuration);
-            mTableBuilder = new HostedRoutingTableBuilder(configuration);
-        }
-        if (change != FleetView.Change.DAEMONS) {
-            updateTable(change == FleetView.Change.CONFIGURATION);
-        }
+        tableChange.ifPresent(this::decide);
         updateLimits();
         updateAuthority();
     }
@@ -216,44 +186,12 @@
         updateAuthority();
     }
 
-    /** Applies the registered runners. Only a new configuration changes the whole table. */
-    private void updateTable(boolean isNewConfiguration) {
-        HostedRoutingTableBuilder builder = mTableBuilder;
-        if (builder == null) {
-            return;
-        }
-        Instant now = mClock.now();
-        List<RunnerRegistration> runners = mFleet.runners();
-        mRunners.clear();
-        runners.forEach(runner -> mRunners.put(runner.id(), runner));
-        mResidency.applyRegistrations(runners, now);
-        if (isNewConfiguration) {
-            decide(new RoutingEvent.TableChanged(builder.build(runners, mResidency, now)));
-            return;
-        }
-        replicasChanged(builder.update(runners, mResidency, now));
-    }
-
-    private void applyStatement(Residency residency) {
-        Instant now = mClock.now();
-        RunnerRegistration runner = mRunners.get(residency.runner());
-        if (mResidency.applyStatement(residency, now) && runner != null && mTableBuilder != null) {
-            replicasChanged(mTableBuilder.update(runner, mResidency, now));
-        }
-    }
-
-    private void replicasChanged(Map<Target, List<Replica>> replicas) {
-        if (!replicas.isEmpty()) {
-            decide(new RoutingEvent.ReplicasChanged(replicas));
-        }
-    }
-
     /**
      * Passes the limits to the decider. The extra retries are shared by all daemons. Only half of
      * them are used, because a restarted daemon no longer knows how many retries it has made.
      */
     private void updateLimits() {
-        int daemons = Math.max(1, mFleet.members().size());
+        int daemons = Math.max(1, mFleet.view().members().size());
         decide(
                 new RoutingEvent.LimitsChanged(
                         new RoutingLimits(
@@ -270,12 +208,12 @@
             request.stream().abandon();
             return;
         }
-        FleetConfiguration configuration = mFleet.configuration();
-        if (configuration == null || mRoutes == null) {
+        FleetConfiguration configuration = mFleet.view().configuration();
+        if (configuration == null) {
             refuse(request, Refusal.notRun(ErrorMessage.NO_AUTHORITY));
             return;
         }
-        Optional<Route> route = mRoutes.find(request.host(), request.pathWithoutQuery());
+        Optional<Route> route = mFleet.findRoute(request.host(), request.pathWithoutQuery());
         if (route.isEmpty()) {
             refuse(request, Refusal.notRun(ErrorMessage.UNKNOWN_PATH, request.pathWithoutQuery()));
             return;
@@ -287,7 +225,7 @@
         }
         GatewayCall call = GatewayCallFactory.newCall(request, route.get(), configuration);
         mCalls.put(request.id(), call);
-        mDemandCounter.countArrival(call.call().target());
+        mDemandReporter.countArrival(call.call().target());
         decide(new RoutingEvent.CallArrived(call.call()));
     }
 
@@ -392,14 +330,17 @@
         } else if (decision instanceof RoutingDecision.CancelAttempt cancel) {
             cancel(cancel);
         } else if (decision instanceof RoutingDecision.RequestLoad request) {
-            requestLoad(request, now);
+            mDemandReporter.requestLoad(request, now);
+            mMeters.loadRequested();
+        } else if (decision instanceof RoutingDecision.ReportEndpointUse report) {
+            mDemandReporter.reportEndpointUse(report.uses());
         }
     }
 
     private void start(RoutingDecision.StartAttempt start, Instant now) {
         AttemptId attempt = start.attempt();
         GatewayCall call = mCalls.get(attempt.call());
-        RunnerRegistration runner = mRunners.get(start.endpoint());
+        RunnerRegistration runner = mFleet.runner(start.endpoint());
         if (call == null || runner == null) {
             mPendingEvents.add(
                     new RoutingEvent.AttemptFinished(
@@ -413,7 +354,7 @@
             return;
         }
         Duration waited = Duration.between(call.request().arrivedAt(), now);
-        CallLog.attemptStarted(call, start, waited, mFleet.configuration());
+        CallLog.attemptStarted(call, start, waited, mFleet.view().configuration());
         mMeters.attemptStarted();
         boolean stream = call.route().kind() == RouteKind.STREAMING;
         GatewayResponseRelay relay =
@@ -477,20 +418,6 @@
         active.attempt().cancel();
     }
 
-    private void requestLoad(RoutingDecision.RequestLoad request, Instant now) {
-        Optional<GatewayMember> holder = mFleet.placementHolder();
-        CallLog.loadRequested(request, holder.map(member -> member.id().value()).orElse("none"));
-        mMeters.loadRequested();
-        holder.ifPresent(
-                member ->
-                        mPorts.placement()
-                                .requestLoad(
-                                        member,
-                                        request.target(),
-                                        request.waiting(),
-                                        Duration.between(now, request.earliestDeadline())));
-    }
-
     private void reportAnswers() {
         List<Prompt> answering = new ArrayList<>();
         mActiveAttempts.forEach(
@@ -504,20 +431,6 @@
         mAnswerRecorder.report();
     }
 
-    private void reportDemand() {
-        Optional<GatewayMember> holder = mFleet.placementHolder();
-        if (holder.isEmpty()) {
-            return;
-        }
-        Set<CallId> running = new HashSet<>();
-        mActiveAttempts.keySet().forEach(attempt -> running.add(attempt.call()));
-        mDemandCounter
-                .takeCounts(mCalls.values(), running)
-                .forEach(
-                        (service, demands) ->
-                                mPorts.placement().reportDemand(holder.get(), service, demands));
-    }
-
     private void completeIdleWaiters() {
         if (!mCalls.isEmpty() || mIdleWaiters.isEmpty()) {
             return;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.residency.Residency;
@@ -76,6 +77,18 @@
     record ReadinessEstimated(Target.ServiceModelTarget target, Duration readyAfter)
             implements GatewayRoutingInput {}
 
+    /**
+     * The holder of the placement lease reported the calls of all daemons at endpoints.
+     *
+     * @param loads the endpoints that run calls or are slow
+     */
+    record EndpointLoadsReceived(List<EndpointLoad> loads) implements GatewayRoutingInput {
+        /** Copies the list. */
+        public EndpointLoadsReceived {
+            loads = List.copyOf(loads);
+        }
+    }
+
     /**
      * The settings of the daemon were reloaded and changed.
      *
--- /dev/null
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
@@ -0,0 +1,134 @@
+package org.oleanderspring.daemon.gateway.routing.command;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.residency.query.HostedRoutingTableBuilder;
+import org.oleanderspring.core.residency.query.ResidencyView;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.core.route.Route;
+import org.oleanderspring.core.route.query.RouteIndex;
+import org.oleanderspring.core.routing.Replica;
+import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.core.runner.RunnerRegistration;
+import org.oleanderspring.daemon.gateway.FleetView;
+import org.oleanderspring.daemon.gateway.GatewayMember;
+import org.oleanderspring.daemon.gateway.StoreUpdate;
+
+/**
+ * What the gateway's routing duty knows of the fleet: the configuration, the daemons, the
+ * registered runners and the models that they hold. Each change is turned into the event that tells
+ * the routing decider which targets it affects.
+ */
+final class HostedFleet {
+    private final FleetView mView = new FleetView("[gateway]");
+    private final ResidencyView mResidency = new ResidencyView();
+    private final Map<EndpointId, RunnerRegistration> mRunners = new HashMap<>();
+    private @Nullable RouteIndex mRoutes;
+    private @Nullable HostedRoutingTableBuilder mTableBuilder;
+
+    FleetView view() {
+        return mView;
+    }
+
+    boolean hasConfiguration() {
+        return mView.configuration() != null;
+    }
+
+    /** Returns whether the configuration and the registered runners have been read. */
+    boolean isKnown() {
+        return hasConfiguration() && mView.hasRunners();
+    }
+
+    @Nullable RunnerRegistration runner(EndpointId id) {
+        return mRunners.get(id);
+    }
+
+    Optional<Route> findRoute(String host, String path) {
+        return mRoutes == null ? Optional.empty() : mRoutes.find(host, path);
+    }
+
+    /**
+     * Returns the addresses at which clients may connect.
+     *
+     * @param self this daemon
+     * @param includesSelf whether clients may connect to it
+     */
+    List<String> addresses(GatewayMember self, boolean includesSelf) {
+        List<String> addresses = new ArrayList<>();
+        for (GatewayMember member : mView.members()) {
+            if (!member.equals(self)) {
+                addresses.add(format(member));
+            }
+        }
+        if (includesSelf) {
+            addresses.add(format(self));
+        }
+        return addresses;
+    }
+
+    private static String format(GatewayMember member) {
+        return member.frontAddress().ip() + ":" + member.frontAddress().port();
+    }
+
+    /** Applies an update from the key-value service. Returns the change of the table, if any. */
+    Optional<RoutingEvent> apply(StoreUpdate update, Instant now) {
+        FleetView.Change change = mView.apply(update, now);
+        FleetConfiguration configuration = mView.configuration();
+        if (configuration == null) {
+            return Optional.empty();
+        }
+        if (change == FleetView.Change.CONFIGURATION) {
+            mRoutes = new RouteIndex(configuration);
+            mTableBuilder = new HostedRoutingTableBuilder(configuration);
+            return Optional.of(
+                    new RoutingEvent.TableChanged(
+                            mTableBuilder.build(applyRunners(now), mResidency, now)));
+        }
+        return change == FleetView.Change.RUNNERS ? runnersChanged(now) : Optional.empty();
+    }
+
+    /** Applies a statement about one runner. Returns the change of the table, if any. */
+    Optional<RoutingEvent> apply(Residency residency, Instant now) {
+        RunnerRegistration runner = mRunners.get(residency.runner());
+        HostedRoutingTableBuilder builder = mTableBuilder;
+        boolean isNew = mResidency.applyStatement(residency, now);
+        if (!isNew || runner == null || builder == null) {
+            return Optional.empty();
+        }
+        return changeOf(builder.update(runner, mResidency, now));
+    }
+
+    /** Removes entries whose grace period is over. Returns the change of the table, if any. */
+    Optional<RoutingEvent> expire(Instant now) {
+        return mView.expire(now) ? runnersChanged(now) : Optional.empty();
+    }
+
+    private Optional<RoutingEvent> runnersChanged(Instant now) {
+        HostedRoutingTableBuilder builder = mTableBuilder;
+        return builder == null
+                ? Optional.empty()
+                : changeOf(builder.update(applyRunners(now), mResidency, now));
+    }
+
+    private List<RunnerRegistration> applyRunners(Instant now) {
+        List<RunnerRegistration> runners = mView.runners();
+        mRunners.clear();
+        runners.forEach(runner -> mRunners.put(runner.id(), runner));
+        mResidency.applyRegistrations(runners, now);
+        return runners;
+    }
+
+    private static Optional<RoutingEvent> changeOf(Map<Target, List<Replica>> replicas) {
+        return replicas.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new RoutingEvent.ReplicasChanged(replicas));
+    }
+}
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/PlacementNotifier.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/PlacementNotifier.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.daemon.gateway.GatewayMember;
@@ -34,4 +35,12 @@
             Target.ServiceModelTarget target,
             int waiting,
             Duration untilDeadline);
+
+    /**
+     * Reports the calls of this daemon at endpoints.
+     *
+     * @param holder the holder of the placement lease
+     * @param uses the endpoints at which it runs calls or received responses
+     */
+    void reportEndpointUse(GatewayMember holder, List<EndpointUse> uses);
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -42,6 +42,7 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.port.query.FetchResult;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.ResidencyOrder;
@@ -357,6 +358,9 @@
 
     /** Records the daemons that get statements. */
     private final class RecordingNotifier implements ResidencyNotifier {
+        @Override
+        public void notifyEndpointLoads(GatewayMember member, List<EndpointLoad> loads) {}
+
         @Override
         public void notifyResidency(GatewayMember member, Residency residency) {
             mNotified.add(member);
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.port.EndpointCall;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.port.RequestHead;
@@ -231,6 +232,9 @@
                 Target.ServiceModelTarget target,
                 int waiting,
                 Duration untilDeadline) {}
+
+        @Override
+        public void reportEndpointUse(GatewayMember holder, List<EndpointUse> uses) {}
     }
 
     /** Observes nothing. */
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -17,6 +17,8 @@
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
 import org.oleanderspring.core.quarantine.PromptPart;
@@ -175,6 +177,31 @@
      */
     record ResidencyStatement(Residency residency) implements PeerMessage {}
 
+    /**
+     * Reports the calls of a daemon at endpoints to the daemon that sums them.
+     *
+     * @param daemon the reporting daemon
+     * @param uses the endpoints at which it runs calls or received responses
+     */
+    record EndpointUseReport(MemberId daemon, List<EndpointUse> uses) implements PeerMessage {
+        /** Copies the list. */
+        public EndpointUseReport {
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /**
+     * Reports the calls of all daemons at endpoints.
+     *
+     * @param loads the endpoints that run calls or are slow; a part of them if there are many
+     */
+    record EndpointLoadNotice(List<EndpointLoad> loads) implements PeerMessage {
+        /** Copies the list. */
+        public EndpointLoadNotice {
+            loads = List.copyOf(loads);
+        }
+    }
+
     /**
      * Reports the end of a runner and the calls that it was beginning to answer.
      *
@@ -230,6 +257,8 @@
                 || this instanceof ActivationRequest
                 || this instanceof ReadyNotice
                 || this instanceof ResidencyStatement
+                || this instanceof EndpointUseReport
+                || this instanceof EndpointLoadNotice
                 || this instanceof CrashReport
                 || this instanceof SoundParts
                 || this instanceof QuarantineNotice;
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -64,6 +64,10 @@
                     .setCondition(encodeCondition(notice.condition()));
         } else if (message instanceof PeerMessage.ResidencyStatement statement) {
             envelope.setResidencyStatement(ResidencyCodec.encode(statement.residency()));
+        } else if (message instanceof PeerMessage.EndpointUseReport report) {
+            envelope.setEndpointUseReport(EndpointLoadCodec.encode(report));
+        } else if (message instanceof PeerMessage.EndpointLoadNotice notice) {
+            envelope.setEndpointLoadNotice(EndpointLoadCodec.encode(notice));
         } else if (message instanceof PeerMessage.CrashReport report) {
             envelope.setCrashReport(QuarantineCodec.encode(report));
         } else if (message instanceof PeerMessage.SoundParts sound) {
@@ -215,6 +219,8 @@
             case RESIDENCY_STATEMENT ->
                     new PeerMessage.ResidencyStatement(
                             ResidencyCodec.decode(envelope.getResidencyStatement()));
+            case ENDPOINT_USE_REPORT -> EndpointLoadCodec.decode(envelope.getEndpointUseReport());
+            case ENDPOINT_LOAD_NOTICE -> EndpointLoadCodec.decode(envelope.getEndpointLoadNotice());
             case CRASH_REPORT -> QuarantineCodec.decode(envelope.getCrashReport());
             case SOUND_PARTS -> QuarantineCodec.decode(envelope.getSoundParts());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(envelope.getQuarantineNotice());
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -20,6 +20,8 @@
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
 import org.oleanderspring.core.quarantine.Prompt;
@@ -90,6 +92,15 @@
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
+        samples.add(
+                new PeerMessage.EndpointUseReport(
+                        DAEMON,
+                        List.of(
+                                new EndpointUse(RESIDENCY.runner(), 3, 0, 1),
+                                new EndpointUse(RESIDENCY.runner(), 0, 2, 4.25))));
+        samples.add(
+                new PeerMessage.EndpointLoadNotice(
+                        List.of(new EndpointLoad(RESIDENCY.runner(), 12, 1.5))));
         SuspectCall call =
                 new SuspectCall("c5d7a7c49db7f424", new Prompt(List.of(PART, OTHER_PART), PART));
         samples.add(
--- a/peer/src/test/java/org/oleanderspring/peer/PeerTransportTest.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerTransportTest.java
@@ -101,7 +101,9 @@
                                 message instanceof PeerMessage.UseReport
                                         || message instanceof PeerMessage.ActivationRequest
                                         || message instanceof PeerMessage.ReadyNotice
-                                        || message instanceof PeerMessage.ResidencyStatement)
+                                        || message instanceof PeerMessage.ResidencyStatement
+                                        || message instanceof PeerMessage.EndpointUseReport
+                                        || message instanceof PeerMessage.EndpointLoadNotice)
                 .toList();
     }
 
