--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -42,15 +42,16 @@
     /**
      * Creates a decider that sends no orders before its tenure begins.
      *
-     * @param concurrentStoreLoads the number of concurrent loads that the weight store serves at
-     *     full speed
+     * @param concurrentStoreLoads the largest number of concurrent loads from the weight store;
+     *     fewer if they show to be slower together
      */
     public DefaultResidencyDecider(int concurrentStoreLoads) {
         mSequencer = new OrderSequencer(mTenure, new WeightStoreLoadRateLimiter());
-        mLoadPlanner = new ResidencyLoadPlanner(mFleet, mDemand, concurrentStoreLoads);
+        StoreConcurrency storeConcurrency = new StoreConcurrency(concurrentStoreLoads);
+        mLoadPlanner = new ResidencyLoadPlanner(mFleet, mDemand, storeConcurrency);
         mAdapterPlanner = new ResidencyAdapterPlanner(mFleet, mDemand, mSequencer);
         mReadinessEstimator =
-                new ReadinessEstimator(mFleet, mDemand, mLoadPlanner, concurrentStoreLoads);
+                new ReadinessEstimator(mFleet, mDemand, mLoadPlanner, storeConcurrency);
         mUnservedTargetReporter = new UnservedTargetReporter(mFleet, mDemand);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
@@ -14,8 +14,8 @@
 
 /**
  * Reports to daemons how long calls for a model will have to wait, so that they can immediately
- * refuse calls with earlier deadlines. Only waits for the weight store are reported, because other
- * loads are short.
+ * refuse calls with earlier deadlines: until a load in progress ends, until the runner with the
+ * only copy can load it, or until the weight store is free.
  */
 final class ReadinessEstimator {
     /** The interval at which an estimate is reported again while calls wait. */
@@ -24,18 +24,18 @@
     private final RunnerFleet mFleet;
     private final DemandTracker mDemand;
     private final ResidencyLoadPlanner mLoadPlanner;
-    private final int mConcurrentStoreLoads;
+    private final StoreConcurrency mStoreConcurrency;
     private final Map<Target.ServiceModelTarget, Instant> mReportedAt = new HashMap<>();
 
     ReadinessEstimator(
             RunnerFleet fleet,
             DemandTracker demand,
             ResidencyLoadPlanner loadPlanner,
-            int concurrentStoreLoads) {
+            StoreConcurrency storeConcurrency) {
         mFleet = fleet;
         mDemand = demand;
         mLoadPlanner = loadPlanner;
-        mConcurrentStoreLoads = concurrentStoreLoads;
+        mStoreConcurrency = storeConcurrency;
     }
 
     /**
@@ -82,15 +82,37 @@
                 return end == null ? record.loadTime(description) : until(end, now);
             }
         }
+        Duration fromCopy = readyFromCopy(service, description, now);
+        if (fromCopy != null) {
+            return fromCopy;
+        }
         int position = position(service, model, queue);
         if (position < 0) {
             return null;
         }
         // Rounds of concurrent store loads, with one load in addition to those ahead in the queue.
-        long rounds = 1L + (position + 1L) / mConcurrentStoreLoads;
+        long rounds = 1L + (position + 1L) / mStoreConcurrency.limit();
         return description.storeLoad().multipliedBy(rounds);
     }
 
+    /**
+     * Returns how long a load from a local copy takes, including the wait for loads in progress on
+     * the runners with a copy; null if no runner has one.
+     */
+    private @Nullable Duration readyFromCopy(ServiceName service, EngineModel model, Instant now) {
+        Duration soonest = null;
+        for (RunnerRecord record : mFleet.usable(service)) {
+            if (record.needsStore(model.name())) {
+                continue;
+            }
+            Instant busyUntil = record.loadEnd();
+            Duration wait = busyUntil == null ? Duration.ZERO : until(busyUntil, now);
+            Duration ready = wait.plus(record.loadTime(model));
+            soonest = soonest == null || ready.compareTo(soonest) < 0 ? ready : soonest;
+        }
+        return soonest;
+    }
+
     private static int position(
             ServiceName service, ModelName model, List<ResidencyLoadPlanner.StoreCandidate> queue) {
         for (int index = 0; index < queue.size(); index++) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -64,13 +65,14 @@
     private final RunnerFleet mFleet;
     private final DemandTracker mDemand;
     private final EvictionPlanner mEvictionPlanner;
-    private final int mConcurrentStoreLoads;
+    private final StoreConcurrency mStoreConcurrency;
 
-    ResidencyLoadPlanner(RunnerFleet fleet, DemandTracker demand, int concurrentStoreLoads) {
+    ResidencyLoadPlanner(
+            RunnerFleet fleet, DemandTracker demand, StoreConcurrency storeConcurrency) {
         mFleet = fleet;
         mDemand = demand;
         mEvictionPlanner = new EvictionPlanner(fleet, demand);
-        mConcurrentStoreLoads = concurrentStoreLoads;
+        mStoreConcurrency = storeConcurrency;
     }
 
     /**
@@ -97,9 +99,10 @@
 
     /** Plans replicas of busy models and loads from the weight store. */
     void planFleet(DecisionContext context) {
+        mStoreConcurrency.observe(mFleet.records(), context.now());
         planReplicas(context.now());
         for (StoreCandidate candidate : storeCandidates(context.now())) {
-            if (mFleet.storeLoads() >= mConcurrentStoreLoads) {
+            if (mFleet.storeLoads() >= mStoreConcurrency.limit()) {
                 return;
             }
             planFromStore(candidate, context.now());
@@ -216,6 +219,7 @@
     private @Nullable LoadOption bestOption(
             ServiceName service, EngineModel model, Source source, Instant now) {
         LoadOption best = null;
+        Map<ModelName, Integer> copies = source == Source.STORE ? mFleet.copies(service) : Map.of();
         for (RunnerRecord record : mFleet.usable(service)) {
             boolean isCandidate =
                     source == Source.STORE
@@ -225,7 +229,7 @@
             if (!isCandidate) {
                 continue;
             }
-            LoadOption option = option(record, model, now);
+            LoadOption option = option(record, model, copies, now);
             if (option != null && (best == null || option.cost() < best.cost())) {
                 best = option;
             }
@@ -233,7 +237,8 @@
         return best;
     }
 
-    private @Nullable LoadOption option(RunnerRecord record, EngineModel model, Instant now) {
+    private @Nullable LoadOption option(
+            RunnerRecord record, EngineModel model, Map<ModelName, Integer> copies, Instant now) {
         if (!record.canPlan()) {
             return null;
         }
@@ -245,6 +250,7 @@
         double seconds = record.loadTime(model).toMillis() / 1_000.0;
         double cost = seconds + eviction.get().cost();
         cost += seconds * blockedRate(record, now) * BLOCKED_CALL_COST;
+        cost += seconds * rateOfOnlyCopies(record, copies, now);
         return new LoadOption(record, eviction.get(), cost);
     }
 
@@ -262,6 +268,22 @@
         return rate;
     }
 
+    /**
+     * Returns the call rate per second of the models that the runner does not hold and that no
+     * other runner has a copy of. Their calls wait until the load ends, because a runner executes
+     * one order at a time.
+     */
+    private double rateOfOnlyCopies(
+            RunnerRecord record, Map<ModelName, Integer> copies, Instant now) {
+        double rate = 0;
+        for (ModelName model : record.copies()) {
+            if (!record.models().contains(model) && copies.getOrDefault(model, 0) == 1) {
+                rate += mDemand.rate(record.registration().service(), model, now);
+            }
+        }
+        return rate;
+    }
+
     /** The source from which weights are loaded. */
     private enum Source {
         /** The weight store. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -107,6 +108,19 @@
         return copies;
     }
 
+    /**
+     * Returns the number of copies of each model, like {@link #copies}; none for missing models.
+     */
+    Map<ModelName, Integer> copies(ServiceName service) {
+        Map<ModelName, Integer> copies = new HashMap<>();
+        for (RunnerRecord record : mRecords.values()) {
+            if (serves(record, service)) {
+                record.copies().forEach(model -> copies.merge(model, 1, Integer::sum));
+            }
+        }
+        return copies;
+    }
+
     /**
      * Returns whether a runner with a local copy of a model's weights is not blocked by a load from
      * the weight store.
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -320,6 +320,19 @@
         return mHeld.containsKey(model) || !needsStore(model);
     }
 
+    /** Returns the models that the runner holds or has a local copy of. */
+    Set<ModelName> copies() {
+        Set<ModelName> copies = new HashSet<>(mHeld.keySet());
+        copies.addAll(mCachedWeights.inMemory());
+        copies.addAll(mCachedWeights.onDisk());
+        return copies;
+    }
+
+    /** Returns whether the runner executes a load from the weight store. */
+    boolean isExecutingStoreLoad() {
+        return isStoreLoad(mOrderInProgress);
+    }
+
     /** Returns the number of adapters that are held or being loaded. */
     int adapterCount() {
         int count = mIncoming.size();
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -3,6 +3,8 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -18,6 +20,7 @@
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.residency.ModelDemand;
+import org.oleanderspring.core.residency.ResidencyOrderReply;
 import org.oleanderspring.core.route.EngineDescription;
 import org.oleanderspring.core.route.EngineModel;
 import org.oleanderspring.core.route.FleetConfiguration;
@@ -36,6 +39,13 @@
 
     private final DefaultResidencyDecider mDecider = new DefaultResidencyDecider(1);
     private final List<String> mLoads = new ArrayList<>();
+
+    /** The runner and the model of each order. */
+    private final List<String> mTargets = new ArrayList<>();
+
+    /** The last estimate for each model. */
+    private final Map<String, Duration> mEstimates = new LinkedHashMap<>();
+
     private final List<SimulatedRunner> mRunners = new ArrayList<>();
     private final EngineDescription mEngine;
 
@@ -77,6 +87,9 @@
         for (ResidencyDecision decision : mDecider.decide(event, START.plusMillis(millis))) {
             if (decision instanceof ResidencyDecision.SendOrder send) {
                 mLoads.add(send.order().model().toString());
+                mTargets.add(send.order().runner().value() + " " + send.order().model());
+            } else if (decision instanceof ResidencyDecision.ReportReadiness estimate) {
+                mEstimates.put(estimate.target().model().toString(), estimate.readyAfter());
             }
         }
     }
@@ -154,4 +167,38 @@
         decide(new ResidencyEvent.TimerFired(), 40_200);
         assertThat(mLoads, contains("rare"));
     }
+
+    /**
+     * Pattern: burst of rare models. Guards against a load of ten seconds on the runner that has
+     * the only copies of models in use, whose calls then wait for its end.
+     */
+    @Test
+    void storeLoadAvoidsTheRunnerWithTheOnlyCopiesInUse() {
+        SimulatedRunner one = addRunner("one", "busy");
+        SimulatedRunner two = addRunner("two", "other");
+        beginTenure();
+        report(demand("busy", 0, 4), demand("other", 0, 1), demand("rare", 1, 1));
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 2);
+        decide(new ResidencyEvent.StateRead(two.id(), two.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        assertThat(mTargets, contains("two rare"));
+    }
+
+    /**
+     * Pattern: burst of rare models. Guards against callers that wait until they give up, because
+     * the runner with the only copy is blocked by a load from the weight store.
+     */
+    @Test
+    void callsForACopyOnABlockedRunnerAreToldWhenItIsFree() {
+        SimulatedRunner one = addRunner("one", "other");
+        beginTenure();
+        report(demand("rare", 1, 1));
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        decide(new ResidencyEvent.OrderReplied(one.id(), 1, ResidencyOrderReply.ACCEPTED), 210);
+        report(demand("other", 1, 1), demand("rare", 1, 1));
+        decide(new ResidencyEvent.TimerFired(), 700);
+        assertThat(mEstimates.keySet(), hasItem("other"));
+        assertThat(mEstimates.get("other"), greaterThan(STORE_LOAD.minusSeconds(1)));
+    }
 }
