--- a/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ReadinessEstimator.java
@@ -124,7 +124,13 @@
         return -1;
     }
 
+    /**
+     * Returns the time until the expected end of a load. A load that takes longer than expected is
+     * assumed to take as much longer again: the weight store may be slow for minutes.
+     */
     private static Duration until(Instant end, Instant now) {
-        return end.isAfter(now) ? Duration.between(now, end) : Duration.ZERO;
+        return end.isAfter(now)
+                ? Duration.between(now, end)
+                : Duration.between(end, now).plus(OrderSequencer.REPORT_LAG);
     }
 }
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -201,4 +201,24 @@
         assertThat(mEstimates.keySet(), hasItem("other"));
         assertThat(mEstimates.get("other"), greaterThan(STORE_LOAD.minusSeconds(1)));
     }
+
+    /**
+     * Pattern: slow weight store. Guards against callers that are kept until they give up, because
+     * a load that takes twice as long as expected is announced as ready at once all the time.
+     */
+    @Test
+    void overdueLoadIsNotAnnouncedAsReady() {
+        SimulatedRunner one = addRunner("one");
+        beginTenure();
+        report(demand("rare", 1, 1));
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        decide(new ResidencyEvent.OrderReplied(one.id(), 1, ResidencyOrderReply.ACCEPTED), 210);
+        long late = STORE_LOAD.plusSeconds(5).toMillis();
+        decide(
+                new ResidencyEvent.DemandReported(DAEMON, SERVICE, List.of(demand("rare", 1, 1))),
+                late);
+        decide(new ResidencyEvent.TimerFired(), late + 100);
+        assertThat(mEstimates.get("rare"), greaterThan(Duration.ofSeconds(3)));
+    }
 }
