--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
@@ -51,10 +51,13 @@
 
     private static final int BUSY_COPIES = 2;
 
-    /** The approximate call rate per second that one replica serves, including its adapters. */
-    private static final double RATE_PER_REPLICA = 3;
+    /** The share of its slots that a replica should use; more of them make calls wait. */
+    private static final double REPLICA_UTILIZATION = 0.75;
 
-    private static final int MAX_REPLICAS = 3;
+    /** From this call rate per second on, a second replica is worth its memory. */
+    private static final double SECOND_REPLICA_RATE = 3;
+
+    private static final int MAX_REPLICAS = 6;
 
     /**
      * The maximum by which the eviction cost of a prefetch may exceed its demand, so that a model
@@ -133,20 +136,28 @@
                 continue;
             }
             for (EngineModel model : engine.models().values()) {
-                if (mDemand.rate(service, model.name(), now) > RATE_PER_REPLICA) {
-                    planReplica(service, model, now);
+                if (wantedReplicas(service, model.name(), engine, now) > 1) {
+                    planReplica(service, model, engine, now);
                 }
             }
         }
     }
 
-    private void planReplica(ServiceName service, EngineModel model, Instant now) {
+    /** Returns the number of replicas that the running and waiting calls of a model need. */
+    private int wantedReplicas(
+            ServiceName service, ModelName model, EngineDescription engine, Instant now) {
+        int calls = mDemand.running(service, model, now) + mDemand.waiting(service, model, now);
+        int wanted = (int) Math.ceil(calls / (REPLICA_UTILIZATION * engine.slots()));
+        int least = mDemand.rate(service, model, now) > SECOND_REPLICA_RATE ? 2 : 1;
+        return Math.min(MAX_REPLICAS, Math.max(wanted, least));
+    }
+
+    private void planReplica(
+            ServiceName service, EngineModel model, EngineDescription engine, Instant now) {
         double rate = mDemand.rate(service, model.name(), now);
         int replicas = mFleet.replicas(service, model.name());
-        long wantedReplicas =
-                Math.min(MAX_REPLICAS, Math.round(Math.ceil(rate / RATE_PER_REPLICA)));
         if (replicas == 0
-                || replicas >= wantedReplicas
+                || replicas >= wantedReplicas(service, model.name(), engine, now)
                 || mFleet.isLoading(service, model.name())) {
             return;
         }
@@ -168,7 +179,7 @@
                 continue;
             }
             for (EngineModel model : engine.models().values()) {
-                StoreCandidate candidate = candidate(service, model, now);
+                StoreCandidate candidate = candidate(service, model, engine, now);
                 if (candidate != null) {
                     candidates.add(candidate);
                 }
@@ -183,7 +194,7 @@
     }
 
     private @Nullable StoreCandidate candidate(
-            ServiceName service, EngineModel model, Instant now) {
+            ServiceName service, EngineModel model, EngineDescription engine, Instant now) {
         ModelName name = model.name();
         if (mFleet.isLoading(service, name)) {
             return null;
@@ -193,15 +204,33 @@
         boolean isReachable =
                 mFleet.replicas(service, name) > 0 || mFleet.hasLoadableCopy(service, name);
         int waiting = isReachable ? 0 : mDemand.waiting(service, name, now);
-        boolean isWanted = copies == 0 || waiting > 0;
+        int overload = overload(service, name, engine, copies, now);
+        boolean isWanted = copies == 0 || waiting > 0 || overload > 0;
         if (!isWanted && (rate < BUSY_RATE || copies >= BUSY_COPIES)) {
             return null;
         }
         Duration unservedFor =
                 isReachable ? Duration.ZERO : mDemand.unservedFor(service, name, now);
-        double demand = waiting + ARRIVAL_HORIZON_SECONDS * rate / (1 + copies);
+        double demand = waiting + overload + ARRIVAL_HORIZON_SECONDS * rate / (1 + copies);
         demand += unservedFor.toMillis() / 1_000.0 / UNSERVED_SECONDS_PER_CALL;
-        return new StoreCandidate(service, model, waiting, !unservedFor.isZero(), demand);
+        boolean isUnserved = !unservedFor.isZero() || overload > 0;
+        return new StoreCandidate(service, model, waiting, isUnserved, demand);
+    }
+
+    /**
+     * Returns the number of calls that the runners with a copy of a model cannot run at a time.
+     * These calls are as good as unserved: they wait at full runners until their callers give up.
+     */
+    private int overload(
+            ServiceName service,
+            ModelName model,
+            EngineDescription engine,
+            int copies,
+            Instant now) {
+        int calls = mDemand.running(service, model, now);
+        return copies == 0 || copies >= MAX_REPLICAS
+                ? 0
+                : Math.max(0, calls - copies * engine.slots());
     }
 
     private void planFromStore(StoreCandidate candidate, Instant now) {
@@ -299,8 +328,8 @@
      * @param model the model
      * @param waiting the number of waiting calls, or 0 if a runner holds the model or can load it
      *     from a local copy
-     * @param isUnserved whether calls ask for the model in vain
-     * @param demand the number of waiting calls, plus the calls expected within {@link
+     * @param isUnserved whether calls ask for the model in vain, or more than its copies can serve
+     * @param demand the number of these calls, plus the calls expected within {@link
      *     #ARRIVAL_HORIZON_SECONDS} divided by one more than the number of copies, plus one for
      *     each {@link #UNSERVED_SECONDS_PER_CALL} for which calls have asked in vain
      */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -24,6 +24,12 @@
      */
     private static final int UNANSWERED_LIMIT = 3;
 
+    /**
+     * From this multiple of its concurrency on, an endpoint gets no further calls of any daemon. A
+     * few calls that wait there keep it busy; more would leave before it begins to answer them.
+     */
+    static final double CROWDED = 1.25;
+
     /** From this slowness on, an endpoint counts as slow; smaller differences have other causes. */
     private static final double SLOW = 1.5;
 
@@ -165,6 +171,17 @@
         return use;
     }
 
+    /**
+     * Returns whether the calls of other daemons, together with those of this one, leave no room
+     * for a further call.
+     *
+     * @param concurrency the number of calls that the endpoint runs at a time
+     */
+    boolean isCrowded(int concurrency, Instant now) {
+        int calls = callsOfAllDaemons(now);
+        return calls > mRunning && calls >= CROWDED * concurrency;
+    }
+
     /** Returns whether no target lists the endpoint and no attempt of this daemon runs there. */
     boolean isUnused() {
         return mTargets.isEmpty() && mRunning == 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -206,13 +206,15 @@
     /**
      * Estimates how long a call waits for the first byte of its response. Unknown components count
      * as zero. With capacity, all of it is assumed to be in use, so one attempt more than the calls
-     * before this one must end. Without capacity, replicas that become ready are idle.
+     * before this one, here and at the replicas, must end. Without capacity, replicas that become
+     * ready are idle.
      *
      * @param callsBefore the number of calls that are started before this one
      */
     Duration estimatedWait(int callsBefore, Instant now) {
         Duration wait = mCapacity > 0 ? Duration.ZERO : untilReady(now);
-        int attemptsToEnd = mCapacity > 0 ? callsBefore + 1 : callsBefore;
+        int attemptsToEnd =
+                mCapacity > 0 ? callsBefore + 1 + callsBeyondCapacity(now) : callsBefore;
         int concurrency = mCapacity > 0 ? mCapacity : mLastCapacity;
         if (concurrency > 0) {
             wait = wait.plus(mTimes.timeUntilEnded(attemptsToEnd, concurrency));
@@ -220,15 +222,30 @@
         return wait.plus(mTimes.firstByte());
     }
 
+    /** Returns the number of calls of all daemons that wait at the replicas for others to end. */
+    private int callsBeyondCapacity(Instant now) {
+        int calls = 0;
+        for (TrackedReplica tracked : mListed) {
+            calls += tracked.callsOfAllDaemons(now);
+        }
+        return Math.max(0, calls - mCapacity);
+    }
+
     /**
-     * Returns the estimated time until a replica is ready; null if a replica is ready, if there is
-     * no valid estimate, or if the estimated time has passed.
+     * Returns the estimated time until a replica is ready, or until the calls that wait at full
+     * replicas have begun; null if a replica has room, if there is no valid estimate, or if the
+     * estimated time has passed.
      */
     @Nullable Duration readyIn(Instant now) {
-        Duration wait = mCapacity > 0 ? Duration.ZERO : untilReady(now);
+        Duration wait = mCapacity > 0 ? untilRoom(now) : untilReady(now);
         return wait.isZero() ? null : wait;
     }
 
+    private Duration untilRoom(Instant now) {
+        int calls = callsBeyondCapacity(now);
+        return calls == 0 ? Duration.ZERO : mTimes.timeUntilEnded(calls, mCapacity);
+    }
+
     private Duration untilReady(Instant now) {
         if (mReadyAt == null || mEstimatedAt.plus(ESTIMATE_VALIDITY).isBefore(now)) {
             return Duration.ZERO;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
@@ -59,7 +59,13 @@
         return mRunning < mReplica.concurrency()
                 && isServing()
                 && !now.isBefore(mNotHeldUntil)
-                && mEndpoint.backoff().allows(now);
+                && mEndpoint.backoff().allows(now)
+                && !mEndpoint.isCrowded(mReplica.concurrency(), now);
+    }
+
+    /** Returns the number of calls of all daemons at the endpoint; 0 if it accepts no new calls. */
+    int callsOfAllDaemons(Instant now) {
+        return isServing() ? mEndpoint.callsOfAllDaemons(now) : 0;
     }
 
     /**
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -221,4 +221,22 @@
         decide(new ResidencyEvent.TimerFired(), late + 100);
         assertThat(mEstimates.get("rare"), greaterThan(Duration.ofSeconds(3)));
     }
+
+    /**
+     * Pattern: mass departure. Guards against a popular model that stays on the one runner that is
+     * left with a copy, because models with a call now and then always go first.
+     */
+    @Test
+    void overloadedLastCopyGoesBeforeAModelWithOneCall() {
+        SimulatedRunner one = addRunner("one", "busy");
+        one.hold(ModelReference.parse("busy"));
+        SimulatedRunner two = addRunner("two");
+        beginTenure();
+        ModelDemand busy = new ModelDemand(ModelReference.parse("busy"), 0, 40, 40);
+        report(busy, demand("rare", 1, 1));
+        decide(new ResidencyEvent.StateRead(one.id(), one.state(START)), 2);
+        decide(new ResidencyEvent.StateRead(two.id(), two.state(START)), 2);
+        decide(new ResidencyEvent.TimerFired(), 200);
+        assertThat(mTargets, contains("two busy"));
+    }
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/FuzzOracle.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzOracle.java
@@ -87,6 +87,8 @@
     /** When an attempt on an endpoint last was cancelled or ended without completing. */
     final Map<EndpointId, Instant> mLastFailure = new HashMap<>();
 
+    private final Map<EndpointId, OtherCalls> mOtherCalls = new HashMap<>();
+
     final Set<EndpointId> mDraining = new HashSet<>();
     RoutingTable mTable = RoutingTable.EMPTY;
     RoutingLimits mLimits = RoutingLimits.DEFAULT;
@@ -228,6 +230,7 @@
             boolean free =
                     mayServe(replica)
                             && running(target, endpoint) < replica.concurrency()
+                            && !isCrowded(endpoint, replica.concurrency(), now)
                             && mustBeUsed(endpoint, now);
             check(!free, "waits although " + replica + " is free: " + id);
         }
@@ -238,6 +241,31 @@
         }
     }
 
+    /**
+     * Records a report of the calls of other daemons; of two reports of one time the first counts.
+     */
+    void loadObserved(EndpointId endpoint, int callsOfOtherDaemons, Instant now) {
+        OtherCalls previous = mOtherCalls.get(endpoint);
+        if (previous == null || previous.at().isBefore(now)) {
+            mOtherCalls.put(endpoint, new OtherCalls(callsOfOtherDaemons, now));
+        }
+    }
+
+    /** Returns whether the calls of other daemons leave no room at an endpoint. */
+    private boolean isCrowded(EndpointId endpoint, int concurrency, Instant now) {
+        OtherCalls others = mOtherCalls.get(endpoint);
+        if (others == null
+                || others.calls() == 0
+                || others.at().plus(EndpointState.LOAD_VALIDITY).isBefore(now)) {
+            return false;
+        }
+        long own =
+                mAttempts.stream()
+                        .filter(a -> a.mOpenForRouting && a.mEndpoint.equals(endpoint))
+                        .count();
+        return own + others.calls() >= EndpointState.CROWDED * concurrency;
+    }
+
     /**
      * Returns whether routing has no reason to avoid an endpoint: no attempt on it failed or was
      * cancelled, or the last one did longer ago than the longest back-off and the endpoint is idle.
@@ -301,4 +329,7 @@
             throw new AssertionError(failure);
         }
     }
+
+    /** The calls of other daemons at an endpoint, as last reported. */
+    private record OtherCalls(int calls, Instant at) {}
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
@@ -180,6 +180,7 @@
     void estimateAndLoad(int target, int millis) {
         Target requested = TARGETS.get(target % TARGETS.size());
         deliver(new RoutingEvent.ReadinessEstimated(requested, mNow.plusMillis(millis)));
+        mOracle.loadObserved(endpoint(target), millis % 5, mNow);
         deliver(new RoutingEvent.EndpointLoadObserved(endpoint(target), millis % 5, mNow));
     }
 
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.core.routing.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
@@ -18,6 +19,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
@@ -319,4 +321,44 @@
                                 WorkState.NOT_RUN,
                                 Duration.ofSeconds(6))));
     }
+
+    /**
+     * Pattern: mass departure. Guards against calls that all daemons send to the one replica that
+     * is left, where they wait until their callers give up.
+     */
+    @Test
+    void callBeyondTheCapacityOfAllReplicasIsRefusedAtOnce() {
+        table(FIRST);
+        RoutingEvent served = new RoutingEvent.CallArrived(call(1, START.plusSeconds(12)));
+        decide(served, START);
+        AttemptId attempt = new AttemptId(new CallId(1), 1);
+        Instant end = START.plusSeconds(2);
+        decide(new RoutingEvent.ResponseBegan(attempt), START.plusMillis(60));
+        decide(new RoutingEvent.AttemptFinished(attempt, new AttemptOutcome.Completed(true)), end);
+        decide(
+                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 40, 1))),
+                end);
+        List<RoutingDecision> decisions =
+                decide(new RoutingEvent.CallArrived(call(2, end.plusSeconds(12))), end);
+        assertThat(decisions, contains(instanceOf(RoutingDecision.Refuse.class)));
+        RoutingDecision.Refuse refuse = (RoutingDecision.Refuse) decisions.get(0);
+        assertThat(refuse.reason(), is(RefusalReason.DEADLINE_TOO_SHORT));
+        assertThat(refuse.workState(), is(WorkState.NOT_RUN));
+    }
+
+    /** Creates a call whose caller leaves after two seconds without a response. */
+    private static CallRequest call(long id, Instant deadline) {
+        return new CallRequest(
+                new CallId(id),
+                MODEL,
+                null,
+                0,
+                deadline,
+                0,
+                Repetition.RESUMABLE,
+                2,
+                DeadlineScope.FULL_RESPONSE,
+                deadline.minusSeconds(10),
+                Prompt.UNKNOWN);
+    }
 }
