--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -30,7 +30,10 @@
             return;
         }
         CallState call = new CallState(request, mState.fleet().target(request.target()));
-        refusal = refusalByLoad(call, context.now());
+        refusal =
+                mState.endsBefore(call, context.now())
+                        ? RefusalReason.DRAINING
+                        : refusalByLoad(call, context.now());
         if (refusal != null) {
             refuse(call, refusal, context);
             return;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -57,7 +57,9 @@
         EndpointState endpoint = attempt.replica().endpoint();
         if (outcome instanceof AttemptOutcome.Completed) {
             responseBegan(call, attempt, now);
-            call.target().times().recordTotalTime(Duration.between(attempt.startedAt(), now));
+            Duration total = Duration.between(attempt.startedAt(), now);
+            call.target().times().recordTotalTime(total);
+            mState.usualTimes().recordTotalTime(call, total);
             // If the response began earlier, the endpoint may have refused another call since
             // then; the end of this call frees capacity, which can end that back-off.
             recordResponse(attempt);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -149,6 +149,9 @@
             quarantineChanged(changed.quarantine(), context);
         } else if (event instanceof RoutingEvent.AuthorityChanged changed) {
             authorityChanged(changed.mayDecide(), context);
+        } else if (event instanceof RoutingEvent.ShutdownAnnounced announced) {
+            mState.endsAt(announced.endsAt());
+            mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.DrainStarted) {
             mState.startDrain();
         } else if (event instanceof RoutingEvent.ShutdownEnding) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -144,6 +144,13 @@
     /** The next report of this daemon's calls at endpoints is due. */
     record EndpointUseReportDue() implements RoutingEvent {}
 
+    /**
+     * The daemon will end. From now on it starts no call that would probably still run then.
+     *
+     * @param endsAt when it will end
+     */
+    record ShutdownAnnounced(Instant endsAt) implements RoutingEvent {}
+
     /**
      * The daemon begins to shut down and accepts no new calls. Calls already admitted are still
      * served.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -1,5 +1,7 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +12,9 @@
 
 /** The routing state of one daemon. Accessed only by the thread that owns it. */
 final class RoutingState {
+    /** Factor on the average time of a call, because a few calls take several times as long. */
+    private static final int END_MARGIN = 2;
+
     private final CallTable mCalls = new CallTable();
     private final RoutingFleetState mFleet = new RoutingFleetState();
     private final UsualTimes mUsualTimes = new UsualTimes();
@@ -21,6 +26,10 @@
     private Quarantine mQuarantine = Quarantine.NONE;
     private boolean mMayDecide;
     private boolean mDrainStarted;
+
+    /** When the daemon will end; the latest time if that is not known. */
+    private Instant mEndsAt = Instant.MAX;
+
     private boolean mDrainEnding;
 
     RoutingState(RetryBudget retryBudget) {
@@ -81,6 +90,23 @@
         mDrainEnding = true;
     }
 
+    /** Sets the time at which the daemon will end. */
+    void endsAt(Instant endsAt) {
+        mEndsAt = endsAt;
+    }
+
+    /**
+     * Returns whether a call that starts now would probably still run when the daemon ends. A
+     * stream that is resumed is in any case better served by another attempt.
+     */
+    boolean endsBefore(CallState call, Instant now) {
+        if (mEndsAt.equals(Instant.MAX) || call.hasResponseBegun()) {
+            return false;
+        }
+        Duration needed = mUsualTimes.total(call).multipliedBy(END_MARGIN);
+        return now.plus(needed).isAfter(mEndsAt);
+    }
+
     boolean isDrainStarted() {
         return mDrainStarted;
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/ServiceTimes.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/ServiceTimes.java
@@ -51,6 +51,10 @@
         return nanos(time) >= Math.max(nanos(SLOW_FIRST_BYTE), SLOW_FACTOR * mFirstByteNanos);
     }
 
+    Duration total() {
+        return Duration.ofNanos((long) mTotalNanos);
+    }
+
     Duration firstByte() {
         return Duration.ofNanos((long) mFirstByteNanos);
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/UsualTimes.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/UsualTimes.java
@@ -45,6 +45,22 @@
         return slowness > 1 ? OptionalDouble.of(slowness) : OptionalDouble.empty();
     }
 
+    /** Adds the time from the start of an attempt to its end. */
+    void recordTotalTime(CallState call, Duration time) {
+        ServiceName service = serviceOf(call.request().target());
+        if (service != null) {
+            mTimes.computeIfAbsent(service, name -> new ServiceTimes()).recordTotalTime(time);
+        }
+    }
+
+    /** Returns the longer of the average times of the call's target and of its service. */
+    Duration total(CallState call) {
+        ServiceName service = serviceOf(call.request().target());
+        ServiceTimes times = service == null ? null : mTimes.get(service);
+        Duration ofTarget = call.target().times().total();
+        return times == null ? ofTarget : longer(ofTarget, times.total());
+    }
+
     private static double ratio(Duration time, Duration usual) {
         if (usual.isZero()) {
             return 1;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayStop.java
@@ -13,8 +13,9 @@
 
 /**
  * The steps of a planned stop. First the daemon releases its leases and reports that it is not
- * ready, but still accepts requests from clients with an outdated list of addresses. Then it
- * refuses new requests, of which nothing has run, and waits for the requests in progress.
+ * ready, but still accepts requests from clients with an outdated list of addresses, unless they
+ * would probably not end in time. Then it refuses new requests, of which nothing has run, and waits
+ * for the requests in progress.
  */
 final class GatewayStop {
     private static final Logger LOGGER = System.getLogger(GatewayStop.class.getName());
@@ -48,7 +49,8 @@
     void run() {
         long end = System.nanoTime() + mLimit.minus(EXIT_MARGIN).toNanos();
         LOGGER.log(Level.INFO, "[gateway] stop-began limit-ms=" + mLimit.toMillis());
-        mRings.routingSink().offer(new GatewayRoutingInput.ShutdownBegan());
+        mRings.routingSink()
+                .offer(new GatewayRoutingInput.ShutdownBegan(mLimit.minus(EXIT_MARGIN)));
         mRings.placementSink().offer(new ResidencyInput.OrdersEnded());
         pause(SAFETY_MARGIN);
         CompletableFuture<Boolean> leasesReleased = new CompletableFuture<>();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -151,8 +151,9 @@
             query.reply().complete(addresses());
         } else if (input instanceof GatewayRoutingInput.IdleAwaited query) {
             mIdleWaiters.add(query.reply());
-        } else if (input instanceof GatewayRoutingInput.ShutdownBegan) {
+        } else if (input instanceof GatewayRoutingInput.ShutdownBegan began) {
             mShuttingDown = true;
+            decide(new RoutingEvent.ShutdownAnnounced(mClock.now().plus(began.limit())));
         } else if (input instanceof GatewayRoutingInput.SettingsChanged changed) {
             mSettings = changed.settings();
             updateLimits();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -108,9 +108,11 @@
 
     /**
      * A planned stop began: from now on the daemon reports that it is not ready and leaves itself
-     * out of the directory, but still accepts requests.
+     * out of the directory, but still accepts requests that will probably end in time.
+     *
+     * @param limit the time until requests in progress are aborted
      */
-    record ShutdownBegan() implements GatewayRoutingInput {}
+    record ShutdownBegan(Duration limit) implements GatewayRoutingInput {}
 
     /**
      * A query whether the daemon is ready.
