--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -322,6 +322,8 @@
         mMetrics.registerGauge("ring." + duty + ".rejected", (Gauge<Long>) ring::rejectedOffers);
         mMetrics.registerGauge(
                 "ring." + duty + ".wait_ms", (Gauge<Long>) () -> ring.lastWait().toMillis());
+        mMetrics.registerGauge(
+                "ring." + duty + ".busy_ms", (Gauge<Long>) () -> ring.busy().toMillis());
     }
 
     private @Nullable String open(
