--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
@@ -3,6 +3,8 @@
 import java.math.BigDecimal;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -28,8 +30,22 @@
     private static final String DEFAULT_RETRY_AFTER_SECONDS = "0.3";
     private static final int MILLISECOND_DIGITS = 3;
 
-    /** Creates a writer; it is stateless. */
-    public StatusRefusalWriter() {}
+    /**
+     * The share by which the time until a retry is extended at random, so that the callers of a
+     * model that becomes ready do not all return at the same moment.
+     */
+    private static final double SPREAD = 0.25;
+
+    private final Supplier<RandomGenerator> mRandom;
+
+    /**
+     * Creates a writer.
+     *
+     * @param random the source of random numbers of the calling thread
+     */
+    public StatusRefusalWriter(Supplier<RandomGenerator> random) {
+        mRandom = random;
+    }
 
     @Override
     public void write(Response response, Refusal refusal, Callback callback) {
@@ -48,16 +64,19 @@
 
     /**
      * Returns the seconds after which a client may retry: 0 if this daemon is stopping, as another
-     * daemon may accept the call; else the estimated time until the target is ready, if known.
+     * daemon may accept the call; else the estimated time until the target is ready, if known, and
+     * up to a quarter more.
      */
-    private static String retryAfter(Refusal refusal) {
+    String retryAfter(Refusal refusal) {
         if (refusal.message() == ErrorMessage.DRAINING) {
             return IMMEDIATELY;
         }
         Duration readyIn = refusal.readyIn();
-        return readyIn == null
-                ? DEFAULT_RETRY_AFTER_SECONDS
-                : BigDecimal.valueOf(readyIn.toMillis(), MILLISECOND_DIGITS).toPlainString();
+        if (readyIn == null) {
+            return DEFAULT_RETRY_AFTER_SECONDS;
+        }
+        long millis = (long) (readyIn.toMillis() * (1 + SPREAD * mRandom.get().nextDouble()));
+        return BigDecimal.valueOf(millis, MILLISECOND_DIGITS).toPlainString();
     }
 
     private static int status(Refusal refusal) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.server.Handler;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.LeaseOptions;
@@ -286,7 +287,7 @@
                 new GatewayRequestHandler(
                         mRings,
                         new HostedRequestHeadReader(),
-                        new StatusRefusalWriter(),
+                        new StatusRefusalWriter(ThreadLocalRandom::current),
                         new MonotonicClock(Clock.systemUTC()));
         String failure =
                 open("front", mSettings.self().frontAddress(), frontHandler, FRONT_OPTIONS);
