--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -30,6 +30,7 @@
             return;
         }
         CallState call = new CallState(request, mState.fleet().target(request.target()));
+        call.target().callArrived(request);
         refusal =
                 mState.endsBefore(call, context.now())
                         ? RefusalReason.DRAINING
@@ -97,7 +98,7 @@
     private @Nullable RefusalReason refusalByLoad(CallState call, Instant now) {
         TargetState target = call.target();
         int limit = mState.limits().queueLimit();
-        if (target.hasFreeCapacity(now)) {
+        if (target.hasFreeCapacity(now, target.isUrgent(call.request()))) {
             // Calls that wait for their claim occupy no replica yet. When their claims succeed, as
             // many as the capacity can run and as many as the queue limit can wait.
             boolean full = target.claimingCalls() >= limit + target.capacity();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -73,15 +73,17 @@
             mCloser.refuse(call, RefusalReason.DEADLINE_TOO_SHORT, context);
             return true;
         }
+        boolean urgent = target.isUrgent(call.request());
         Optional<EndpointChoice> choice =
                 mSelector.select(
                         call.request(),
-                        new TrackedReplicaCandidates(target.listedReplicas(), context.now()));
+                        new TrackedReplicaCandidates(
+                                target.listedReplicas(), context.now(), urgent));
         if (choice.isEmpty()) {
             return false;
         }
         TrackedReplica replica = target.listedReplicas().get(choice.get().index());
-        if (!replica.isAvailable(context.now())) {
+        if (!replica.isAvailable(context.now(), urgent)) {
             return false;
         }
         mAttempts.start(call, replica, choice.get().reason(), context);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.Target;
 
@@ -57,6 +58,9 @@
 
     private @Nullable Instant mLastActivation;
 
+    /** The lowest priority of a call for this target so far. */
+    private int mLeastPriority = Integer.MAX_VALUE;
+
     TargetState(Target target) {
         mTarget = target;
     }
@@ -89,18 +93,31 @@
     }
 
     /** Returns whether a call that arrives now can be started immediately. */
-    boolean hasFreeCapacity(Instant now) {
+    boolean hasFreeCapacity(Instant now, boolean urgent) {
         if (isFull() || !mQueue.isEmpty()) {
             return false;
         }
         for (TrackedReplica tracked : mListed) {
-            if (tracked.isAvailable(now)) {
+            if (tracked.isAvailable(now, urgent)) {
                 return true;
             }
         }
         return false;
     }
 
+    /** Records the priority of a call that arrived. */
+    void callArrived(CallRequest request) {
+        mLeastPriority = Math.min(mLeastPriority, request.priority());
+    }
+
+    /**
+     * Returns whether a call is more urgent than others for this target. An engine runs it before
+     * those, so it need not wait here until they have ended.
+     */
+    boolean isUrgent(CallRequest request) {
+        return request.priority() > mLeastPriority;
+    }
+
     /** Returns the number of calls that wait for the claim of their dispatch record. */
     int claimingCalls() {
         return mClaimingCalls;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
@@ -54,13 +54,17 @@
         return mListed && mReplica.state() == ReplicaState.READY && !mEndpoint.isDraining();
     }
 
-    /** Returns whether a call can be started on the replica now. */
-    boolean isAvailable(Instant now) {
+    /**
+     * Returns whether a call can be started on the replica now.
+     *
+     * @param urgent whether the endpoint begins to run the call before others that wait there
+     */
+    boolean isAvailable(Instant now, boolean urgent) {
         return mRunning < mReplica.concurrency()
                 && isServing()
                 && !now.isBefore(mNotHeldUntil)
                 && mEndpoint.backoff().allows(now)
-                && !mEndpoint.isCrowded(mReplica.concurrency(), now);
+                && (urgent || !mEndpoint.isCrowded(mReplica.concurrency(), now));
     }
 
     /** Returns the number of calls of all daemons at the endpoint; 0 if it accepts no new calls. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
@@ -4,14 +4,16 @@
 import java.util.List;
 import org.oleanderspring.core.fleet.EndpointId;
 
-/** The replicas of a target, evaluated at a fixed time. */
+/** The replicas of a target, evaluated at a fixed time for a call of a given urgency. */
 final class TrackedReplicaCandidates implements ReplicaCandidates {
     private final List<TrackedReplica> mReplicas;
     private final Instant mNow;
+    private final boolean mUrgent;
 
-    TrackedReplicaCandidates(List<TrackedReplica> replicas, Instant now) {
+    TrackedReplicaCandidates(List<TrackedReplica> replicas, Instant now, boolean urgent) {
         mReplicas = replicas;
         mNow = now;
+        mUrgent = urgent;
     }
 
     @Override
@@ -26,7 +28,7 @@
 
     @Override
     public boolean isAvailable(int index) {
-        return mReplicas.get(index).isAvailable(mNow);
+        return mReplicas.get(index).isAvailable(mNow, mUrgent);
     }
 
     @Override
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -346,13 +346,38 @@
         assertThat(refuse.workState(), is(WorkState.NOT_RUN));
     }
 
-    /** Creates a call whose caller leaves after two seconds without a response. */
+    /**
+     * Pattern: mass departure. Guards against short urgent calls that wait here behind long ones,
+     * although the engine would run them first.
+     */
+    @Test
+    void urgentCallIsSentToAFullReplica() {
+        table(FIRST);
+        decide(
+                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 0, 1))),
+                START);
+        decide(new RoutingEvent.CallArrived(call(1, START.plusSeconds(12))), START);
+        decide(
+                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 40, 1))),
+                START.plusMillis(10));
+        List<RoutingDecision> urgent =
+                decide(
+                        new RoutingEvent.CallArrived(call(2, 1, START.plusSeconds(12))),
+                        START.plusMillis(20));
+        assertThat(urgent, contains(instanceOf(RoutingDecision.StartAttempt.class)));
+    }
+
     private static CallRequest call(long id, Instant deadline) {
+        return call(id, 0, deadline);
+    }
+
+    /** Creates a call whose caller leaves after two seconds without a response. */
+    private static CallRequest call(long id, int priority, Instant deadline) {
         return new CallRequest(
                 new CallId(id),
                 MODEL,
                 null,
-                0,
+                priority,
                 deadline,
                 0,
                 Repetition.RESUMABLE,
