--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -26,6 +26,7 @@
     static final String IP = "127.0.0.1";
     static final String HOST = "a.example";
 
+    private static final int START_ATTEMPTS = 5;
     private static final Duration CONDITION_TIMEOUT = Duration.ofSeconds(20);
     private static final String CONFIGURATION =
             """
@@ -72,11 +73,31 @@
     GatewayFixture(int daemons) throws IOException {
         int peerPort = unusedAddress(IP).port();
         for (int index = 0; index < daemons; index++) {
-            mSettings.add(settings(index, peerPort));
-            mGateways.add(startGateway(mSettings.get(index)));
+            startAtUnusedPorts(index, peerPort);
         }
     }
 
+    /**
+     * Starts a daemon. Another socket may take a port between its choice and the start, so other
+     * ports are tried then.
+     */
+    private void startAtUnusedPorts(int index, int peerPort) throws IOException {
+        String failure = "";
+        for (int attempt = 0; attempt < START_ATTEMPTS; attempt++) {
+            GatewaySettings settings = settings(index, peerPort);
+            Gateway gateway = new Gateway(settings);
+            String unavailable = gateway.start();
+            if (unavailable == null) {
+                mSettings.add(settings);
+                mGateways.add(gateway);
+                return;
+            }
+            gateway.close();
+            failure = unavailable;
+        }
+        throw new AssertionError(failure);
+    }
+
     private GatewaySettings settings(int index, int peerPort) throws IOException {
         String ip = "127.0.0." + (index + 1);
         return new GatewaySettings(
