--- a/core/src/main/java/org/oleanderspring/core/load/EndpointLoad.java
+++ b/core/src/main/java/org/oleanderspring/core/load/EndpointLoad.java
@@ -8,8 +8,7 @@
  *
  * @param endpoint the endpoint
  * @param running the number of running calls
- * @param slowness the time to the first byte relative to other endpoints with the same targets; 1
- *     if it is as usual or unknown
+ * @param slowness the time to the first byte divided by the usual one of the service; 1 if unknown
  */
 public record EndpointLoad(EndpointId endpoint, int running, double slowness) {
     /** Rejects a negative count and a slowness that is not a positive number. */
--- a/core/src/main/java/org/oleanderspring/core/load/EndpointUse.java
+++ b/core/src/main/java/org/oleanderspring/core/load/EndpointUse.java
@@ -9,8 +9,8 @@
  * @param endpoint the endpoint
  * @param running the number of calls that run now
  * @param answered the number of calls whose response began since the previous report
- * @param slowness the average, over these calls, of the time to the first byte divided by the
- *     average time of the same target at all endpoints; 1 if no response began
+ * @param slowness the average, over these calls, of the time to the first byte divided by the usual
+ *     one of the service at this daemon; 1 if no response began
  */
 public record EndpointUse(EndpointId endpoint, int running, int answered, double slowness) {
     /** Rejects negative counts and a slowness that is not a positive number. */
--- a/core/src/main/java/org/oleanderspring/core/residency/command/StoreConcurrency.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/StoreConcurrency.java
@@ -23,8 +23,15 @@
     /** Up to this multiple of the time of a single load, a load counts as one at full speed. */
     private static final double FULL_SPEED = 1.15;
 
+    /**
+     * After a slow load, the limit is not raised for this time, because a load that shows the limit
+     * to be too high blocks its runner for longer.
+     */
+    private static final Duration RAISE_PAUSE = Duration.ofMinutes(1);
+
     private final int mMaximum;
     private final Map<EndpointId, Load> mLoads = new HashMap<>();
+    private Instant mRaiseFrom = Instant.MIN;
     private int mLimit;
 
     StoreConcurrency(int maximum) {
@@ -72,9 +79,11 @@
         }
         double ratio = seconds(Duration.between(load.begunAt(), now)) / seconds(model.storeLoad());
         if (ratio <= FULL_SPEED) {
-            mLimit = load.position() >= mLimit ? Math.min(mMaximum, mLimit + 1) : mLimit;
+            boolean mayRaise = load.position() >= mLimit && !now.isBefore(mRaiseFrom);
+            mLimit = mayRaise ? Math.min(mMaximum, mLimit + 1) : mLimit;
             return;
         }
+        mRaiseFrom = now.plus(RAISE_PAUSE);
         mLimit = Math.max(1, Math.min(mLimit, (int) Math.round(load.position() / ratio)));
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -32,7 +32,7 @@
         CallState call = new CallState(request, mState.fleet().target(request.target()));
         call.target().callArrived(request);
         refusal =
-                mState.endsBefore(call, context.now())
+                mState.mayOutliveDaemon(call, context.now())
                         ? RefusalReason.DRAINING
                         : refusalByLoad(call, context.now());
         if (refusal != null) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -62,7 +62,7 @@
 
     /** Starts or refuses the first waiting call. Returns whether the next call may be tried. */
     private boolean startOne(CallState call, TargetState target, RoutingContext context) {
-        if (mState.endsBefore(call, context.now())) {
+        if (mState.mayOutliveDaemon(call, context.now())) {
             mCloser.refuse(call, RefusalReason.DRAINING, context);
             return true;
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -99,7 +99,7 @@
      * Returns whether a call that starts now would probably still run when the daemon ends. A
      * stream that is resumed is in any case better served by another attempt.
      */
-    boolean endsBefore(CallState call, Instant now) {
+    boolean mayOutliveDaemon(CallState call, Instant now) {
         if (mEndsAt.equals(Instant.MAX) || call.hasResponseBegun()) {
             return false;
         }
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreConcurrencyTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreConcurrencyTest.java
@@ -95,9 +95,13 @@
         endLoad(1, START.plusSeconds(20));
         assertThat("after a slow load", mConcurrency.limit(), is(1));
         endLoad(0, START.plusSeconds(20));
-        Instant later = START.plusSeconds(30);
+        Instant soon = START.plusSeconds(30);
+        beginLoad(soon);
+        endLoad(2, soon.plus(LOAD));
+        assertThat("soon after a slow load", mConcurrency.limit(), is(1));
+        Instant later = START.plusSeconds(90);
         beginLoad(later);
-        endLoad(2, later.plus(LOAD));
+        endLoad(3, later.plus(LOAD));
         assertThat("after a load at full speed", mConcurrency.limit(), is(2));
     }
 }
