--- a/review/Http.java
+++ b/review/Http.java
@@ -103,25 +103,14 @@
         }
     }
 
-    /** May answer a request before its body is read. */
-    interface EarlyAnswer {
-        /** Returns whether it has answered; the server then reads the body and drops it. */
-        boolean answer(Exchange head) throws Exception;
-    }
-
     /** A server on one address. */
     static final class Server implements AutoCloseable {
         private final ServerSocket mListener = new ServerSocket();
         private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
         private final Handler mHandler;
 
-        /** Asked for each request as soon as its head is read. */
-        volatile EarlyAnswer early = head -> false;
-
         Server(String ip, Handler handler) throws IOException {
             mHandler = handler;
-            // A small window, so that a sender notices when its bytes are not read.
-            mListener.setReceiveBufferSize(64 << 10);
             mListener.bind(new InetSocketAddress(InetAddress.getByName(ip), 0), 512);
             thread("accept", this::accept);
         }
@@ -142,15 +131,10 @@
             try (socket) {
                 socket.setTcpNoDelay(true);
                 InputStream input = new BufferedInputStream(socket.getInputStream());
-                Message head = head(input);
-                while (head != null) {
-                    boolean answered = early.answer(new Exchange(head, socket));
-                    byte[] body = body(input, head.headers(), true);
-                    if (!answered) {
-                        Message request = new Message(head.startLine(), head.headers(), body);
-                        mHandler.handle(new Exchange(request, socket));
-                    }
-                    head = head(input);
+                Message request = read(input, true);
+                while (request != null) {
+                    mHandler.handle(new Exchange(request, socket));
+                    request = read(input, true);
                 }
             } finally {
                 mSockets.remove(socket);
--- a/review/Runner.java
+++ b/review/Runner.java
@@ -19,11 +19,7 @@
         void answer(Runner runner, Http.Exchange exchange) throws Exception;
     }
 
-    /** An order that has reached the runner. */
-    record Order(long at, String holder, long token, String text, int status) {}
-
     final String id;
-    final List<Order> orders = new ArrayList<>();
     private final String mService;
     private final int mSlots;
     private final Store mStore;
@@ -33,8 +29,6 @@
     private final long mBorn = System.currentTimeMillis();
     private final TreeMap<String, Set<String>> mModels = new TreeMap<>();
     private final Set<String> mOnDisk = new TreeSet<>();
-    private final Map<String, Integer> mRuns = new TreeMap<>();
-    private final Set<String> mLeaving = new TreeSet<>();
     private int mActive;
     private long mSeq;
     private long mBeat;
@@ -42,12 +36,6 @@
     private volatile boolean mCrashed;
     private String mState = "ready";
 
-    /** What the runner was ordered to load beyond its places for adapters, or null. */
-    volatile String exceeded;
-
-    /** The number of adapters that it holds. */
-    int adapterSlots = 8;
-
     /** The zone in which it runs. */
     volatile String zone = "zone-a";
 
@@ -98,30 +86,12 @@
         return mServer.port();
     }
 
-    /** Lets the runner answer some requests before it has read their bodies. */
-    void answersEarly(Http.EarlyAnswer early) {
-        mServer.early = early;
-    }
-
     /** Adds weights to the copies on the runner's disk. */
     synchronized void onDisk(List<String> models) {
         mOnDisk.addAll(models);
         register();
     }
 
-    synchronized void hold(String model, List<String> adapters) {
-        mModels.computeIfAbsent(model, key -> new TreeSet<>()).addAll(adapters);
-        register();
-    }
-
-    synchronized int active() {
-        return mActive;
-    }
-
-    synchronized Map<String, Set<String>> models() {
-        return new TreeMap<>(mModels);
-    }
-
     private void register() {
         if (mCrashed) {
             return;
@@ -192,11 +162,8 @@
             long count = Json.number(order, "expected", mSeq);
             String model = (String) order.get("model");
             boolean load = "load".equals(order.get("operation"));
-            String adapter = (String) order.get("adapter");
             if (mBusy || count != mSeq) {
                 status = 409;
-            } else if (adapter != null) {
-                status = adapterOrder(model, adapter, load);
             } else if (load == mModels.containsKey(model)) {
                 status = 200;
             } else {
@@ -209,55 +176,11 @@
                             complete(model, load);
                         });
             }
-            orders.add(
-                    new Order(
-                            mRecord.now(),
-                            (String) order.get("holder"),
-                            Json.number(order, "fencingToken", -1),
-                            Json.write(order),
-                            status));
         }
         mRecord.line("order runner=" + id + " status=" + status + " " + Json.write(order));
         exchange.json(status, Json.map());
     }
 
-    /**
-     * Loads an adapter within some milliseconds. Unloads one at once if no request uses it, else as
-     * soon as its runs have ended; until then it takes its place.
-     */
-    private int adapterOrder(String model, String adapter, boolean load) {
-        Set<String> held = mModels.get(model);
-        if (held == null) {
-            return 400;
-        }
-        String name = model + "/" + adapter;
-        if (!load) {
-            if (!held.contains(adapter)) {
-                return 200;
-            }
-            mSeq++;
-            if (mRuns.getOrDefault(name, 0) == 0) {
-                held.remove(adapter);
-                return 200;
-            }
-            mLeaving.add(name);
-            return 202;
-        }
-        if (held.contains(adapter)) {
-            return 200;
-        }
-        mSeq++;
-        int places = mModels.values().stream().mapToInt(Set::size).sum();
-        if (places >= adapterSlots) {
-            exceeded =
-                    "ordered to load " + name + " while " + places + " adapters take its places: " + mModels
-                            + ", of which these wait for their runs: " + mLeaving;
-            return 202;
-        }
-        held.add(adapter);
-        return 202;
-    }
-
     private void complete(String model, boolean load) {
         synchronized (this) {
             mBusy = false;
@@ -276,16 +199,11 @@
         String attempt = request.header("Attempt-Id");
         String model = request.header("Model");
         synchronized (this) {
-            if (mHasEngine && mLeaving.contains(model)) {
-                exchange.reply(503, Map.of("Not-Executed", "1", "Attempt-Id", attempt), new byte[0]);
-                return;
-            }
             if (mHasEngine && !holds(model)) {
                 exchange.reply(421, Map.of("Instance-Id", id, "Not-Executed", "1", "Attempt-Id", attempt), new byte[0]);
                 return;
             }
             mActive++;
-            mRuns.merge(String.valueOf(model), 1, Integer::sum);
         }
         mRecord.line(
                 "run runner=" + id + " attempt=" + attempt + " " + request.startLine()
@@ -295,11 +213,6 @@
         } finally {
             synchronized (this) {
                 mActive--;
-                int runs = mRuns.merge(String.valueOf(model), -1, Integer::sum);
-                if (runs == 0 && mLeaving.remove(String.valueOf(model))) {
-                    int slash = model.indexOf('/');
-                    mModels.getOrDefault(model.substring(0, slash), new TreeSet<>()).remove(model.substring(slash + 1));
-                }
             }
         }
     }
--- a/review/Store.java
+++ b/review/Store.java
@@ -10,33 +10,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Predicate;
 
-/**
- * The platform's metadata store as PROTOCOL.md describes it. Each daemon gets a port of its own, so
- * that a script can partition it from the store.
- */
+/** The platform's metadata store as PROTOCOL.md describes it; each daemon gets a port of its own. */
 final class Store implements AutoCloseable {
     /** The path of one daemon to the store. */
     final class Port {
         private final Http.Server mServer;
-        private volatile boolean mCut;
 
         private Port(String ip) throws IOException {
-            mServer = new Http.Server(ip, exchange -> handle(this, exchange));
+            mServer = new Http.Server(ip, Store.this::handle);
         }
 
         int number() {
             return mServer.port();
         }
-
-        /** Partitions the daemon from the store: calls and open watches get no answer. */
-        void cut(boolean cut) {
-            mCut = cut;
-            if (!cut) {
-                mServer.resetConnections();
-            }
-        }
     }
 
     private record Lease(long ttlMillis, long endsAt) {}
@@ -46,12 +33,7 @@
     private final Map<Long, Lease> mLeases = new HashMap<>();
     private final List<Port> mPorts = new ArrayList<>();
     private long mRevision = 100;
-    private long mCompacted;
     private long mNextLease = 1;
-    private boolean mDeaf;
-
-    /** Told of each change, with the lock held. */
-    Predicate<Map<String, Object>> onChange = event -> true;
 
     Store() {
         Http.thread(
@@ -80,37 +62,12 @@
         delete(key);
     }
 
-    synchronized String text(String key) {
-        Map<String, Object> item = mItems.get(key);
-        return item == null
-                ? null
-                : new String(Base64.getDecoder().decode((String) item.get("value")), StandardCharsets.UTF_8);
-    }
-
-    /** Lets watches hear nothing. */
-    synchronized void deaf(boolean deaf) {
-        mDeaf = deaf;
-        notifyAll();
-    }
-
-    /** Drops the history; watches get 410 and have to list again. */
-    synchronized void compact() {
-        mHistory.clear();
-        mCompacted = mRevision;
-        mDeaf = false;
-        notifyAll();
-    }
-
-    private void handle(Port port, Http.Exchange exchange) throws Exception {
-        if (port.mCut) {
-            Thread.sleep(60_000);
-            return;
-        }
+    private void handle(Http.Exchange exchange) throws Exception {
         String target = exchange.request.target();
         String path = target.contains("?") ? target.substring(0, target.indexOf('?')) : target;
         Map<String, String> query = query(target);
         if (path.equals("/kv-watch")) {
-            watch(port, exchange, query);
+            watch(exchange, query);
             return;
         }
         int status;
@@ -225,7 +182,6 @@
 
     private void changed(Map<String, Object> event) {
         mHistory.add(event);
-        onChange.test(event);
         notifyAll();
     }
 
@@ -256,21 +212,15 @@
         }
     }
 
-    private void watch(Port port, Http.Exchange exchange, Map<String, String> query) throws Exception {
+    private void watch(Http.Exchange exchange, Map<String, String> query) throws Exception {
         long after = Long.parseLong(query.get("after"));
         long until = System.currentTimeMillis() + Long.parseLong(query.get("waitMs"));
-        int status = 200;
         Map<String, Object> answer = new LinkedHashMap<>();
         synchronized (this) {
             List<Object> events = new ArrayList<>();
             while (true) {
-                if (after < mCompacted) {
-                    status = 410;
-                    break;
-                }
                 for (Map<String, Object> event : mHistory) {
-                    if (!mDeaf
-                            && Json.number(event, "revision", 0) > after
+                    if (Json.number(event, "revision", 0) > after
                             && ((String) event.get("key")).startsWith(query.get("prefix"))) {
                         events.add(event);
                     }
@@ -278,17 +228,13 @@
                 long left = until - System.currentTimeMillis();
                 if (!events.isEmpty() || left <= 0) {
                     answer.put("events", events);
-                    answer.put("storeRevision", mDeaf ? after : mRevision);
+                    answer.put("storeRevision", mRevision);
                     break;
                 }
                 wait(left);
             }
         }
-        if (port.mCut) {
-            Thread.sleep(60_000);
-            return;
-        }
-        exchange.json(status, answer);
+        exchange.json(200, answer);
     }
 
     private static Map<String, String> query(String target) {
