Simulate groups of runners that end together in the quarantine bench

The error rates in docs/quarantine.md hold for crashes that are independent of each other. The simulation now also lets an idle application begin to ask and the runners that serve it end 0.4 s later: a failure domain, the runners of a model, all runners, or a failure domain twice. A daemon cancels unanswered calls when a decision takes effect, as the routing duty does, and a model that was not in use has to be loaded first.

--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineScenario.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineScenario.java
@@ -11,6 +11,7 @@
  * @param callsPerSecond the rate of calls
  * @param deadlyShare the share of calls with a deadly part
  * @param otherCrashesPerSecond the rate of crashes that have nothing to do with prompts
+ * @param crashGroup which runners end together while an idle application begins to ask
  * @param messageLoss the share of messages between daemons that are lost
  * @param length the length of the run
  * @param limits how many crashes are evidence
@@ -21,6 +22,7 @@
         double callsPerSecond,
         double deadlyShare,
         double otherCrashesPerSecond,
+        CrashGroup crashGroup,
         double messageLoss,
         Duration length,
         QuarantineLimits limits) {}
--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
@@ -49,6 +49,20 @@
     private static final int CRASHES_IN_BOUND = 5;
     private static final Duration BOUND = Duration.ofSeconds(3);
 
+    private static final int FAILURE_DOMAINS = 4;
+    private static final Duration APPLICATION_PERIOD = Duration.ofSeconds(10);
+    private static final Duration APPLICATION_TIME = Duration.ofSeconds(8);
+    private static final Duration GROUP_CRASH_DELAY = Duration.ofMillis(400);
+    private static final int APPLICATION_USERS = 40;
+    private static final int START_SPREAD_MILLIS = 100;
+    private static final Duration THINKING_TIME = Duration.ofSeconds(2);
+
+    /** An application that was idle uses a model that no runner outside of the group has loaded. */
+    private static final Duration LOAD_TIME = Duration.ofSeconds(1);
+
+    /** The runners of a group do not end at exactly the same moment. */
+    private static final int GROUP_SPREAD_MILLIS = 20;
+
     private final QuarantineScenario mScenario;
     private final SplittableRandom mRandom;
     private final VirtualScheduler mScheduler = new VirtualScheduler();
@@ -60,6 +74,8 @@
     private int mDeadlyCallsAfterBound;
     private int mSoundCalls;
     private int mSoundCallsRefused;
+    private int mApplications;
+    private final Set<PromptPart> mRefusedApplications = new HashSet<>();
     private Instant mBoundFrom = Instant.MAX;
 
     QuarantineSimulation(QuarantineScenario scenario, long seed) {
@@ -69,7 +85,7 @@
             mDaemons.add(new Daemon(new MemberId("vm-" + index)));
         }
         for (int index = 0; index < scenario.runners(); index++) {
-            mRunners.add(new Runner());
+            mRunners.add(new Runner(index));
         }
     }
 
@@ -114,6 +130,20 @@
                 deliver(send.recipients(), new QuarantineEvent.EntryReceived(send.entry()));
             } else if (decision instanceof QuarantineDecision.Enforce enforce) {
                 mEnforced = enforce.quarantine();
+                cancelUnanswered();
+            }
+        }
+    }
+
+    /** Cancels and refuses the calls of all daemons that are refused now and not answered yet. */
+    private void cancelUnanswered() {
+        for (Runner runner : mRunners) {
+            for (Attempt attempt : List.copyOf(runner.mAttempts)) {
+                if (attempt.mEvents == 0 && attempt.mCall.mDaemon.refuses(attempt.mCall.mPrompt)) {
+                    attempt.mEnded = true;
+                    runner.mAttempts.remove(attempt);
+                    attempt.mCall.refused();
+                }
             }
         }
     }
@@ -129,11 +159,23 @@
 
     /** A runner, which gets a new identity with each start. */
     private final class Runner {
+        private final int mIndex;
         private EndpointId mId = new EndpointId("runner-" + mNextName++);
         private boolean mIsUp = true;
         private final List<Attempt> mAttempts = new ArrayList<>();
 
+        Runner(int index) {
+            mIndex = index;
+        }
+
+        int failureDomain() {
+            return mIndex % FAILURE_DOMAINS;
+        }
+
         void crash() {
+            if (!mIsUp) {
+                return;
+            }
             mIsUp = false;
             List<Attempt> broken = List.copyOf(mAttempts);
             mAttempts.clear();
@@ -158,8 +200,9 @@
             mCall = call;
             mRunner = runner;
             runner.mAttempts.add(this);
-            mScheduler.schedule(
-                    Duration.ofMillis(1 + mRandom.nextInt(MAX_READ_MILLIS)), this::nextEvent);
+            Duration read = Duration.ofMillis(1 + mRandom.nextInt(MAX_READ_MILLIS));
+            boolean hasModel = call.mHome == null || call.mHome.contains(runner);
+            mScheduler.schedule(hasModel ? read : read.plus(LOAD_TIME), this::nextEvent);
         }
 
         private void nextEvent() {
@@ -207,10 +250,14 @@
         private final boolean mIsRepeat;
         private int mAttempts;
 
-        Call(Prompt prompt, int length, boolean isRepeat) {
+        /** The group of runners that the call prefers, or null. */
+        private final @Nullable List<Runner> mHome;
+
+        Call(Prompt prompt, int length, boolean isRepeat, @Nullable List<Runner> home) {
             mPrompt = prompt;
             mLength = length;
             mIsRepeat = isRepeat;
+            mHome = home;
         }
 
         boolean isDeadly() {
@@ -219,23 +266,35 @@
 
         void start() {
             if (mDaemon.refuses(mPrompt)) {
-                mSoundCallsRefused += isDeadly() ? 0 : 1;
+                refused();
                 return;
             }
-            Runner runner = mAttempts < ATTEMPTS ? chooseRunner(mPrompt) : null;
+            Runner runner = mAttempts < ATTEMPTS ? chooseRunner(this) : null;
             if (runner != null) {
                 mAttempts++;
                 boolean isLate = isDeadly() && mScheduler.now().isAfter(mBoundFrom);
                 mDeadlyCallsAfterBound += isLate ? 1 : 0;
                 new Attempt(this, runner);
             } else if (!mIsRepeat) {
-                mScheduler.schedule(CLIENT_PAUSE, () -> new Call(mPrompt, mLength, true).start());
+                mScheduler.schedule(
+                        CLIENT_PAUSE, () -> new Call(mPrompt, mLength, true, mHome).start());
+            }
+        }
+
+        void refused() {
+            mSoundCallsRefused += isDeadly() ? 0 : 1;
+            if (mHome != null) {
+                mRefusedApplications.add(mPrompt.sharedParts().get(0));
             }
         }
     }
 
-    private @Nullable Runner chooseRunner(Prompt prompt) {
-        String key = prompt.sharedParts().toString();
+    private @Nullable Runner chooseRunner(Call call) {
+        List<Runner> home = call.mHome == null ? List.of() : upRunners(call.mHome);
+        if (!home.isEmpty()) {
+            return home.get(mRandom.nextInt(home.size()));
+        }
+        String key = call.mPrompt.sharedParts().toString();
         Runner best = null;
         for (Runner runner : mRunners) {
             if (runner.mIsUp
@@ -248,6 +307,10 @@
         return best;
     }
 
+    private static List<Runner> upRunners(List<Runner> runners) {
+        return runners.stream().filter(runner -> runner.mIsUp).toList();
+    }
+
     QuarantineResult run() {
         Set<MemberId> members = new HashSet<>();
         mDaemons.forEach(daemon -> members.add(daemon.mId));
@@ -261,6 +324,9 @@
         if (mScenario.otherCrashesPerSecond() > 0) {
             repeat(() -> untilNext(mScenario.otherCrashesPerSecond()), this::crashAnyRunner);
         }
+        if (mScenario.crashGroup() != CrashGroup.NONE) {
+            repeat(() -> APPLICATION_PERIOD, this::startApplication);
+        }
         mScheduler.runUntil(Instant.EPOCH.plus(mScenario.length()));
         return new QuarantineResult(
                 mDeadlyCrashes,
@@ -268,7 +334,9 @@
                 mDeadlyCallsAfterBound,
                 mSoundCalls,
                 mSoundCallsRefused,
-                wrongPatterns());
+                wrongPatterns(),
+                mApplications,
+                mRefusedApplications.size());
     }
 
     private void repeat(Supplier<Duration> pause, Runnable action) {
@@ -296,11 +364,43 @@
         mSoundCalls += deadly ? 0 : 1;
         int length = 1 + (int) (-Math.log(1 - mRandom.nextDouble()) * MEAN_EVENTS);
         Prompt prompt = new Prompt(shared, new PromptPart("own-" + mNextName++));
-        new Call(prompt, length, false).start();
+        new Call(prompt, length, false, null).start();
+    }
+
+    /** Starts an application that was idle, and lets the runners that serve it end together. */
+    private void startApplication() {
+        PromptPart part = new PromptPart("application-" + mApplications++);
+        List<Runner> home = mScenario.crashGroup().choose(mRunners, Runner::failureDomain, mRandom);
+        Instant end = mScheduler.now().plus(APPLICATION_TIME);
+        for (int user = 0; user < APPLICATION_USERS; user++) {
+            Duration delay = Duration.ofMillis(mRandom.nextInt(START_SPREAD_MILLIS));
+            mScheduler.schedule(delay, () -> ask(part, home, end));
+        }
+        for (Duration crash : mScenario.crashGroup().crashes()) {
+            for (Runner runner : home) {
+                Duration spread = Duration.ofMillis(mRandom.nextInt(GROUP_SPREAD_MILLIS));
+                mScheduler.schedule(
+                        GROUP_CRASH_DELAY.plus(crash).plus(spread), () -> crash(runner));
+            }
+        }
+    }
+
+    /** A user of an application asks again and again. */
+    private void ask(PromptPart application, List<Runner> home, Instant end) {
+        if (mScheduler.now().isAfter(end)) {
+            return;
+        }
+        mSoundCalls++;
+        Prompt prompt = new Prompt(List.of(application), new PromptPart("own-" + mNextName++));
+        new Call(prompt, (int) MEAN_EVENTS, false, home).start();
+        mScheduler.schedule(THINKING_TIME, () -> ask(application, home, end));
     }
 
     private void crashAnyRunner() {
-        Runner runner = mRunners.get(mRandom.nextInt(mRunners.size()));
+        crash(mRunners.get(mRandom.nextInt(mRunners.size())));
+    }
+
+    private void crash(Runner runner) {
         if (runner.mIsUp) {
             mOtherCrashes++;
             runner.crash();
--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSubcommand.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSubcommand.java
@@ -22,6 +22,10 @@
                         + " wrong refusals and refusals that come too late.")
 public final class QuarantineSubcommand implements Callable<Integer> {
     private static final int RUNNERS = 13;
+
+    /** Runners that four failure domains share evenly. */
+    private static final int RUNNERS_IN_GROUPS = 16;
+
     private static final int ALLOWED_CALLS = 3;
     private static final int MAX_SEEDS = 4;
 
@@ -60,6 +64,15 @@
             description = "Rates of unrelated crashes (default: ${DEFAULT-VALUE}).")
     private List<Double> mOtherCrashes = List.of(0.0, 0.1, 0.5);
 
+    @Option(
+            names = "--crash-groups",
+            split = ",",
+            description =
+                    "Runners that end together while an idle application begins to ask (default:"
+                            + " ${DEFAULT-VALUE}).")
+    private List<CrashGroup> mCrashGroups =
+            List.of(CrashGroup.ZONE, CrashGroup.MODEL, CrashGroup.FLEET, CrashGroup.ZONE_TWICE);
+
     @Override
     public Integer call() {
         TextTable table =
@@ -67,20 +80,25 @@
                         "crashes required",
                         "deadly share",
                         "other crashes/s",
+                        "crash group",
                         "deadly crashes",
                         "other crashes",
                         "runs too late",
                         "runs with wrong pattern",
                         "sound calls refused",
+                        "applications refused",
                         "first seeds with an error");
         for (int required : mCrashesRequired) {
             QuarantineLimits limits = new QuarantineLimits(required, required + 3);
             for (double deadlyShare : mDeadlyShares) {
                 for (double otherCrashes : mOtherCrashes) {
                     if (deadlyShare + otherCrashes > 0) {
-                        addRow(table, scenario(limits, deadlyShare, otherCrashes));
+                        addRow(table, scenario(limits, deadlyShare, otherCrashes, CrashGroup.NONE));
                     }
                 }
+                for (CrashGroup group : mCrashGroups) {
+                    addRow(table, scenario(limits, deadlyShare, 0, group));
+                }
             }
         }
         System.out.print(table.text());
@@ -88,13 +106,17 @@
     }
 
     private QuarantineScenario scenario(
-            QuarantineLimits limits, double deadlyShare, double otherCrashes) {
+            QuarantineLimits limits,
+            double deadlyShare,
+            double otherCrashes,
+            CrashGroup crashGroup) {
         return new QuarantineScenario(
                 mDaemons,
-                RUNNERS,
+                crashGroup == CrashGroup.NONE ? RUNNERS : RUNNERS_IN_GROUPS,
                 mCallsPerSecond,
                 deadlyShare,
                 otherCrashes,
+                crashGroup,
                 0.03,
                 Duration.ofSeconds(mSeconds),
                 limits);
@@ -116,11 +138,15 @@
                 Integer.toString(scenario.limits().crashesRequired()),
                 Double.toString(scenario.deadlyShare()),
                 Double.toString(scenario.otherCrashesPerSecond()),
+                scenario.crashGroup().toString(),
                 mean(results.stream().mapToInt(QuarantineResult::deadlyCrashes).sum()),
                 mean(results.stream().mapToInt(QuarantineResult::otherCrashes).sum()),
                 Long.toString(late),
                 Long.toString(wrong),
                 String.format(Locale.ROOT, "%.5f", refused / sound),
+                results.stream().mapToInt(QuarantineResult::refusedApplications).sum()
+                        + " of "
+                        + results.stream().mapToInt(QuarantineResult::applications).sum(),
                 seedsWithError(results));
     }
 
--- a/bench/src/main/java/org/oleanderspring/bench/query/QuarantineResult.java
+++ b/bench/src/main/java/org/oleanderspring/bench/query/QuarantineResult.java
@@ -10,6 +10,8 @@
  * @param soundCalls the calls without a deadly part
  * @param soundCallsRefused those of them that were refused because of their prompt
  * @param wrongPatterns the refused patterns that match a sound prompt
+ * @param applications the applications that began to ask
+ * @param refusedApplications those of them of which a call was refused because of its prompt
  */
 public record QuarantineResult(
         int deadlyCrashes,
@@ -17,4 +19,6 @@
         int deadlyCallsAfterBound,
         int soundCalls,
         int soundCallsRefused,
-        int wrongPatterns) {}
+        int wrongPatterns,
+        int applications,
+        int refusedApplications) {}
