Count runners that end together as one piece of evidence

Cause: the quarantine counted each crashed runner as separate evidence against the parts of the prompts that the runner was beginning to answer. Runners that end by one cause (a failure domain, the runners of a model, all runners) gave four pieces of evidence at one moment, and an application that was idle has no answered part that would speak against it. So every accident at its start looked like a deadly part.

Change: two crashes count separately only if a call with the part was sent to the second runner after the first one had ended, and at least 20 ms before its end (IndependentCrashes). A deadly part fulfils this, because its calls move from one runner to the next; runners with a common cause end under calls that were sent before. Reports carry the time since the end and the time that each call was at the runner. The end of a runner that is draining or no longer registered is expected, and no evidence.

The tests of deadly parts pass unchanged.

--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
@@ -193,6 +193,7 @@
     private final class Attempt {
         private final Call mCall;
         private final Runner mRunner;
+        private final Instant mStartedAt = mScheduler.now();
         private int mEvents;
         private boolean mEnded;
 
@@ -235,7 +236,11 @@
                 mCall.mDaemon.reportAnswers();
                 mCall.mDaemon.decide(
                         new QuarantineEvent.AnswerBroken(
-                                runner, new SuspectCall(mCall.mRequest, mCall.mPrompt)));
+                                runner,
+                                new SuspectCall(
+                                        mCall.mRequest,
+                                        mCall.mPrompt,
+                                        Duration.between(mStartedAt, mScheduler.now()))));
             }
             mScheduler.schedule(MESSAGE_DELAY, mCall::start);
         }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/BrokenAnswers.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/BrokenAnswers.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
@@ -21,31 +22,41 @@
      */
     private static final Duration RESULT_VALIDITY = Duration.ofSeconds(1);
 
-    private final Map<EndpointId, List<SuspectCall>> mUnchecked = new HashMap<>();
-    private final Map<EndpointId, Instant> mEndedAt = new HashMap<>();
+    private final Map<EndpointId, Unchecked> mUnchecked = new HashMap<>();
+    private final Map<EndpointId, Ended> mEnded = new HashMap<>();
+
+    /** A runner that is being checked, and its calls. */
+    private record Unchecked(Instant brokeAt, List<SuspectCall> calls) {}
+
+    private record Ended(Instant brokeAt, Instant knownAt) {}
 
     /** Adds a call whose answer broke off. Returns whether its runner has to be checked. */
-    boolean add(EndpointId runner, SuspectCall call) {
-        List<SuspectCall> calls = mUnchecked.get(runner);
-        if (calls != null) {
-            calls.add(call);
+    boolean add(QuarantineEvent.AnswerBroken broken, Instant now) {
+        Unchecked unchecked = mUnchecked.get(broken.runner());
+        if (unchecked != null) {
+            unchecked.calls().add(broken.call());
             return false;
         }
-        mUnchecked.put(runner, new ArrayList<>(List.of(call)));
+        mUnchecked.put(
+                broken.runner(), new Unchecked(now, new ArrayList<>(List.of(broken.call()))));
         return true;
     }
 
-    /** Returns whether a runner is known to have ended a short time ago. */
-    boolean hasEnded(EndpointId runner, Instant now) {
-        mEndedAt.values().removeIf(endedAt -> !now.isBefore(endedAt.plus(RESULT_VALIDITY)));
-        return mEndedAt.containsKey(runner);
+    /** Returns when the answers of a runner broke that ended a short time ago, or null. */
+    @Nullable Instant endOf(EndpointId runner, Instant now) {
+        mEnded.values().removeIf(ended -> !now.isBefore(ended.knownAt().plus(RESULT_VALIDITY)));
+        Ended ended = mEnded.get(runner);
+        return ended == null ? null : ended.brokeAt();
     }
 
-    /** Returns the crash that a check confirms; its calls are empty if none are waiting. */
-    RunnerCrash ended(EndpointId runner, Instant now) {
-        mEndedAt.put(runner, now);
-        List<SuspectCall> calls = mUnchecked.remove(runner);
-        return new RunnerCrash(runner, calls == null ? List.of() : calls);
+    /** Returns the crash that a check confirms, or null if no calls are waiting for it. */
+    @Nullable RunnerCrash ended(EndpointId runner, Instant now) {
+        Unchecked unchecked = mUnchecked.remove(runner);
+        if (unchecked == null) {
+            return null;
+        }
+        mEnded.put(runner, new Ended(unchecked.brokeAt(), now));
+        return new RunnerCrash(runner, unchecked.brokeAt(), unchecked.calls());
     }
 
     void alive(EndpointId runner) {
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
@@ -33,8 +33,9 @@
     private final Map<EndpointId, Crash> mCrashes = new LinkedHashMap<>();
 
     /** Adds a report. Returns whether it contains anything new. */
-    boolean add(RunnerCrash report, Instant now) {
-        Crash crash = mCrashes.computeIfAbsent(report.runner(), id -> new Crash(id, now));
+    boolean add(RunnerCrash report) {
+        Crash crash = mCrashes.computeIfAbsent(report.runner(), id -> new Crash(report));
+        crash.endedBy(report.endedAt());
         int before = crash.mCalls.size();
         for (SuspectCall call : report.calls()) {
             crash.add(call);
@@ -49,7 +50,7 @@
 
     /** Removes crashes that are no longer evidence. Returns whether there were any. */
     boolean expire(Instant now) {
-        return mCrashes.values().removeIf(crash -> !now.isBefore(crash.mSeenAt.plus(RETENTION)));
+        return mCrashes.values().removeIf(crash -> !now.isBefore(crash.mEndedAt.plus(RETENTION)));
     }
 
     /** Removes the calls that contain all of the given parts, for example after a withdrawal. */
@@ -71,30 +72,46 @@
     /** The end of one run of a runner's process. */
     static final class Crash {
         private final EndpointId mRunner;
-        private final Instant mSeenAt;
+        private Instant mEndedAt;
         private final List<SuspectCall> mCalls = new ArrayList<>();
 
-        Crash(EndpointId runner, Instant seenAt) {
-            mRunner = runner;
-            mSeenAt = seenAt;
+        Crash(RunnerCrash report) {
+            mRunner = report.runner();
+            mEndedAt = report.endedAt();
+        }
+
+        /** The daemon whose connections broke first has the best time. */
+        private void endedBy(Instant time) {
+            mEndedAt = time.isBefore(mEndedAt) ? time : mEndedAt;
         }
 
         private void add(SuspectCall call) {
-            if (mCalls.size() < MAX_CALLS && !mCalls.contains(call)) {
+            if (mCalls.size() < MAX_CALLS
+                    && mCalls.stream().noneMatch(known -> same(known, call))) {
                 mCalls.add(call);
             }
         }
 
+        /** The exposure of a repeated report differs by the rounding of messages. */
+        private static boolean same(SuspectCall first, SuspectCall second) {
+            return first.request().equals(second.request())
+                    && first.prompt().equals(second.prompt());
+        }
+
         EndpointId runner() {
             return mRunner;
         }
 
+        Instant endedAt() {
+            return mEndedAt;
+        }
+
         List<SuspectCall> calls() {
             return mCalls;
         }
 
         RunnerCrash report() {
-            return new RunnerCrash(mRunner, mCalls);
+            return new RunnerCrash(mRunner, mEndedAt, mCalls);
         }
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -140,9 +140,13 @@
 
     private void answerBroken(
             QuarantineEvent.AnswerBroken broken, Instant now, List<QuarantineDecision> decisions) {
-        if (mBrokenAnswers.hasEnded(broken.runner(), now)) {
-            report(new RunnerCrash(broken.runner(), List.of(broken.call())), now, decisions);
-        } else if (mBrokenAnswers.add(broken.runner(), broken.call())) {
+        Instant endedAt = mBrokenAnswers.endOf(broken.runner(), now);
+        if (endedAt != null) {
+            report(
+                    new RunnerCrash(broken.runner(), endedAt, List.of(broken.call())),
+                    now,
+                    decisions);
+        } else if (mBrokenAnswers.add(broken, now)) {
             decisions.add(new QuarantineDecision.CheckRunner(broken.runner()));
         }
     }
@@ -156,7 +160,7 @@
             return;
         }
         RunnerCrash crash = mBrokenAnswers.ended(checked.runner(), now);
-        if (!crash.calls().isEmpty()) {
+        if (crash != null) {
             report(crash, now, decisions);
         }
     }
@@ -167,7 +171,7 @@
         if (crash.calls().isEmpty()) {
             return;
         }
-        mEvidenceChanged |= mCrashes.add(crash, now);
+        mEvidenceChanged |= mCrashes.add(crash);
         mReportedAt.putIfAbsent(crash.runner(), now);
         for (RunnerCrash report : split(crash)) {
             mCrashRepetitions.add(report, now);
@@ -181,7 +185,7 @@
         int calls = crash.calls().size();
         for (int start = 0; start < calls; start += MAX_CALLS_IN_A_REPORT) {
             int end = Math.min(calls, start + MAX_CALLS_IN_A_REPORT);
-            reports.add(new RunnerCrash(crash.runner(), crash.calls().subList(start, end)));
+            reports.add(crash.withCalls(crash.calls().subList(start, end)));
         }
         return reports;
     }
@@ -193,7 +197,7 @@
                         .filter(call -> hasSuspectedPart(call.prompt(), now))
                         .limit(CrashLog.MAX_CALLS)
                         .toList();
-        return new RunnerCrash(crash.runner(), suspects);
+        return crash.withCalls(suspects);
     }
 
     private boolean hasSuspectedPart(Prompt prompt, Instant now) {
@@ -254,7 +258,7 @@
             QuarantineEvent.CrashReported reported,
             Instant now,
             List<QuarantineDecision> decisions) {
-        if (mCrashes.add(reported.crash(), now)) {
+        if (mCrashes.add(reported.crash())) {
             mEvidenceChanged = true;
             decisions.add(new QuarantineDecision.LogCrash(reported.reporter(), reported.crash()));
         }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
@@ -1,5 +1,7 @@
 package org.oleanderspring.core.quarantine.command;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -21,8 +23,8 @@
  * several parts. One of these parts may be deadly, that is, crash every runner that answers it. A
  * deadly part is never answered, and so a part that was answered lately is not considered. The last
  * part of a prompt is never considered on its own. Of the others, a part is reported if several
- * runners ({@link QuarantineLimits#crashesRequired}) crashed under calls with it, and no other part
- * explains these crashes better.
+ * runners ({@link QuarantineLimits#crashesRequired}) crashed independently of each other under
+ * calls with it ({@link IndependentCrashes}), and no other part explains these crashes better.
  *
  * <p>The comparison with other parts is needed because calls move together: the calls of a crashed
  * runner are repeated at the next one beside the deadly call, so that a rare sound part is found at
@@ -46,7 +48,7 @@
  */
 final class PatternFinder {
     private final List<SuspectCall> mCalls = new ArrayList<>();
-    private final List<EndpointId> mRunners = new ArrayList<>();
+    private final List<CrashLog.Crash> mCrashes = new ArrayList<>();
     private final Map<PromptPart, Suspicion> mSuspicions = new HashMap<>();
     private final Predicate<PromptPart> mIsSound;
     private final QuarantineLimits mLimits;
@@ -59,7 +61,7 @@
         mLimits = limits;
         for (CrashLog.Crash crash : crashes) {
             crash.calls().forEach(this::add);
-            mRunners.add(crash.runner());
+            mCrashes.add(crash);
         }
     }
 
@@ -68,13 +70,21 @@
         for (PromptPart part : call.prompt().sharedParts()) {
             if (!mIsSound.test(part)) {
                 Suspicion suspicion = mSuspicions.computeIfAbsent(part, key -> new Suspicion());
-                suspicion.mRunners.set(mRunners.size());
+                suspicion.mRunners.set(mCrashes.size());
                 suspicion.mCalls.set(mCalls.size());
+                if (call.exposure().compareTo(IndependentCrashes.MIN_EXPOSURE) >= 0) {
+                    suspicion.mExposures.merge(
+                            mCrashes.size(), call.exposure(), PatternFinder::shorter);
+                }
             }
         }
         mCalls.add(call);
     }
 
+    private static Duration shorter(Duration first, Duration second) {
+        return first.compareTo(second) < 0 ? first : second;
+    }
+
     /**
      * Returns the patterns that explain the crashes.
      *
@@ -103,11 +113,28 @@
         private final BitSet mRunners = new BitSet();
         private final BitSet mCalls = new BitSet();
 
+        /** The shortest exposure of a runner to a call with the part that may have crashed it. */
+        private final Map<Integer, Duration> mExposures = new HashMap<>();
+
         int crashes() {
             return mRunners.cardinality();
         }
     }
 
+    /** Returns how much evidence some of the crashes under calls with a part are. */
+    private int independentCrashes(Suspicion suspicion, BitSet runners) {
+        List<IndependentCrashes.Exposure> exposures = new ArrayList<>();
+        suspicion.mExposures.forEach(
+                (runner, exposure) -> {
+                    if (runners.get(runner)) {
+                        Instant endedAt = mCrashes.get(runner).endedAt();
+                        exposures.add(
+                                new IndependentCrashes.Exposure(endedAt.minus(exposure), endedAt));
+                    }
+                });
+        return IndependentCrashes.count(exposures);
+    }
+
     private List<Finding> find() {
         // Parts that always occur together lead to the same pattern, so one of them is enough.
         Map<BitSet, Suspicion> distinct = new LinkedHashMap<>();
@@ -118,7 +145,8 @@
         }
         Map<PromptPattern, Finding> findings = new HashMap<>();
         for (Suspicion candidate : distinct.values()) {
-            if (!isExplained(candidate, distinct.values())) {
+            if (independentCrashes(candidate, candidate.mRunners) >= mLimits.crashesRequired()
+                    && !isExplained(candidate, distinct.values())) {
                 Finding finding = finding(candidate);
                 findings.put(finding.pattern(), finding);
             }
@@ -136,22 +164,22 @@
     }
 
     private boolean explains(Suspicion other, Suspicion candidate) {
-        int unexplained = countWithout(candidate.mRunners, other.mRunners);
-        if (countWithout(other.mCalls, candidate.mCalls) == 0) {
-            return unexplained < mLimits.crashesRequired();
+        BitSet unexplained = without(candidate.mRunners, other.mRunners);
+        if (without(other.mCalls, candidate.mCalls).isEmpty()) {
+            return independentCrashes(candidate, unexplained) < mLimits.crashesRequired();
         }
-        if (unexplained > 0 || countWithout(candidate.mCalls, other.mCalls) == 0) {
+        if (!unexplained.isEmpty() || without(candidate.mCalls, other.mCalls).isEmpty()) {
             return false;
         }
         return other.crashes() > candidate.crashes()
-                || candidate.crashes() < mLimits.crashesIfAmbiguous();
+                || independentCrashes(candidate, candidate.mRunners) < mLimits.crashesIfAmbiguous();
     }
 
-    /** Returns the number of elements of a set that are not in another set. */
-    private static int countWithout(BitSet set, BitSet other) {
+    /** Returns the elements of a set that are not in another set. */
+    private static BitSet without(BitSet set, BitSet other) {
         BitSet rest = (BitSet) set.clone();
         rest.andNot(other);
-        return rest.cardinality();
+        return rest;
     }
 
     private Finding finding(Suspicion suspicion) {
@@ -161,7 +189,9 @@
         common.removeIf(mIsSound);
         return new Finding(
                 new PromptPattern(common),
-                suspicion.mRunners.stream().mapToObj(mRunners::get).toList(),
+                suspicion.mRunners.stream()
+                        .mapToObj(runner -> mCrashes.get(runner).runner())
+                        .toList(),
                 calls.stream().map(SuspectCall::request).distinct().toList());
     }
 }
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineFleet.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineFleet.java
@@ -25,6 +25,9 @@
 final class QuarantineFleet {
     private static final Duration STEP = Duration.ofMillis(100);
 
+    /** The time after which a call crashes its runner. */
+    private static final Duration EXPOSURE = Duration.ofMillis(100);
+
     private final Map<MemberId, DefaultQuarantineDecider> mDeciders = new LinkedHashMap<>();
     private final Map<MemberId, Quarantine> mEnforced = new LinkedHashMap<>();
     private final Set<EndpointId> mAlive = new HashSet<>();
@@ -92,12 +95,19 @@
         mAlive.add(new EndpointId(runner));
     }
 
-    /** Lets a runner break off the answer to a call of a daemon. */
+    /** Sends a call of a daemon to a runner, which breaks off the answer after some time. */
     void breakAnswer(int index, String runner, Prompt prompt) {
+        pass(EXPOSURE);
+        breakAnswer(index, runner, prompt, EXPOSURE);
+    }
+
+    /** Lets a runner break off the answer to a call of a daemon that it has had for some time. */
+    void breakAnswer(int index, String runner, Prompt prompt, Duration exposure) {
         decide(
                 daemon(index),
                 new QuarantineEvent.AnswerBroken(
-                        new EndpointId(runner), new SuspectCall("r" + mNextRequest++, prompt)));
+                        new EndpointId(runner),
+                        new SuspectCall("r" + mNextRequest++, prompt, exposure)));
     }
 
     void answer(int index, Prompt... prompts) {
@@ -125,6 +135,11 @@
         }
     }
 
+    /** Lets time pass without ticks. */
+    void advance(Duration time) {
+        mNow = mNow.plus(time);
+    }
+
     Instant now() {
         return mNow;
     }
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
@@ -101,6 +101,39 @@
         assertThat(mFleet.isRefusedAnywhere(mSound), is(false));
     }
 
+    /**
+     * Guards against the refusal of an application that was idle, because runners that serve it end
+     * together by a cause outside of its prompts. None of its calls was answered before.
+     */
+    @Test
+    void runnersThatEndTogetherAreOnePieceOfEvidence() {
+        for (int crash = 0; crash < 8; crash++) {
+            for (int daemon = 0; daemon < DAEMONS; daemon++) {
+                mFleet.breakAnswer(
+                        daemon,
+                        "runner-" + crash,
+                        mFleet.prompt("idle"),
+                        Duration.ofMillis(100L + crash));
+            }
+        }
+        mFleet.pass(BOUND);
+        assertThat(mFleet.isRefusedAnywhere(mFleet.prompt("idle")), is(false));
+    }
+
+    /**
+     * Guards against the refusal of calls that were sent from one runner to the next while a group
+     * of runners ended, which takes some milliseconds.
+     */
+    @Test
+    void callsThatMoveThroughAGroupOfEndingRunnersAreNoEvidence() {
+        for (int crash = 0; crash < 8; crash++) {
+            mFleet.breakAnswer(0, "runner-" + crash, mFleet.prompt("idle"), Duration.ofMillis(15));
+            mFleet.advance(Duration.ofMillis(15));
+        }
+        mFleet.pass(BOUND);
+        assertThat(mFleet.isRefusedAnywhere(mFleet.prompt("idle")), is(false));
+    }
+
     /** Guards against answers that break off at running runners and count as crashes. */
     @Test
     void brokenAnswerOfARunnerThatStillAnswersIsNoEvidence() {
@@ -283,7 +316,7 @@
                                 mFleet.now().plusSeconds(index),
                                 List.of(),
                                 List.of()));
-                crashes.add(crash(index), mFleet.now());
+                crashes.add(crash(index));
             }
         }
         assertThat(sound.size(), is(8_192));
@@ -298,7 +331,12 @@
     private RunnerCrash crash(int index) {
         return new RunnerCrash(
                 new EndpointId("runner-" + index),
-                List.of(new SuspectCall("r" + index, mFleet.prompt("first", "part" + index))));
+                mFleet.now(),
+                List.of(
+                        new SuspectCall(
+                                "r" + index,
+                                mFleet.prompt("first", "part" + index),
+                                Duration.ZERO)));
     }
 
     /** Guards against every daemon of a large fleet writing, replying or waiting for long. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -130,8 +130,7 @@
 
     @Override
     public void answerBroken(RunnerRegistration runner, SuspectCall call) {
-        mQuarantineSink.offer(
-                new QuarantineInput.AnswerBroken(runner.id(), runner.address(), call));
+        mQuarantineSink.offer(new QuarantineInput.AnswerBroken(runner, call));
     }
 
     /** Offers answered prompts to the quarantine duty; lost if its ring is full. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -157,8 +157,11 @@
     }
 
     @Override
-    public void sendCrash(GatewayMember member, RunnerCrash crash) {
-        send(member, new PeerMessage.CrashReport(mSettings.self().id(), crash));
+    public void sendCrash(GatewayMember member, RunnerCrash crash, Duration age) {
+        send(
+                member,
+                new PeerMessage.CrashReport(
+                        mSettings.self().id(), crash.runner(), age, crash.calls()));
     }
 
     @Override
@@ -224,7 +227,10 @@
     /** Returns the event of a message about prompts, or null if it is about something else. */
     private @Nullable QuarantineEvent quarantineEvent(PeerMessage message) {
         if (message instanceof PeerMessage.CrashReport report) {
-            return new QuarantineEvent.CrashReported(report.reporter(), report.crash());
+            return new QuarantineEvent.CrashReported(
+                    report.reporter(),
+                    new RunnerCrash(
+                            report.runner(), mClock.now().minus(report.age()), report.calls()));
         }
         if (message instanceof PeerMessage.SoundParts sound) {
             return new QuarantineEvent.SoundPartsReported(sound.parts());
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
@@ -1,15 +1,12 @@
 package org.oleanderspring.daemon.gateway.quarantine.command;
 
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
-import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreLeaseId;
@@ -23,6 +20,7 @@
 import org.oleanderspring.core.quarantine.command.QuarantineDecider;
 import org.oleanderspring.core.quarantine.command.QuarantineDecision;
 import org.oleanderspring.core.quarantine.command.QuarantineEvent;
+import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.gateway.FleetView;
 import org.oleanderspring.daemon.gateway.GatewayKeys;
 import org.oleanderspring.daemon.gateway.GatewayMember;
@@ -50,8 +48,8 @@
     private final OnDemandTicker<QuarantineInput> mTicker;
     private final FleetView mFleet = new FleetView("[quarantine]");
 
-    /** The address of the runner whose broken answer is handled. */
-    private final Map<EndpointId, Address> mChecks = new HashMap<>();
+    /** The runner whose broken answer is handled, or null. */
+    private @Nullable RunnerRegistration mBrokenRunner;
 
     private Set<MemberId> mMembers = Set.of();
 
@@ -90,11 +88,12 @@
         if (input instanceof QuarantineInput.Event event) {
             handle(event.event());
         } else if (input instanceof QuarantineInput.AnswerBroken broken) {
-            QuarantineLog.answerBroken(broken.runner(), broken.call());
+            RunnerRegistration runner = broken.runner();
+            QuarantineLog.answerBroken(runner.id(), broken.call());
             mMeters.answerBroken();
-            mChecks.put(broken.runner(), broken.address());
-            decide(new QuarantineEvent.AnswerBroken(broken.runner(), broken.call()));
-            mChecks.remove(broken.runner());
+            mBrokenRunner = runner;
+            decide(new QuarantineEvent.AnswerBroken(runner.id(), broken.call()));
+            mBrokenRunner = null;
         } else if (input instanceof QuarantineInput.StoreChanged changed) {
             apply(changed.update());
         }
@@ -171,7 +170,7 @@
 
     private void execute(QuarantineDecision decision) {
         if (decision instanceof QuarantineDecision.CheckRunner check) {
-            check(check.runner());
+            check();
         } else if (decision instanceof QuarantineDecision.SendCrash send) {
             send(send);
         } else if (decision instanceof QuarantineDecision.SendSoundParts send) {
@@ -201,20 +200,24 @@
             QuarantineLog.crashReported(send.crash(), send.recipients().size());
             mMeters.crashReported();
         }
-        forEach(send.recipients(), member -> mPorts.notifier().sendCrash(member, send.crash()));
+        Duration age = Duration.between(send.crash().endedAt(), mClock.now());
+        forEach(
+                send.recipients(),
+                member -> mPorts.notifier().sendCrash(member, send.crash(), age));
     }
 
     private static void forEach(Iterable<MemberId> members, Consumer<GatewayMember> action) {
         members.forEach(member -> GatewayMember.parse(member).ifPresent(action));
     }
 
-    private void check(EndpointId runner) {
-        Address address = mChecks.get(runner);
-        if (address == null) {
+    /** Checks the runner whose broken answer is handled. */
+    private void check() {
+        if (mBrokenRunner == null) {
             return;
         }
+        EndpointId runner = mBrokenRunner.id();
         mPorts.runners()
-                .read(address)
+                .read(mBrokenRunner.address())
                 .thenAccept(
                         result -> {
                             boolean isAlive = result instanceof FetchResult.Found;
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineInput.java
@@ -1,9 +1,8 @@
 package org.oleanderspring.daemon.gateway.quarantine.command;
 
-import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.command.QuarantineEvent;
+import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 
 /** An event in the ring of the quarantine duty. */
@@ -18,12 +17,10 @@
     /**
      * A runner closed the connection of a call that it was beginning to answer.
      *
-     * @param runner the run of the runner's process
-     * @param address the address of the runner
+     * @param runner the runner
      * @param call the call
      */
-    record AnswerBroken(EndpointId runner, Address address, SuspectCall call)
-            implements QuarantineInput {}
+    record AnswerBroken(RunnerRegistration runner, SuspectCall call) implements QuarantineInput {}
 
     /**
      * The keys that the daemons share in the key-value service changed.
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineNotifier.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineNotifier.java
@@ -14,8 +14,9 @@
      *
      * @param member the recipient
      * @param crash the runner and the calls that it was beginning to answer
+     * @param age the time since the runner ended
      */
-    void sendCrash(GatewayMember member, RunnerCrash crash);
+    void sendCrash(GatewayMember member, RunnerCrash crash, Duration age);
 
     /**
      * Names suspected parts that were answered at this daemon.
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttempt.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttempt.java
@@ -13,12 +13,14 @@
  * @param attempt cancels the attempt
  * @param relay forwards the response
  * @param runner the runner
+ * @param startedAt when the attempt was started
  * @param response the response, or null if it has not begun
  */
 record ActiveAttempt(
         RunningAttempt attempt,
         GatewayResponseRelay relay,
         RunnerRegistration runner,
+        Instant startedAt,
         @Nullable Response response) {
     /**
      * A runner that has sent this many events has written an answer and not crashed under it. The
@@ -37,7 +39,12 @@
     record Response(Instant beganAt, int status) {}
 
     ActiveAttempt withResponse(Response began) {
-        return new ActiveAttempt(attempt, relay, runner, began);
+        return new ActiveAttempt(attempt, relay, runner, startedAt, began);
+    }
+
+    /** Returns the time since the attempt was started. */
+    Duration age(Instant now) {
+        return Duration.between(startedAt, now);
     }
 
     /** Returns the time since the response began, or null if it has not. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
@@ -20,16 +21,28 @@
         mObserver = observer;
     }
 
-    void attemptEnded(GatewayCall call, ActiveAttempt attempt, AttemptOutcome outcome) {
+    /**
+     * Records what the end of an attempt shows about the prompt of its call.
+     *
+     * @param isRunnerLeaving whether the runner was about to shut down, so that its end is expected
+     */
+    void attemptEnded(
+            GatewayCall call,
+            ActiveAttempt attempt,
+            AttemptOutcome outcome,
+            boolean isRunnerLeaving,
+            Instant now) {
         Prompt prompt = call.call().prompt();
         if (prompt.sharedParts().isEmpty()) {
             return;
         }
         if (attempt.provesPromptSound(outcome)) {
             mAnswered.add(prompt);
-        } else if (attempt.suggestsCrash(outcome)) {
+        } else if (attempt.suggestsCrash(outcome) && !isRunnerLeaving) {
             report();
-            mObserver.answerBroken(attempt.runner(), new SuspectCall(call.attemptName(), prompt));
+            mObserver.answerBroken(
+                    attempt.runner(),
+                    new SuspectCall(call.attemptName(), prompt, attempt.age(now)));
         }
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -301,7 +301,12 @@
             return;
         }
         mMeters.attemptEnded(finished.outcome());
-        mAnswerRecorder.attemptEnded(call, active, finished.outcome());
+        mAnswerRecorder.attemptEnded(
+                call,
+                active,
+                finished.outcome(),
+                mFleet.isLeaving(active.runner().id()),
+                mClock.now());
         if (finished.outcome() instanceof AttemptOutcome.Completed) {
             return;
         }
@@ -369,7 +374,7 @@
                         .start(
                                 GatewayCallFactory.newAttempt(call, runner, start.deadline(), now),
                                 relay);
-        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, runner, null));
+        mActiveAttempts.put(attempt, new ActiveAttempt(running, relay, runner, now, null));
     }
 
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
@@ -51,6 +51,12 @@
         return mRunners.get(id);
     }
 
+    /** Returns whether a runner is about to shut down, or is no longer registered. */
+    boolean isLeaving(EndpointId id) {
+        RunnerRegistration runner = mRunners.get(id);
+        return runner == null || runner.draining();
+    }
+
     Optional<Route> findRoute(String host, String path) {
         return mRoutes == null ? Optional.empty() : mRoutes.find(host, path);
     }
--- /dev/null
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
@@ -0,0 +1,87 @@
+package org.oleanderspring.daemon.gateway;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderspring.standin.hosted.HostedRunnerStandin;
+
+/** Runs daemons in front of runners that end together by a cause outside of the prompts. */
+class RunnerGroupCrashTest {
+    private static final int DAEMONS = 2;
+    private static final int RUNNERS = 4;
+    private static final int USERS = 16;
+
+    private final List<HostedRunnerStandin> mServing = new ArrayList<>();
+
+    @SuppressWarnings("NullAway.Init")
+    private GatewayFixture mFixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        mFixture = new GatewayFixture(DAEMONS);
+        mFixture.configure(1, "ledger");
+        for (int index = 0; index < RUNNERS; index++) {
+            HostedRunnerStandin runner = mFixture.addRunner("i-" + index, "engine", "m1");
+            runner.holdStreams();
+            mServing.add(runner);
+            mFixture.addRunner("spare-" + index, "engine");
+        }
+        mFixture.awaitReady();
+    }
+
+    @AfterEach
+    void stop() {
+        mFixture.close();
+    }
+
+    private List<CompletableFuture<HttpResponse<String>>> ask(String round) {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int user = 0; user < USERS; user++) {
+            String name = round + user;
+            // Calls with different prefixes go to different runners.
+            String parts = "idle,topic" + user + ",own" + name;
+            answers.add(mFixture.stream(user % DAEMONS, name, "m1", parts));
+        }
+        return answers;
+    }
+
+    /** Returns the status of an answer, or 0 if it broke off. */
+    private static int status(CompletableFuture<HttpResponse<String>> answer) {
+        return answer.handle((response, failure) -> response == null ? 0 : response.statusCode())
+                .completeOnTimeout(-1, 15, TimeUnit.SECONDS)
+                .join();
+    }
+
+    /**
+     * Guards against the refusal of an application's requests for minutes, because all runners that
+     * served it ended at the same moment before one of its requests was answered.
+     */
+    @Test
+    void applicationIsServedAfterItsRunnersEndedTogether() {
+        List<CompletableFuture<HttpResponse<String>>> first = ask("a");
+        GatewayFixture.await(
+                "each runner has begun an answer",
+                () -> mServing.stream().allMatch(runner -> !runner.executedAttempts().isEmpty()));
+        mServing.parallelStream().forEach(HostedRunnerStandin::crash);
+        List<Integer> statuses = new ArrayList<>();
+        first.forEach(answer -> statuses.add(status(answer)));
+        for (int index = 0; index < RUNNERS; index++) {
+            mFixture.store().remove("servers/i-" + index);
+        }
+        for (int round = 0; round < 5; round++) {
+            ask("b" + round).forEach(answer -> statuses.add(status(answer)));
+        }
+        assertThat(statuses.stream().filter(status -> status == 400).toList(), is(empty()));
+        assertThat(statuses.stream().filter(status -> status == 200).toList(), is(not(empty())));
+    }
+}
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
@@ -52,7 +52,7 @@
                         null,
                         List.of(),
                         CachedWeights.NONE);
-        return new ActiveAttempt(() -> {}, mRelay, runner, null)
+        return new ActiveAttempt(() -> {}, mRelay, runner, Instant.EPOCH, null)
                 .withResponse(new ActiveAttempt.Response(Instant.EPOCH, status));
     }
 
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -23,7 +23,7 @@
 import org.oleanderspring.core.placement.UnreadyReason;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
-import org.oleanderspring.core.quarantine.RunnerCrash;
+import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.residency.Residency;
 
 /**
@@ -206,9 +206,17 @@
      * Reports the end of a runner and the calls that it was beginning to answer.
      *
      * @param reporter the daemon at which the calls were
-     * @param crash the runner and the calls
+     * @param runner the run of the runner's process that ended
+     * @param age the time since the runner ended
+     * @param calls the calls
      */
-    record CrashReport(MemberId reporter, RunnerCrash crash) implements PeerMessage {}
+    record CrashReport(MemberId reporter, EndpointId runner, Duration age, List<SuspectCall> calls)
+            implements PeerMessage {
+        /** Copies the list. */
+        public CrashReport {
+            calls = List.copyOf(calls);
+        }
+    }
 
     /**
      * Replies to a {@link CrashReport}: names the suspected parts that were answered at the sender.
--- a/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
@@ -10,7 +10,6 @@
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
-import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.peer.PeerMessage;
 import org.oleanderspring.peer.generated.PeerProtocol;
@@ -26,13 +25,15 @@
         PeerProtocol.CrashReport.Builder encoded =
                 PeerProtocol.CrashReport.newBuilder()
                         .setReporter(report.reporter().value())
-                        .setRunner(report.crash().runner().value());
-        for (SuspectCall call : report.crash().calls()) {
+                        .setRunner(report.runner().value())
+                        .setAgeMillis(report.age().toMillis());
+        for (SuspectCall call : report.calls()) {
             PromptPart own = call.prompt().ownPart();
             encoded.addCallsBuilder()
                     .setRequest(call.request())
                     .addAllSharedParts(ids(call.prompt().sharedParts()))
-                    .setOwnPart(own == null ? "" : own.id());
+                    .setOwnPart(own == null ? "" : own.id())
+                    .setExposureMillis(call.exposure().toMillis());
         }
         return encoded.build();
     }
@@ -43,14 +44,25 @@
                 report.getCallsList().stream().map(QuarantineCodec::decodeCall).toList();
         return new PeerMessage.CrashReport(
                 new MemberId(report.getReporter()),
-                new RunnerCrash(new EndpointId(report.getRunner()), calls));
+                new EndpointId(report.getRunner()),
+                age(report.getAgeMillis()),
+                calls);
     }
 
     private static SuspectCall decodeCall(PeerProtocol.SuspectCall call) {
         @Nullable PromptPart own =
                 call.getOwnPart().isEmpty() ? null : new PromptPart(call.getOwnPart());
         return new SuspectCall(
-                call.getRequest(), new Prompt(parts(call.getSharedPartsList()), own));
+                call.getRequest(),
+                new Prompt(parts(call.getSharedPartsList()), own),
+                age(call.getExposureMillis()));
+    }
+
+    private static Duration age(long millis) {
+        if (millis < 0 || millis > MAX_REMAINING.toMillis()) {
+            throw new IllegalArgumentException("time is out of range: " + millis);
+        }
+        return Duration.ofMillis(millis);
     }
 
     static PeerProtocol.SoundParts encode(PeerMessage.SoundParts sound) {
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -27,7 +27,6 @@
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
-import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.runner.LoadedModel;
@@ -102,13 +101,16 @@
                 new PeerMessage.EndpointLoadNotice(
                         List.of(new EndpointLoad(RESIDENCY.runner(), 12, 1.5))));
         SuspectCall call =
-                new SuspectCall("c5d7a7c49db7f424", new Prompt(List.of(PART, OTHER_PART), PART));
+                new SuspectCall(
+                        "c5d7a7c49db7f424",
+                        new Prompt(List.of(PART, OTHER_PART), PART),
+                        Duration.ofMillis(140));
         samples.add(
                 new PeerMessage.CrashReport(
                         DAEMON,
-                        new RunnerCrash(
-                                RESIDENCY.runner(),
-                                List.of(call, new SuspectCall("", Prompt.UNKNOWN)))));
+                        RESIDENCY.runner(),
+                        Duration.ofMillis(1_200),
+                        List.of(call, new SuspectCall("", Prompt.UNKNOWN, Duration.ZERO))));
         samples.add(new PeerMessage.SoundParts(Set.of(PART, OTHER_PART)));
         samples.add(
                 new PeerMessage.QuarantineNotice(
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -58,6 +58,7 @@
     private boolean mBusy;
     private int mAbortStreamAfter = Integer.MAX_VALUE;
     private @Nullable String mDeadlyPart;
+    private boolean mHoldsStreams;
     private boolean mCrashed;
 
     /**
@@ -125,6 +126,11 @@
         mDeadlyPart = part;
     }
 
+    /** Makes the runner stop each stream after its first event, without an end. */
+    public synchronized void holdStreams() {
+        mHoldsStreams = true;
+    }
+
     /** Returns whether the runner has crashed. */
     public synchronized boolean hasCrashed() {
         return mCrashed;
@@ -256,6 +262,9 @@
             mClientClosedStreams.incrementAndGet();
             return false;
         }
+        if (mHoldsStreams && number > 1) {
+            return false;
+        }
         if (number > EVENTS_PER_STREAM) {
             writer.end();
             return false;
