--- a/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
+++ b/bench/src/main/java/org/oleanderspring/bench/command/QuarantineSimulation.java
@@ -17,6 +17,9 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.QuarantineEntry;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.command.DefaultQuarantineDecider;
 import org.oleanderspring.core.quarantine.command.QuarantineDecision;
@@ -27,7 +30,7 @@
  * Calls at several daemons and runners that crash, some under calls with a deadly part and some for
  * other reasons. Calls prefer the runner of their prefix, and the calls of a crashed runner are
  * repeated together at the next one, first by the daemon and then by the client, so bystanders move
- * with the deadly call. There is no key-value service. The same seed gives the same run.
+ * with the deadly call. The key-value service always works. The same seed gives the same run.
  */
 final class QuarantineSimulation {
     private static final int FIRST_PARTS = 3;
@@ -75,6 +78,8 @@
     private int mSoundCalls;
     private int mSoundCallsRefused;
     private int mApplications;
+    private List<QuarantineEntry> mStored = List.of();
+    private Revision mRevision = Revision.ABSENT;
     private final Set<PromptPart> mRefusedApplications = new HashSet<>();
     private Instant mBoundFrom = Instant.MAX;
 
@@ -94,6 +99,8 @@
         private final MemberId mId;
         private final DefaultQuarantineDecider mDecider;
         private final Set<Prompt> mAnswered = new HashSet<>();
+        private final Set<Integer> mMadeTrials = new HashSet<>();
+        private final Set<PromptPattern> mRefused = new HashSet<>();
         private Quarantine mEnforced = Quarantine.NONE;
 
         Daemon(MemberId id) {
@@ -105,7 +112,23 @@
             return mEnforced.find(prompt) != null;
         }
 
+        /**
+         * Returns whether a call is refused; otherwise it may be a trial, which is used up then.
+         */
+        boolean refusesNow(Prompt prompt) {
+            RefusedPattern refused = mEnforced.find(prompt);
+            if (refused == null) {
+                return false;
+            }
+            mRefused.add(refused.pattern());
+            return refused.trial() == 0 || !mMadeTrials.add(refused.trial());
+        }
+
         void reportAnswers() {
+            if (!mRefused.isEmpty()) {
+                decide(new QuarantineEvent.CallsRefused(mRefused));
+                mRefused.clear();
+            }
             if (!mAnswered.isEmpty()) {
                 decide(new QuarantineEvent.CallsAnswered(mAnswered));
                 mAnswered.clear();
@@ -131,15 +154,36 @@
             } else if (decision instanceof QuarantineDecision.Enforce enforce) {
                 mEnforced = enforce.quarantine();
                 cancelUnanswered();
+            } else if (decision instanceof QuarantineDecision.StoreEntries store) {
+                mScheduler.schedule(MESSAGE_DELAY, () -> write(this, store));
+            }
+        }
+    }
+
+    /** Writes to the key-value service, which every daemon follows. */
+    private void write(Daemon writer, QuarantineDecision.StoreEntries store) {
+        QuarantineEvent outcome;
+        if (store.expected().equals(mRevision)) {
+            mStored = store.entries();
+            mRevision = new Revision(mRevision.value() + 1);
+            outcome = new QuarantineEvent.EntriesWritten(mStored, mRevision);
+            QuarantineEvent change = new QuarantineEvent.EntriesStored(mStored, mRevision);
+            for (Daemon daemon : mDaemons) {
+                mScheduler.schedule(MESSAGE_DELAY, () -> daemon.decide(change));
             }
+        } else {
+            outcome = new QuarantineEvent.WriteRejected(mStored, mRevision);
         }
+        mScheduler.schedule(MESSAGE_DELAY, () -> writer.decide(outcome));
     }
 
     /** Cancels and refuses the calls of all daemons that are refused now and not answered yet. */
     private void cancelUnanswered() {
         for (Runner runner : mRunners) {
             for (Attempt attempt : List.copyOf(runner.mAttempts)) {
-                if (attempt.mEvents == 0 && attempt.mCall.mDaemon.refuses(attempt.mCall.mPrompt)) {
+                if (attempt.mEvents == 0
+                        && !attempt.mCall.mIsTrial
+                        && attempt.mCall.mDaemon.refuses(attempt.mCall.mPrompt)) {
                     attempt.mEnded = true;
                     runner.mAttempts.remove(attempt);
                     attempt.mCall.refused();
@@ -254,6 +298,7 @@
         private final int mLength;
         private final boolean mIsRepeat;
         private int mAttempts;
+        private boolean mIsTrial;
 
         /** The group of runners that the call prefers, or null. */
         private final @Nullable List<Runner> mHome;
@@ -270,10 +315,12 @@
         }
 
         void start() {
-            if (mDaemon.refuses(mPrompt)) {
+            boolean isQuarantined = mDaemon.refuses(mPrompt);
+            if (isQuarantined && (mIsTrial || mDaemon.refusesNow(mPrompt))) {
                 refused();
                 return;
             }
+            mIsTrial |= isQuarantined;
             Runner runner = mAttempts < ATTEMPTS ? chooseRunner(this) : null;
             if (runner != null) {
                 mAttempts++;
--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -43,6 +43,11 @@
     METHOD_NOT_ALLOWED(16, Severity.ERROR, "method {0} is not allowed here; allowed: {1}"),
     /** The prompt has a part that crashes runners. */
     QUARANTINED(17, Severity.ERROR, "a part of the prompt for {0} crashes the endpoints"),
+    /** Runners crashed under calls with a part of the prompt, perhaps by another cause. */
+    SUSPECTED(
+            18,
+            Severity.ERROR,
+            "it is being checked whether a part of the prompt for {0} crashes the endpoints"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- a/core/src/main/java/org/oleanderspring/core/quarantine/QuarantineEntry.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/QuarantineEntry.java
@@ -16,6 +16,9 @@
  * @param pattern the pattern
  * @param generation the number of the decision about this pattern, from 1
  * @param isWithdrawn whether the decision is withdrawn
+ * @param isConfirmed whether a runner crashed under a request that was let through as a trial of
+ *     the decision; until then, refused callers are asked to come back
+ * @param trials the number of trials that daemons have begun
  * @param until the time at which calls are no longer refused
  * @param runners the runners whose ends led to the decision
  * @param requests the requests under which they ended
@@ -24,6 +27,8 @@
         PromptPattern pattern,
         int generation,
         boolean isWithdrawn,
+        boolean isConfirmed,
+        int trials,
         Instant until,
         List<EndpointId> runners,
         List<String> requests) {
@@ -39,7 +44,10 @@
     /** Bounds the lists of runners and requests, which are for operators only. */
     public static final int MAX_EVIDENCE = 16;
 
-    /** Copies and shortens the lists; rejects null components and a generation below 1. */
+    /**
+     * Copies and shortens the lists; rejects null components, a generation below 1 and a negative
+     * number of trials.
+     */
     public QuarantineEntry {
         Objects.requireNonNull(pattern, "pattern");
         Objects.requireNonNull(until, "until");
@@ -48,6 +56,9 @@
         if (generation < 1) {
             throw new IllegalArgumentException("generation is not positive: " + generation);
         }
+        if (trials < 0) {
+            throw new IllegalArgumentException("number of trials is negative: " + trials);
+        }
     }
 
     /**
@@ -70,7 +81,8 @@
 
     /**
      * Returns whether this entry replaces another one for the same pattern: a later decision
-     * replaces an earlier one, and a withdrawal replaces the decision that it withdraws.
+     * replaces an earlier one, a withdrawal the decision that it withdraws, a confirmed decision an
+     * unconfirmed one, and more trials fewer.
      *
      * @param other the other entry
      */
@@ -78,11 +90,37 @@
         if (generation != other.generation) {
             return generation > other.generation;
         }
-        return isWithdrawn && !other.isWithdrawn;
+        if (isWithdrawn != other.isWithdrawn) {
+            return isWithdrawn;
+        }
+        if (isConfirmed != other.isConfirmed) {
+            return isConfirmed;
+        }
+        return trials > other.trials;
     }
 
     /** Returns the withdrawal of this decision. */
     public QuarantineEntry withdrawn() {
-        return new QuarantineEntry(pattern, generation, true, until, runners, requests);
+        return new QuarantineEntry(
+                pattern, generation, true, isConfirmed, trials, until, runners, requests);
+    }
+
+    /** Returns this decision after a trial that a runner did not survive. */
+    public QuarantineEntry confirmed() {
+        return new QuarantineEntry(
+                pattern, generation, isWithdrawn, true, trials, until, runners, requests);
+    }
+
+    /** Returns this decision with one more trial. */
+    public QuarantineEntry withTrial() {
+        return new QuarantineEntry(
+                pattern,
+                generation,
+                isWithdrawn,
+                isConfirmed,
+                trials + 1,
+                until,
+                runners,
+                requests);
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/QuarantineLimits.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/QuarantineLimits.java
@@ -9,11 +9,11 @@
  */
 public record QuarantineLimits(int crashesRequired, int crashesIfAmbiguous) {
     /**
-     * The repeats of one call can account for two or three crashes, so a fourth one usually comes
-     * from another call. The next crashes usually tell ambiguous parts apart. `bench quarantine`
-     * shows the error rates of other limits.
+     * A trial follows before calls are refused for good, so that its crash is the fourth. The next
+     * crashes usually tell ambiguous parts apart. `bench quarantine` shows the error rates of other
+     * limits.
      */
-    public static final QuarantineLimits DEFAULT = new QuarantineLimits(4, 7);
+    public static final QuarantineLimits DEFAULT = new QuarantineLimits(3, 6);
 
     /** Rejects limits below 1 and an ambiguous limit below the other one. */
     public QuarantineLimits {
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/CrashLog.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
 
@@ -60,6 +61,27 @@
         }
     }
 
+    /** Returns the crashes under calls with a pattern since a time. */
+    List<Crash> under(PromptPattern pattern, Instant since) {
+        return mCrashes.values().stream()
+                .filter(crash -> !crash.mEndedAt.isBefore(since) && crash.isUnder(pattern))
+                .toList();
+    }
+
+    /**
+     * Returns whether another runner ended about the same time as one, but not under a call with a
+     * pattern.
+     */
+    boolean hasOtherCrash(Crash crash, PromptPattern pattern, Duration distance) {
+        for (Crash other : mCrashes.values()) {
+            Duration between = Duration.between(other.mEndedAt, crash.mEndedAt).abs();
+            if (between.compareTo(distance) < 0 && !other.isUnder(pattern)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     Collection<Crash> crashes() {
         return mCrashes.values();
     }
@@ -106,6 +128,11 @@
             return mEndedAt;
         }
 
+        /** Returns whether the runner was beginning to answer a call with a pattern. */
+        boolean isUnder(PromptPattern pattern) {
+            return mCalls.stream().anyMatch(call -> pattern.matches(call.prompt()));
+        }
+
         List<SuspectCall> calls() {
             return mCalls;
         }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -12,12 +12,14 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.membership.query.RendezvousRanking;
+import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
 import org.oleanderspring.core.quarantine.QuarantineLimits;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.query.Quarantine;
@@ -34,9 +36,10 @@
  * daemon that missed it, or starts later, learns it from there. While nothing crashes, nothing is
  * sent or written.
  *
- * <p>Two of the ways in which a decision may be wrong are corrected without operators. A call with
- * the pattern that is answered after all withdraws it, and after {@link
- * QuarantineEntry#REFUSAL_TIME} calls are let through again.
+ * <p>A decision may be wrong. It is therefore only a suspicion until a trial confirms it ({@link
+ * Trials}): callers are asked to come back, and one call is let through. An answered call with the
+ * pattern withdraws the decision, and after {@link QuarantineEntry#REFUSAL_TIME} calls are let
+ * through again.
  */
 public final class DefaultQuarantineDecider implements QuarantineDecider {
     /** How long to wait for other daemons that know a suspected part to be sound. */
@@ -56,6 +59,7 @@
     private final BrokenAnswers mBrokenAnswers = new BrokenAnswers();
     private final EntryTable mTable = new EntryTable();
     private final EntryStore mStore = new EntryStore();
+    private final Trials mTrials;
     private final Repetitions<RunnerCrash> mCrashRepetitions = new Repetitions<>();
     private final Repetitions<QuarantineEntry> mEntryRepetitions = new Repetitions<>();
 
@@ -68,7 +72,7 @@
     private Set<MemberId> mMembers = Set.of();
 
     /** The patterns that were published last, or null before the first time. */
-    private @Nullable List<PromptPattern> mEnforced;
+    private @Nullable List<RefusedPattern> mEnforced;
 
     private boolean mStoreRead;
     private boolean mUndecided;
@@ -93,6 +97,7 @@
     public DefaultQuarantineDecider(MemberId self, QuarantineLimits limits) {
         mSelf = self;
         mLimits = limits;
+        mTrials = new Trials(self, mTable);
     }
 
     @Override
@@ -100,6 +105,7 @@
         List<QuarantineDecision> decisions = new ArrayList<>();
         handle(event, now, decisions);
         decideAboutPatterns(now, decisions);
+        confirmTrials(now, decisions);
         writeIfDue(now, decisions);
         enforce(now, decisions);
         return decisions;
@@ -108,6 +114,7 @@
     @Override
     public boolean isWaiting() {
         return mUndecided
+                || mTrials.isWaiting()
                 || mStore.isWriteScheduled()
                 || !mCrashRepetitions.isEmpty()
                 || !mEntryRepetitions.isEmpty();
@@ -128,9 +135,17 @@
         } else if (event instanceof QuarantineEvent.EntryReceived received) {
             adopt(received.entry(), "received from a daemon", now, decisions);
         } else if (event instanceof QuarantineEvent.EntriesStored stored) {
-            entriesStored(stored, now, decisions);
+            entriesStored(stored.entries(), stored.revision(), now, decisions);
+        } else if (event instanceof QuarantineEvent.EntriesWritten written) {
+            entriesWritten(written, now, decisions);
+        } else if (event instanceof QuarantineEvent.WriteRejected rejected) {
+            mTrials.dropClaim();
+            entriesStored(rejected.entries(), rejected.revision(), now, decisions);
         } else if (event instanceof QuarantineEvent.StoreFailed) {
+            mTrials.dropClaim();
             mStore.failed(now);
+        } else if (event instanceof QuarantineEvent.CallsRefused refused) {
+            claimTrials(refused.patterns(), now);
         } else if (event instanceof QuarantineEvent.MembersChanged changed) {
             membersChanged(changed.members(), decisions);
         } else if (event instanceof QuarantineEvent.TimerFired) {
@@ -320,6 +335,7 @@
     private void timerFired(Instant now, List<QuarantineDecision> decisions) {
         mEvidenceChanged |= mCrashes.expire(now);
         mTable.expire(now);
+        mTrials.expire(now);
         mReportedAt.values().removeIf(at -> !now.isBefore(at.plus(CrashLog.RETENTION)));
         mReporters.values().removeIf(at -> !now.isBefore(at.plus(CrashLog.RETENTION)));
         for (RunnerCrash crash : mCrashRepetitions.take(now)) {
@@ -378,6 +394,8 @@
                         pattern,
                         before == null ? 1 : before.generation() + 1,
                         false,
+                        before != null && before.isConfirmed() && !before.isWithdrawn(),
+                        0,
                         now.plus(QuarantineEntry.REFUSAL_TIME),
                         runners,
                         requests);
@@ -403,7 +421,7 @@
 
     private void adopt(
             QuarantineEntry entry, String reason, Instant now, List<QuarantineDecision> decisions) {
-        if (entry.isForgotten(now) || !mTable.merge(entry)) {
+        if (entry.isForgotten(now) || !mTable.merge(entry, now)) {
             return;
         }
         if (entry.isWithdrawn()) {
@@ -421,10 +439,13 @@
     }
 
     private void entriesStored(
-            QuarantineEvent.EntriesStored stored, Instant now, List<QuarantineDecision> decisions) {
+            List<QuarantineEntry> stored,
+            Revision revision,
+            Instant now,
+            List<QuarantineDecision> decisions) {
         mStoreRead = true;
-        mStore.stored(stored.entries(), stored.revision());
-        for (QuarantineEntry entry : stored.entries()) {
+        mStore.stored(stored, revision);
+        for (QuarantineEntry entry : stored) {
             adopt(entry, "read from the key-value service", now, decisions);
         }
         QuarantineEntry missing = mStore.firstMissing(mTable);
@@ -434,10 +455,38 @@
     }
 
     private void writeIfDue(Instant now, List<QuarantineDecision> decisions) {
-        if (mStore.beginWrite(mTable, now)) {
+        if (mStore.beginWrite(mTable, mTrials.hasUnsentClaim(), now)) {
             decisions.add(
                     new QuarantineDecision.StoreEntries(
-                            List.copyOf(mTable.entries()), mStore.revision()));
+                            mTrials.withClaim(mTable.entries()), mStore.revision()));
+        }
+    }
+
+    private void claimTrials(Set<PromptPattern> refused, Instant now) {
+        if (!mStore.isWriting()) {
+            refused.forEach(pattern -> mTrials.claimIfDue(pattern, mMembers.size(), now));
+        }
+    }
+
+    /** Begins the trial that the write has claimed, if the decision is still the same. */
+    private void entriesWritten(
+            QuarantineEvent.EntriesWritten written,
+            Instant now,
+            List<QuarantineDecision> decisions) {
+        QuarantineEntry claim = mTrials.takeWritten(written.entries());
+        entriesStored(written.entries(), written.revision(), now, decisions);
+        if (claim != null && claim.equals(mTable.get(claim.pattern()))) {
+            mTrials.grant(claim.pattern(), now);
+            decisions.add(new QuarantineDecision.LogTrial(claim));
+        }
+    }
+
+    /** Confirms the decisions whose trials ended with the crash of a runner. */
+    private void confirmTrials(Instant now, List<QuarantineDecision> decisions) {
+        TrialResults results = TrialResults.of(mTable, mCrashes, mReportedAt.keySet(), now);
+        mUndecided |= results.isUndecided();
+        for (QuarantineEntry entry : results.confirmed()) {
+            spread(entry, "a runner crashed under a trial", now, decisions);
         }
     }
 
@@ -446,7 +495,7 @@
      * was read, because the daemon takes no requests before.
      */
     private void enforce(Instant now, List<QuarantineDecision> decisions) {
-        List<PromptPattern> patterns = mTable.activePatterns(now);
+        List<RefusedPattern> patterns = mTrials.refusedPatterns(now);
         if (!mStoreRead || patterns.equals(mEnforced)) {
             return;
         }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryStore.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryStore.java
@@ -68,13 +68,21 @@
         return null;
     }
 
-    /** Returns whether a write is due now, and if so, counts it as begun. */
-    boolean beginWrite(EntryTable table, Instant now) {
-        if (mWriting || now.isBefore(mWriteAt)) {
+    /**
+     * Returns whether a write is due now, and if so, counts it as begun.
+     *
+     * @param hasClaim whether a trial is to be claimed, which is due at once
+     */
+    boolean beginWrite(EntryTable table, boolean hasClaim, Instant now) {
+        if (mWriting || now.isBefore(mWriteAt) && !hasClaim) {
             return false;
         }
         mWriteAt = Instant.MAX;
-        mWriting = firstMissing(table) != null;
+        mWriting = hasClaim || firstMissing(table) != null;
+        return mWriting;
+    }
+
+    boolean isWriting() {
         return mWriting;
     }
 
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryTable.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/EntryTable.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,26 +20,36 @@
 
     private final Map<PromptPattern, QuarantineEntry> mEntries = new LinkedHashMap<>();
 
+    /** When each entry got its present form here. */
+    private final Map<PromptPattern, Instant> mChangedAt = new HashMap<>();
+
     /**
      * Takes over an entry unless the known one supersedes it or equals it. Beyond the limit, the
      * entry that ends first is dropped.
      *
      * @return whether the table changed
      */
-    boolean merge(QuarantineEntry entry) {
+    boolean merge(QuarantineEntry entry, Instant now) {
         QuarantineEntry known = mEntries.get(entry.pattern());
         if (known != null && !entry.supersedes(known)) {
             return false;
         }
         mEntries.put(entry.pattern(), entry);
+        mChangedAt.put(entry.pattern(), now);
         if (mEntries.size() > MAX_ENTRIES) {
             mEntries.values().stream()
                     .min(Comparator.comparing(QuarantineEntry::until))
                     .ifPresent(first -> mEntries.remove(first.pattern()));
+            mChangedAt.keySet().retainAll(mEntries.keySet());
         }
         return true;
     }
 
+    /** Returns when an entry got its present form here. */
+    Instant changedAt(QuarantineEntry entry) {
+        return mChangedAt.getOrDefault(entry.pattern(), Instant.MIN);
+    }
+
     @Nullable QuarantineEntry get(PromptPattern pattern) {
         return mEntries.get(pattern);
     }
@@ -49,7 +60,9 @@
 
     /** Removes entries that are no longer needed. */
     void expire(Instant now) {
-        mEntries.values().removeIf(entry -> entry.isForgotten(now));
+        if (mEntries.values().removeIf(entry -> entry.isForgotten(now))) {
+            mChangedAt.keySet().retainAll(mEntries.keySet());
+        }
     }
 
     /** Returns the active entries that match a prompt. */
@@ -83,10 +96,7 @@
                                         && entry.pattern().isContainedIn(pattern.parts()));
     }
 
-    List<PromptPattern> activePatterns(Instant now) {
-        return mEntries.values().stream()
-                .filter(entry -> entry.isActive(now))
-                .map(QuarantineEntry::pattern)
-                .toList();
+    List<QuarantineEntry> active(Instant now) {
+        return mEntries.values().stream().filter(entry -> entry.isActive(now)).toList();
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/QuarantineDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/QuarantineDecision.java
@@ -91,6 +91,13 @@
      */
     record LogCrash(MemberId reporter, RunnerCrash crash) implements QuarantineDecision {}
 
+    /**
+     * One call with a pattern is let through as a trial; for the log.
+     *
+     * @param entry the entry of the pattern
+     */
+    record LogTrial(QuarantineEntry entry) implements QuarantineDecision {}
+
     /**
      * An entry was decided, adopted or withdrawn here; for the log.
      *
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/QuarantineEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/QuarantineEvent.java
@@ -8,6 +8,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
 import org.oleanderspring.core.quarantine.RunnerCrash;
 import org.oleanderspring.core.quarantine.SuspectCall;
@@ -70,7 +71,7 @@
     record EntryReceived(QuarantineEntry entry) implements QuarantineEvent {}
 
     /**
-     * The entries in the key-value service were read, or written by this daemon.
+     * The entries in the key-value service were read.
      *
      * @param entries all entries there
      * @param revision the revision of their key; {@link Revision#ABSENT} if it does not exist
@@ -84,9 +85,52 @@
         }
     }
 
+    /**
+     * A {@link QuarantineDecision.StoreEntries} of this daemon succeeded.
+     *
+     * @param entries the entries that were written
+     * @param revision the revision of their key
+     */
+    record EntriesWritten(List<QuarantineEntry> entries, Revision revision)
+            implements QuarantineEvent {
+        /** Copies the list; rejects a null revision. */
+        public EntriesWritten {
+            entries = List.copyOf(entries);
+            Objects.requireNonNull(revision, "revision");
+        }
+    }
+
+    /**
+     * A {@link QuarantineDecision.StoreEntries} of this daemon was rejected, because others have
+     * changed the entries.
+     *
+     * @param entries the entries in the key-value service
+     * @param revision the revision of their key; {@link Revision#ABSENT} if it does not exist
+     */
+    record WriteRejected(List<QuarantineEntry> entries, Revision revision)
+            implements QuarantineEvent {
+        /** Copies the list; rejects a null revision. */
+        public WriteRejected {
+            entries = List.copyOf(entries);
+            Objects.requireNonNull(revision, "revision");
+        }
+    }
+
     /** A {@link QuarantineDecision.StoreEntries} failed, or its outcome is unknown. */
     record StoreFailed() implements QuarantineEvent {}
 
+    /**
+     * Calls were refused because of their prompts.
+     *
+     * @param patterns the patterns of their prompts
+     */
+    record CallsRefused(Set<PromptPattern> patterns) implements QuarantineEvent {
+        /** Copies the set. */
+        public CallsRefused {
+            patterns = Set.copyOf(patterns);
+        }
+    }
+
     /**
      * The running daemons changed.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -13,8 +13,10 @@
      * complete response.
      */
     DEADLINE_PASSED,
-    /** The prompt matches a pattern under which several runners crashed. */
+    /** The prompt matches a pattern that crashes runners, which a trial has confirmed. */
     QUARANTINED,
+    /** The prompt matches a pattern under which several runners crashed; a trial will show why. */
+    SUSPECTED,
     /** The daemon is shutting down. */
     DRAINING,
     /** The daemon has no settings, or its settings may be out of date. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
@@ -30,6 +31,7 @@
             return;
         }
         CallState call = new CallState(request, mState.fleet().target(request.target()));
+        call.trial(mState.quarantine().dueTrial(request.prompt()));
         call.target().callArrived(request);
         refusal =
                 mState.mayOutliveDaemon(call, context.now())
@@ -71,7 +73,8 @@
 
     private void refuse(CallRequest request, RefusalReason reason, RoutingContext context) {
         mState.statistics().refused(reason);
-        context.add(new RoutingDecision.Refuse(request.id(), reason, WorkState.NOT_RUN));
+        Duration readyIn = reason == RefusalReason.SUSPECTED ? QuarantineGate.TRIAL_TIME : null;
+        context.add(new RoutingDecision.Refuse(request.id(), reason, WorkState.NOT_RUN, readyIn));
     }
 
     private @Nullable RefusalReason refusalByState(CallRequest request, Instant now) {
@@ -84,10 +87,12 @@
         if (!mState.fleet().isKnown(request.target())) {
             return RefusalReason.UNKNOWN_TARGET;
         }
-        if (mState.isQuarantined(request)) {
-            return RefusalReason.QUARANTINED;
+        if (!request.deadline().isAfter(now)) {
+            return RefusalReason.DEADLINE_PASSED;
         }
-        return request.deadline().isAfter(now) ? null : RefusalReason.DEADLINE_PASSED;
+        return mState.quarantine().dueTrial(request.prompt()) == 0
+                ? mState.quarantine().refusal(request.prompt())
+                : null;
     }
 
     /**
@@ -126,6 +131,9 @@
 
     private void admit(CallState call, RoutingContext context) {
         mState.calls().add(call);
+        if (call.isTrial()) {
+            mState.quarantine().trialMade(call.trial());
+        }
         IdempotencyKey key = call.request().idempotencyKey();
         if (key == null) {
             mState.enqueue(call);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
@@ -55,7 +55,10 @@
         release(call);
         recordNotRun(call, context);
         mState.statistics().refused(reason);
-        Duration readyIn = call.target().readyIn(context.now());
+        Duration readyIn =
+                reason == RefusalReason.SUSPECTED
+                        ? QuarantineGate.TRIAL_TIME
+                        : call.target().readyIn(context.now());
         context.add(new RoutingDecision.Refuse(call.request().id(), reason, work, readyIn));
     }
 
@@ -76,6 +79,9 @@
 
     private void release(CallState call) {
         mState.calls().remove(call);
+        if (call.isTrial() && !call.hasReachedRunner()) {
+            mState.quarantine().trialNotMade(call.trial());
+        }
         if (call.phase() == CallPhase.CLAIMING) {
             call.target().changeClaimingCalls(-1);
         } else {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -24,6 +24,7 @@
     private boolean mResponseBegan;
     private boolean mAttemptAnswered;
     private boolean mPossiblyRun;
+    private int mTrial;
 
     CallState(CallRequest request, TargetState target) {
         mRequest = request;
@@ -112,6 +113,26 @@
         return mPossiblyRun;
     }
 
+    /** Marks the call as one that tests whether its prompt crashes runners. */
+    void trial(int trial) {
+        mTrial = trial;
+    }
+
+    /** Returns the trial that the call is, or 0 if it is none. */
+    int trial() {
+        return mTrial;
+    }
+
+    /** Returns whether the call tests whether its prompt crashes runners. */
+    boolean isTrial() {
+        return mTrial != 0;
+    }
+
+    /** Returns whether a part of the call was sent to a runner. */
+    boolean hasReachedRunner() {
+        return mAttempts > mNotSentAttempts;
+    }
+
     /** Called when nothing of the last attempt was sent. */
     void countNotSent() {
         mNotSentAttempts++;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -208,10 +208,11 @@
         if (began || outcome instanceof AttemptOutcome.Failed) {
             call.markPossiblyRun();
         }
+        RefusalReason quarantined = mState.quarantine().refusal(call);
         if (!mState.mayDecide()) {
             mCloser.refuse(call, RefusalReason.NO_AUTHORITY, context);
-        } else if (mState.isQuarantined(call.request())) {
-            mCloser.refuse(call, RefusalReason.QUARANTINED, context);
+        } else if (quarantined != null) {
+            mCloser.refuse(call, quarantined, context);
         } else if (mayRetry(call, outcome, began, context)) {
             mState.enqueue(call);
         } else {
@@ -228,7 +229,9 @@
             call.countNotSent();
             return call.notSentAttempts() < NOT_SENT_LIMIT;
         }
-        return call.attempts() - call.notSentAttempts() < attemptLimit(call)
+        // A trial that its runner does not survive must not crash another one.
+        return !call.isTrial()
+                && call.attempts() - call.notSentAttempts() < attemptLimit(call)
                 && mState.retryBudget()
                         .tryTakeRetry(call.request().target(), mState.limits(), context.now());
     }
@@ -262,11 +265,12 @@
      * attempts are cancelled, because a runner that has not begun to answer may be saved.
      */
     private void quarantineChanged(Quarantine quarantine, RoutingContext context) {
-        mState.quarantine(quarantine);
+        mState.quarantine().change(quarantine);
         for (CallState call : mState.calls().all()) {
-            if (!call.isBeingAnswered() && mState.isQuarantined(call.request())) {
+            RefusalReason reason = mState.quarantine().refusal(call);
+            if (reason != null && !call.isBeingAnswered()) {
                 mAttempts.cancel(call, "the prompt is quarantined", context);
-                mCloser.refuse(call, RefusalReason.QUARANTINED, context);
+                mCloser.refuse(call, reason, context);
             }
         }
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -6,8 +6,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import org.oleanderspring.core.quarantine.query.Quarantine;
-import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.RoutingLimits;
 
 /** The routing state of one daemon. Accessed only by the thread that owns it. */
@@ -23,7 +21,7 @@
     private final Set<TargetState> mWaitingTargets = new LinkedHashSet<>();
     private final Set<TargetState> mMarkedForDispatch = new LinkedHashSet<>();
     private RoutingLimits mLimits = RoutingLimits.DEFAULT;
-    private Quarantine mQuarantine = Quarantine.NONE;
+    private final QuarantineGate mQuarantine = new QuarantineGate();
     private boolean mMayDecide;
     private boolean mDrainStarted;
 
@@ -64,13 +62,8 @@
         mLimits = limits;
     }
 
-    void quarantine(Quarantine quarantine) {
-        mQuarantine = quarantine;
-    }
-
-    /** Returns whether calls with the prompt of a call are refused. */
-    boolean isQuarantined(CallRequest call) {
-        return mQuarantine.find(call.prompt()) != null;
+    QuarantineGate quarantine() {
+        return mQuarantine;
     }
 
     boolean mayDecide() {
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineFleet.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineFleet.java
@@ -9,12 +9,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiPredicate;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 
@@ -31,6 +33,10 @@
     private final Map<MemberId, DefaultQuarantineDecider> mDeciders = new LinkedHashMap<>();
     private final Map<MemberId, Quarantine> mEnforced = new LinkedHashMap<>();
     private final Set<EndpointId> mAlive = new HashSet<>();
+
+    /** The daemons and the numbers of the trials that they have made. */
+    private final Set<String> mMadeTrials = new HashSet<>();
+
     private Instant mNow = Instant.parse("2026-01-01T00:00:00Z");
     private BiPredicate<MemberId, MemberId> mIsLost = (sender, recipient) -> false;
     private boolean mStoreDown;
@@ -73,6 +79,7 @@
     void kill(int index) {
         mDeciders.remove(daemon(index));
         mEnforced.remove(daemon(index));
+        mMadeTrials.removeIf(trial -> trial.startsWith(index + "/"));
         announceMembers();
     }
 
@@ -161,8 +168,41 @@
         return mEnforced.values().stream().anyMatch(enforced -> enforced.find(prompt) != null);
     }
 
+    /** Reports that a daemon refused calls with the prompt. */
+    void refuse(int index, Prompt prompt) {
+        RefusedPattern refused = refused(index, prompt);
+        if (refused != null) {
+            decide(daemon(index), new QuarantineEvent.CallsRefused(Set.of(refused.pattern())));
+        }
+    }
+
+    /** Returns whether a daemon may let a call with the prompt through as a trial. */
+    boolean isOnTrial(int index, Prompt prompt) {
+        RefusedPattern refused = refused(index, prompt);
+        return refused != null
+                && refused.trial() != 0
+                && !mMadeTrials.contains(index + "/" + refused.trial());
+    }
+
+    /** Records that a daemon has let a call through, so it may not let another one through. */
+    void endTrial(int index, Prompt prompt) {
+        RefusedPattern refused = refused(index, prompt);
+        if (refused != null) {
+            mMadeTrials.add(index + "/" + refused.trial());
+        }
+    }
+
+    boolean isConfirmed(int index, Prompt prompt) {
+        RefusedPattern refused = refused(index, prompt);
+        return refused != null && refused.isConfirmed();
+    }
+
+    private @Nullable RefusedPattern refused(int index, Prompt prompt) {
+        return mEnforced.getOrDefault(daemon(index), Quarantine.NONE).find(prompt);
+    }
+
     int patterns(int index) {
-        return mEnforced.getOrDefault(daemon(index), Quarantine.NONE).size();
+        return mEnforced.getOrDefault(daemon(index), Quarantine.NONE).patterns().size();
     }
 
     boolean isWaiting(int index) {
@@ -221,10 +261,11 @@
         if (mStoreDown) {
             decide(member, new QuarantineEvent.StoreFailed());
         } else if (!store.expected().equals(mRevision)) {
-            decide(member, new QuarantineEvent.EntriesStored(mStored, mRevision));
+            decide(member, new QuarantineEvent.WriteRejected(mStored, mRevision));
         } else {
             mStored = store.entries();
             mRevision = new Revision(mRevision.value() + 1);
+            decide(member, new QuarantineEvent.EntriesWritten(mStored, mRevision));
             publishStore();
         }
     }
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
@@ -313,9 +313,12 @@
                                 new PromptPattern(List.of(part)),
                                 1,
                                 false,
+                                true,
+                                1,
                                 mFleet.now().plusSeconds(index),
                                 List.of(),
-                                List.of()));
+                                List.of()),
+                        mFleet.now());
                 crashes.add(crash(index));
             }
         }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -23,6 +23,7 @@
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -54,7 +55,8 @@
     private static final Prompt DEADLY_PROMPT =
             new Prompt(List.of(new PromptPart("first"), DEADLY_PART), new PromptPart("own"));
     private static final Quarantine QUARANTINE =
-            new Quarantine(List.of(new PromptPattern(List.of(DEADLY_PART))));
+            new Quarantine(
+                    List.of(new RefusedPattern(new PromptPattern(List.of(DEADLY_PART)), true, 0)));
 
     private Prompt mPrompt = Prompt.UNKNOWN;
 
@@ -169,6 +171,73 @@
         assertThat(started(arrive(Repetition.RESUMABLE, 2)).endpoint(), is(FIRST));
     }
 
+    private static Quarantine suspicion(int trial) {
+        return new Quarantine(
+                List.of(new RefusedPattern(new PromptPattern(List.of(DEADLY_PART)), false, trial)));
+    }
+
+    /** Guards against callers who do not come back although their prompt may be sound. */
+    @Test
+    void callWithSuspectedPromptIsRefusedForAShortTime() {
+        table(FIRST);
+        decide(new RoutingEvent.QuarantineChanged(suspicion(0)), START);
+        mPrompt = DEADLY_PROMPT;
+        assertThat(
+                arrive(Repetition.RESUMABLE, 2),
+                is(
+                        List.of(
+                                new RoutingDecision.Refuse(
+                                        CALL,
+                                        RefusalReason.SUSPECTED,
+                                        WorkState.NOT_RUN,
+                                        QuarantineGate.TRIAL_TIME))));
+    }
+
+    /** Guards against a trial that reaches several runners, by its repeat or with other calls. */
+    @Test
+    void trialLetsOneCallReachOneRunner() {
+        table(FIRST, SECOND);
+        decide(new RoutingEvent.QuarantineChanged(suspicion(7)), START);
+        mPrompt = DEADLY_PROMPT;
+        started(arrive(Repetition.RESUMABLE, 2));
+        List<RoutingDecision> failed =
+                decide(ended(1, new AttemptOutcome.Failed("reset", true)), START.plusSeconds(1));
+        assertThat(failed.size(), is(1));
+        assertThat(((RoutingDecision.Refuse) failed.get(0)).workState(), is(WorkState.UNKNOWN));
+        List<RoutingDecision> next = arrive(Repetition.RESUMABLE, 2);
+        assertThat(((RoutingDecision.Refuse) next.get(0)).reason(), is(RefusalReason.SUSPECTED));
+        decide(new RoutingEvent.QuarantineChanged(suspicion(8)), START.plusSeconds(2));
+        started(arrive(Repetition.RESUMABLE, 2));
+    }
+
+    /** Guards against a trial that is used up by a call that has reached no runner. */
+    @Test
+    void trialThatReachesNoRunnerIsMadeByAnotherCall() {
+        table();
+        decide(new RoutingEvent.QuarantineChanged(suspicion(7)), START);
+        mPrompt = DEADLY_PROMPT;
+        arrive(Repetition.RESUMABLE, 2);
+        decide(new RoutingEvent.CallerDisconnected(CALL), START.plusSeconds(1));
+        table(FIRST);
+        started(arrive(Repetition.RESUMABLE, 2));
+        decide(new RoutingEvent.CallerDisconnected(CALL), START.plusSeconds(1));
+        assertThat(
+                ((RoutingDecision.Refuse) arrive(Repetition.RESUMABLE, 2).get(0)).reason(),
+                is(RefusalReason.SUSPECTED));
+    }
+
+    /** Guards against a trial that is cancelled by the decision that it tests. */
+    @Test
+    void trialGoesOnWhenTheQuarantineChanges() {
+        table(FIRST);
+        decide(new RoutingEvent.QuarantineChanged(suspicion(7)), START);
+        mPrompt = DEADLY_PROMPT;
+        started(arrive(Repetition.RESUMABLE, 2));
+        assertThat(
+                decide(new RoutingEvent.QuarantineChanged(suspicion(0)), START.plusSeconds(1)),
+                is(empty()));
+    }
+
     /** Guards against calls in the queue that are sent although their prompt was quarantined. */
     @Test
     void waitingCallIsRefusedWhenItsPromptIsQuarantined() {
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/QuarantineFlags.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/QuarantineFlags.java
@@ -71,16 +71,26 @@
         }
     }
 
+    private static String state(QuarantineEntry entry, Instant now) {
+        if (entry.isWithdrawn()) {
+            return "withdrawn";
+        }
+        if (!entry.isActive(now)) {
+            return "ended";
+        }
+        return entry.isConfirmed() ? "refused" : "suspected";
+    }
+
     private static String format(QuarantineEntry entry, Instant now) {
-        String state =
-                entry.isWithdrawn() ? "withdrawn" : entry.isActive(now) ? "refused" : "ended";
         return entry.pattern().id()
                 + " "
-                + state
+                + state(entry, now)
                 + " until="
                 + entry.until()
                 + " generation="
                 + entry.generation()
+                + " trials="
+                + entry.trials()
                 + " parts="
                 + entry.pattern()
                 + " runners="
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.command.QuarantineEvent;
 import org.oleanderspring.core.residency.command.ResidencyEvent;
@@ -139,6 +140,12 @@
         mQuarantine.offer(new QuarantineInput.Event(new QuarantineEvent.CallsAnswered(prompts)));
     }
 
+    /** Offers the patterns of refused calls to the quarantine duty; lost if its ring is full. */
+    @Override
+    public void callsRefused(Set<PromptPattern> patterns) {
+        mQuarantine.offer(new QuarantineInput.Event(new QuarantineEvent.CallsRefused(patterns)));
+    }
+
     /** Offers a message of another daemon to the quarantine duty; lost if its ring is full. */
     OfferResult offerQuarantine(QuarantineEvent event) {
         return mQuarantine.offer(new QuarantineInput.Event(event));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -177,6 +177,8 @@
                         entry.pattern(),
                         entry.generation(),
                         entry.isWithdrawn(),
+                        entry.isConfirmed(),
+                        entry.trials(),
                         remaining,
                         entry.runners(),
                         entry.requests()));
@@ -241,6 +243,8 @@
                             notice.pattern(),
                             notice.generation(),
                             notice.isWithdrawn(),
+                            notice.isConfirmed(),
+                            notice.trials(),
                             mClock.now().plus(notice.remaining()),
                             notice.runners(),
                             notice.requests()));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/QuarantineEntryCodec.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/QuarantineEntryCodec.java
@@ -16,16 +16,19 @@
 /**
  * Encodes quarantine entries as UTF-8 text: a line with the name and version of the format, then a
  * line for each entry. Its fields, separated by tabs, are the parts of the pattern, the generation,
- * {@code refused} or {@code withdrawn}, the end of the refusals as an ISO 8601 instant, the runners
- * and the requests. The elements of lists are separated by commas.
+ * {@code refused} or {@code withdrawn}, {@code confirmed} or {@code suspected}, the number of
+ * trials, the end of the refusals as an ISO 8601 instant, the runners and the requests. The
+ * elements of lists are separated by commas.
  */
 public final class QuarantineEntryCodec {
-    private static final String HEADER = "quarantine 1";
+    private static final String HEADER = "quarantine 2";
     private static final String FIELD_SEPARATOR = "\t";
     private static final String LIST_SEPARATOR = ",";
-    private static final int FIELDS = 6;
+    private static final int FIELDS = 8;
     private static final String REFUSED = "refused";
     private static final String WITHDRAWN = "withdrawn";
+    private static final String CONFIRMED = "confirmed";
+    private static final String SUSPECTED = "suspected";
 
     private QuarantineEntryCodec() {}
 
@@ -43,6 +46,8 @@
                                     entry.pattern().toString(),
                                     Integer.toString(entry.generation()),
                                     entry.isWithdrawn() ? WITHDRAWN : REFUSED,
+                                    entry.isConfirmed() ? CONFIRMED : SUSPECTED,
+                                    Integer.toString(entry.trials()),
                                     entry.until().toString(),
                                     list(entry.runners().stream().map(EndpointId::value).toList()),
                                     list(entry.requests())))
@@ -85,17 +90,23 @@
         if (fields.length != FIELDS) {
             throw new IllegalArgumentException("a field is missing: " + line);
         }
-        boolean isWithdrawn = fields[2].equals(WITHDRAWN);
-        if (!isWithdrawn && !fields[2].equals(REFUSED)) {
-            throw new IllegalArgumentException("unknown state: " + fields[2]);
-        }
         return new QuarantineEntry(
                 new PromptPattern(names(fields[0]).stream().map(PromptPart::new).toList()),
                 Integer.parseInt(fields[1]),
-                isWithdrawn,
-                Instant.parse(fields[3]),
-                names(fields[4]).stream().map(EndpointId::new).toList(),
-                names(fields[5]));
+                isFirst(fields[2], WITHDRAWN, REFUSED),
+                isFirst(fields[3], CONFIRMED, SUSPECTED),
+                Integer.parseInt(fields[4]),
+                Instant.parse(fields[5]),
+                names(fields[6]).stream().map(EndpointId::new).toList(),
+                names(fields[7]));
+    }
+
+    /** Returns whether a field is the first of the two words that it may be. */
+    private static boolean isFirst(String field, String first, String second) {
+        if (!field.equals(first) && !field.equals(second)) {
+            throw new IllegalArgumentException("unknown state: " + field);
+        }
+        return field.equals(first);
     }
 
     private static List<String> names(String list) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
@@ -184,11 +184,14 @@
         } else if (decision instanceof QuarantineDecision.StoreEntries store) {
             store(store);
         } else if (decision instanceof QuarantineDecision.Enforce enforce) {
-            mMeters.patterns(enforce.quarantine().size());
+            mMeters.patterns(enforce.quarantine().patterns());
             mPorts.enforcement().accept(enforce.quarantine());
         } else if (decision instanceof QuarantineDecision.LogCrash received) {
             QuarantineLog.crashReceived(received.reporter(), received.crash());
             mMeters.crashReceived();
+        } else if (decision instanceof QuarantineDecision.LogTrial trial) {
+            QuarantineLog.trialBegun(trial.entry());
+            mMeters.trialBegun();
         } else if (decision instanceof QuarantineDecision.LogEntry change) {
             QuarantineLog.entryChanged(change.entry(), change.reason());
             mMeters.entryChanged(change.entry().isWithdrawn());
@@ -237,7 +240,7 @@
 
     private static QuarantineEvent event(WriteResult result, List<QuarantineEntry> written) {
         if (result instanceof WriteResult.Written success) {
-            return new QuarantineEvent.EntriesStored(written, success.revision());
+            return new QuarantineEvent.EntriesWritten(written, success.revision());
         }
         if (result instanceof WriteResult.Conflict conflict) {
             StoredValue current = conflict.current();
@@ -245,7 +248,7 @@
                     current == null
                             ? List.of()
                             : QuarantineEntryCodec.decode(current.bytes()).orElse(List.of());
-            return new QuarantineEvent.EntriesStored(
+            return new QuarantineEvent.WriteRejected(
                     entries, current == null ? Revision.ABSENT : current.revision());
         }
         QuarantineLog.storeFailed(result.toString());
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineLog.java
@@ -50,13 +50,15 @@
     static void entryChanged(QuarantineEntry entry, String reason) {
         log(
                 Level.WARNING,
-                (entry.isWithdrawn() ? "withdrawn" : "quarantined")
+                state(entry)
                         + " quarantine="
                         + entry.pattern().id()
                         + " parts="
                         + entry.pattern()
                         + " generation="
                         + entry.generation()
+                        + " trials="
+                        + entry.trials()
                         + " until="
                         + entry.until()
                         + " runners="
@@ -68,6 +70,26 @@
                         + "\"");
     }
 
+    private static String state(QuarantineEntry entry) {
+        if (entry.isWithdrawn()) {
+            return "withdrawn";
+        }
+        return entry.isConfirmed() ? "quarantined" : "suspected";
+    }
+
+    static void trialBegun(QuarantineEntry entry) {
+        log(
+                Level.WARNING,
+                "trial-begun quarantine="
+                        + entry.pattern().id()
+                        + " parts="
+                        + entry.pattern()
+                        + " generation="
+                        + entry.generation()
+                        + " trial="
+                        + entry.trials());
+    }
+
     static void storeFailed(String reason) {
         log(Level.WARNING, "entries-not-stored reason=\"" + reason + "\"");
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineMeters.java
@@ -3,6 +3,8 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 
 /** The metrics of the quarantine duty. */
 public final class QuarantineMeters {
@@ -11,7 +13,9 @@
     private final Counter mCrashesReceived;
     private final Counter mEntries;
     private final Counter mWithdrawals;
-    private volatile int mPatterns;
+    private final Counter mTrials;
+    private volatile int mSuspectedPatterns;
+    private volatile int mConfirmedPatterns;
 
     /**
      * Registers the metrics.
@@ -24,7 +28,12 @@
         mCrashesReceived = registry.counter("quarantine.crashes.received");
         mEntries = registry.counter("quarantine.entries");
         mWithdrawals = registry.counter("quarantine.withdrawals");
-        registry.registerGauge("quarantine.patterns", (Gauge<Integer>) () -> mPatterns);
+        mTrials = registry.counter("quarantine.trials");
+        registry.registerGauge(
+                "quarantine.patterns",
+                (Gauge<Integer>) () -> mSuspectedPatterns + mConfirmedPatterns);
+        registry.registerGauge(
+                "quarantine.patterns.suspected", (Gauge<Integer>) () -> mSuspectedPatterns);
     }
 
     void answerBroken() {
@@ -43,7 +52,13 @@
         (isWithdrawn ? mWithdrawals : mEntries).inc();
     }
 
-    void patterns(int patterns) {
-        mPatterns = patterns;
+    void trialBegun() {
+        mTrials.inc();
+    }
+
+    void patterns(List<RefusedPattern> patterns) {
+        int confirmed = (int) patterns.stream().filter(RefusedPattern::isConfirmed).count();
+        mConfirmedPatterns = confirmed;
+        mSuspectedPatterns = patterns.size() - confirmed;
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.routing.AttemptOutcome;
 
@@ -16,6 +17,7 @@
 final class AnswerRecorder {
     private final PromptObserver mObserver;
     private final Set<Prompt> mAnswered = new HashSet<>();
+    private final Set<PromptPattern> mRefused = new HashSet<>();
 
     AnswerRecorder(PromptObserver observer) {
         mObserver = observer;
@@ -55,12 +57,20 @@
         }
     }
 
-    /** Reports the prompts that were answered since the last report. */
+    /** Adds the pattern of a call that was refused because of its prompt. */
+    void refused(PromptPattern pattern) {
+        mRefused.add(pattern);
+    }
+
+    /** Reports what was answered and refused since the last report. */
     void report() {
-        if (mAnswered.isEmpty()) {
-            return;
+        if (!mAnswered.isEmpty()) {
+            mObserver.callsAnswered(mAnswered);
+            mAnswered.clear();
+        }
+        if (!mRefused.isEmpty()) {
+            mObserver.callsRefused(mRefused);
+            mRefused.clear();
         }
-        mObserver.callsAnswered(mAnswered);
-        mAnswered.clear();
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -15,6 +15,7 @@
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
+import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.route.Route;
@@ -383,15 +384,13 @@
             return;
         }
         Duration elapsed = Duration.between(call.request().arrivedAt(), now);
-        PromptPattern pattern =
-                refuse.reason() == RefusalReason.QUARANTINED && mQuarantine != null
-                        ? mQuarantine.find(call.call().prompt())
-                        : null;
+        PromptPattern pattern = quarantinedPattern(call, refuse.reason());
         CallLog.refused(call, refuse, pattern, elapsed);
         ErrorMessage message = ErrorMessage.valueOf(refuse.reason().name());
         mMeters.refused(message);
         if (pattern != null) {
             mMeters.quarantined(pattern);
+            mAnswerRecorder.refused(pattern);
         } else if (refuse.reason() != RefusalReason.UNKNOWN_TARGET) {
             mMeters.unserved(call.call().target());
         }
@@ -404,6 +403,17 @@
                                 refuse.readyIn()));
     }
 
+    /** Returns the pattern by which a call is refused, or null if it is refused otherwise. */
+    private @Nullable PromptPattern quarantinedPattern(GatewayCall call, RefusalReason reason) {
+        boolean isByPrompt =
+                reason == RefusalReason.QUARANTINED || reason == RefusalReason.SUSPECTED;
+        if (!isByPrompt || mQuarantine == null) {
+            return null;
+        }
+        RefusedPattern refused = mQuarantine.find(call.call().prompt());
+        return refused == null ? null : refused.pattern();
+    }
+
     private void finish(CallId id, Instant now) {
         GatewayCall call = mCalls.remove(id);
         if (call == null) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/PromptObserver.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/PromptObserver.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.runner.RunnerRegistration;
 
@@ -22,4 +23,11 @@
      * @param prompts the prompts of the calls
      */
     void callsAnswered(Set<Prompt> prompts);
+
+    /**
+     * Reports that calls were refused because of their prompts.
+     *
+     * @param patterns the patterns of their prompts
+     */
+    void callsRefused(Set<PromptPattern> patterns);
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -62,6 +63,52 @@
                 .join();
     }
 
+    /** Crashes the runner that holds the answer to the only open request. */
+    private void crashHolder() {
+        List<HostedRunnerStandin> holders = new ArrayList<>();
+        GatewayFixture.await(
+                "a runner has begun an answer",
+                () -> {
+                    mServing.stream()
+                            .filter(runner -> !runner.hasCrashed() && runner.heldStreams() > 0)
+                            .forEach(holders::add);
+                    return !holders.isEmpty();
+                });
+        holders.get(0).crash();
+        mFixture.store().remove("servers/i-" + mServing.indexOf(holders.get(0)));
+    }
+
+    /**
+     * Guards against a wrong decision that never proves wrong, because it refuses all requests that
+     * could show it. The runners crash one after the other, so the application is suspected.
+     */
+    @Test
+    void wronglySuspectedApplicationIsServedAgain() {
+        // The daemon sends the request to three runners, one after the other.
+        mFixture.stream(0, "first", "m1", "idle,ownfirst");
+        for (int crash = 0; crash < 3; crash++) {
+            crashHolder();
+        }
+        GatewayFixture.await(
+                "the application is suspected",
+                () -> mFixture.metrics().contains("quarantine_patterns_suspected 1"));
+        mServing.forEach(HostedRunnerStandin::release);
+        AtomicInteger next = new AtomicInteger();
+        List<Integer> statuses = new ArrayList<>();
+        GatewayFixture.await(
+                "the application is served again",
+                () -> {
+                    String name = "n" + next.incrementAndGet();
+                    int status =
+                            status(
+                                    mFixture.stream(
+                                            next.get() % DAEMONS, name, "m1", "idle,own" + name));
+                    statuses.add(status);
+                    return status == 200;
+                });
+        assertThat(statuses.stream().filter(status -> status == 400).toList(), is(empty()));
+    }
+
     /**
      * Guards against the refusal of an application's requests for minutes, because all runners that
      * served it ended at the same moment before one of its requests was answered.
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/quarantine/QuarantineEntryCodecTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/quarantine/QuarantineEntryCodecTest.java
@@ -23,6 +23,8 @@
                 PATTERN,
                 3,
                 withdrawn,
+                !withdrawn,
+                2,
                 UNTIL,
                 List.of(new EndpointId(runner), new EndpointId("i-2@7")),
                 List.of(request));
@@ -53,7 +55,11 @@
     @Test
     void otherTextIsNotDecoded() {
         for (String text :
-                List.of("", "quarantine 2\n", "quarantine 1\nx", "quarantine 1\na\t0\tx\ty\t\t")) {
+                List.of(
+                        "",
+                        "quarantine 1\n",
+                        "quarantine 2\nx",
+                        "quarantine 2\na\t0\tx\tx\t1\ty\t\t")) {
             assertThat(QuarantineEntryCodec.decode(text.getBytes(UTF_8)), is(Optional.empty()));
         }
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -26,6 +26,7 @@
 import org.oleanderspring.core.port.command.ResponseListener;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.quarantine.Prompt;
+import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.residency.ModelDemand;
@@ -244,5 +245,8 @@
 
         @Override
         public void callsAnswered(Set<Prompt> prompts) {}
+
+        @Override
+        public void callsRefused(Set<PromptPattern> patterns) {}
     }
 }
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -236,6 +236,8 @@
      * @param pattern the parts that such prompts contain
      * @param generation the number of the decision
      * @param isWithdrawn whether the decision is withdrawn
+     * @param isConfirmed whether a trial has confirmed the decision
+     * @param trials the number of trials that daemons have begun
      * @param remaining the time for which calls are refused; negative if it is over
      * @param runners the runners whose ends led to the decision
      * @param requests the requests under which they ended
@@ -244,6 +246,8 @@
             PromptPattern pattern,
             int generation,
             boolean isWithdrawn,
+            boolean isConfirmed,
+            int trials,
             Duration remaining,
             List<EndpointId> runners,
             List<String> requests)
--- a/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/QuarantineCodec.java
@@ -80,6 +80,8 @@
                 .addAllParts(ids(notice.pattern().parts()))
                 .setGeneration(notice.generation())
                 .setWithdrawn(notice.isWithdrawn())
+                .setConfirmed(notice.isConfirmed())
+                .setTrials(notice.trials())
                 .setRemainingMillis(notice.remaining().toMillis())
                 .addAllRunners(notice.runners().stream().map(EndpointId::value).toList())
                 .addAllRequests(notice.requests())
@@ -87,8 +89,8 @@
     }
 
     static PeerMessage decode(PeerProtocol.QuarantineNotice notice) {
-        if (notice.getGeneration() < 1) {
-            throw new IllegalArgumentException("generation is not positive");
+        if (notice.getGeneration() < 1 || notice.getTrials() < 0) {
+            throw new IllegalArgumentException("generation or number of trials is out of range");
         }
         long remaining = notice.getRemainingMillis();
         if (remaining > MAX_REMAINING.toMillis() || remaining < -MAX_REMAINING.toMillis()) {
@@ -99,6 +101,8 @@
                 new PromptPattern(parts(notice.getPartsList())),
                 notice.getGeneration(),
                 notice.getWithdrawn(),
+                notice.getConfirmed(),
+                notice.getTrials(),
                 Duration.ofMillis(remaining),
                 notice.getRunnersList().stream().map(EndpointId::new).toList(),
                 notice.getRequestsList());
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -117,6 +117,8 @@
                         new PromptPattern(List.of(PART, OTHER_PART)),
                         2,
                         true,
+                        true,
+                        3,
                         Duration.ofMillis(-5),
                         List.of(RESIDENCY.runner()),
                         List.of("c5d7a7c49db7f424")));
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -59,6 +59,7 @@
     private int mAbortStreamAfter = Integer.MAX_VALUE;
     private @Nullable String mDeadlyPart;
     private boolean mHoldsStreams;
+    private int mHeldStreams;
     private boolean mCrashed;
 
     /**
@@ -131,6 +132,16 @@
         mHoldsStreams = true;
     }
 
+    /** Ends the effect of {@link #holdStreams} on later streams. */
+    public synchronized void release() {
+        mHoldsStreams = false;
+    }
+
+    /** Returns the number of streams that were stopped by {@link #holdStreams}. */
+    public synchronized int heldStreams() {
+        return mHeldStreams;
+    }
+
     /** Returns whether the runner has crashed. */
     public synchronized boolean hasCrashed() {
         return mCrashed;
@@ -263,6 +274,7 @@
             return false;
         }
         if (mHoldsStreams && number > 1) {
+            mHeldStreams++;
             return false;
         }
         if (number > EVENTS_PER_STREAM) {
