--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -83,6 +83,12 @@
     private static final Duration RESPONSE_SILENCE_LIMIT = Duration.ofMinutes(5);
 
     private static final int MAX_CONCURRENT_CALLS = 256;
+
+    /**
+     * Far longer than the state of a runner with thousands of adapters; a faulty one may not end.
+     */
+    private static final int MAX_RUNNER_STATE_BYTES = 256 << 10;
+
     private static final int CLIENT_THREADS = 4;
     private static final int RUNNER_CONNECTIONS = 64;
     private static final int RUNNER_QUEUE_LIMIT = 1_024;
@@ -214,8 +220,8 @@
                 new ResidencyPorts(
                         new HostedKeyValueCommands(calls, mSettings.store(), STORE_TIMEOUT),
                         storeQueries(calls),
-                        new HostedResidencyCommands(calls, RUNNER_TIMEOUT),
-                        new HostedRunnerStateQueries(calls, RUNNER_TIMEOUT),
+                        new HostedResidencyCommands(runnerCalls(), RUNNER_TIMEOUT),
+                        new HostedRunnerStateQueries(runnerCalls(), RUNNER_TIMEOUT),
                         messenger,
                         mRunnerWatch);
         ResidencyDuty duty =
@@ -238,7 +244,7 @@
         QuarantinePorts ports =
                 new QuarantinePorts(
                         new HostedKeyValueCommands(calls, mSettings.store(), STORE_TIMEOUT),
-                        new HostedRunnerStateQueries(calls, RUNNER_CHECK_TIMEOUT),
+                        new HostedRunnerStateQueries(runnerCalls(), RUNNER_CHECK_TIMEOUT),
                         messenger,
                         quarantine ->
                                 mRings.routingSink()
@@ -256,6 +262,10 @@
                                 mRings.quarantineSink()));
     }
 
+    private HttpCallSender runnerCalls() {
+        return new HttpCallSender(mClient, MAX_CONCURRENT_CALLS, MAX_RUNNER_STATE_BYTES);
+    }
+
     private HostedKeyValueQueries storeQueries(HttpCallSender calls) {
         return new HostedKeyValueQueries(
                 calls, mClient.jettyClient().getScheduler(), mSettings.store(), STORE_TIMEOUT);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
@@ -16,11 +16,27 @@
     /** Far longer than any event of a generation; a runner may send an event without end. */
     private static final int MAX_EVENT_BYTES = 256 << 10;
 
+    /** Incomplete events up to this size are not counted against the budget of all calls. */
+    private static final int UNCOUNTED_BYTES = 16 << 10;
+
+    private final ByteBudget mBudget;
     private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
     private int mLineLength;
     private boolean mAfterCarriageReturn;
     private boolean mEventEndedByCarriageReturn;
     private int mCompleteEvents;
+    private long mCounted;
+    private boolean mClosed;
+    private volatile boolean mOverBudget;
+
+    /**
+     * Creates a splitter at the beginning of a stream.
+     *
+     * @param budget bounds the incomplete events of all calls
+     */
+    EventStreamSplitter(ByteBudget budget) {
+        mBudget = budget;
+    }
 
     /**
      * Adds bytes to the buffer and returns the complete events in it, or an empty array.
@@ -31,15 +47,42 @@
         int end = endOfLastCompleteEvent(bytes);
         if (end == 0) {
             mPending.write(bytes, 0, bytes.length);
+            count();
             return new byte[0];
         }
         mPending.write(bytes, 0, end);
         byte[] events = mPending.toByteArray();
         mPending.reset();
         mPending.write(bytes, end, bytes.length - end);
+        count();
         return events;
     }
 
+    /**
+     * An attempt may end on a thread of the client while the routing duty forwards the first part
+     * of its response.
+     */
+    private synchronized void count() {
+        if (mClosed) {
+            return;
+        }
+        long counted = mPending.size() > UNCOUNTED_BYTES ? mPending.size() : 0;
+        if (counted < mCounted) {
+            mBudget.release(mCounted - counted);
+        } else if (!mBudget.tryHold(counted - mCounted)) {
+            mOverBudget = true;
+            return;
+        }
+        mCounted = counted;
+    }
+
+    /** Releases the bytes of the incomplete event at the end of the stream. */
+    synchronized void close() {
+        mBudget.release(mCounted);
+        mCounted = 0;
+        mClosed = true;
+    }
+
     /** Returns the number of complete events so far. */
     int completeEvents() {
         return mCompleteEvents;
@@ -50,9 +93,12 @@
         return mPending.size() > 0;
     }
 
-    /** Returns whether the incomplete event in the buffer is longer than any valid one. */
+    /**
+     * Returns whether the incomplete event in the buffer is longer than any valid one, or longer
+     * than the budget of all calls allows.
+     */
     boolean isEventTooLong() {
-        return mPending.size() > MAX_EVENT_BYTES;
+        return mOverBudget || mPending.size() > MAX_EVENT_BYTES;
     }
 
     private int endOfLastCompleteEvent(byte[] bytes) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
@@ -73,6 +73,7 @@
         mCompleteEvents = mSplitter.completeEvents();
         if (events.length == 0) {
             if (mSplitter.isEventTooLong()) {
+                mSplitter.close();
                 stop();
                 mSink.offer(
                         new GatewayRoutingInput.ResponseInvalid(
@@ -89,6 +90,9 @@
         mSink.offer(
                 new GatewayRoutingInput.Event(
                         new RoutingEvent.AttemptFinished(mAttempt, failIfTruncated(outcome))));
+        if (mSplitter != null) {
+            mSplitter.close();
+        }
     }
 
     /** Turns the completion of a stream that ended inside an event into a failure. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -59,6 +59,9 @@
 
     private static final int OK = 200;
 
+    /** A sixteenth of the heap, so that runners that send events without end cannot fill it. */
+    private static final long MAX_INCOMPLETE_EVENT_BYTES = Runtime.getRuntime().maxMemory() / 16;
+
     private final GatewayMember mSelf;
     private final DefaultRoutingDecider mDecider;
     private final GatewayPorts mPorts;
@@ -70,6 +73,7 @@
     private final Map<AttemptId, ActiveAttempt> mActiveAttempts = new HashMap<>();
     private final DemandReporter mDemandReporter;
     private final AnswerRecorder mAnswerRecorder;
+    private final ByteBudget mIncompleteEvents = new ByteBudget(MAX_INCOMPLETE_EVENT_BYTES);
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
     private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
     private GatewaySettings mSettings;
@@ -369,7 +373,7 @@
                         attempt,
                         call.response(),
                         mOwnRing,
-                        stream ? new EventStreamSplitter() : null);
+                        stream ? new EventStreamSplitter(mIncompleteEvents) : null);
         RunningAttempt running =
                 mPorts.endpoints()
                         .start(
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -156,7 +156,11 @@
 
     /** Writes a configuration to the store whose route "order" leads to the given service. */
     void configure(int version, String orderService) {
-        mStore.put("op/config", CONFIGURATION.formatted(version, orderService));
+        configure(mStore, version, orderService);
+    }
+
+    static void configure(HostedStoreStandin store, int version, String orderService) {
+        store.put("op/config", CONFIGURATION.formatted(version, orderService));
     }
 
     /** Starts a runner that has loaded the given models, and registers it in the store. */
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
@@ -37,7 +37,7 @@
                         mInputs.add(input);
                         return OfferResult.ACCEPTED;
                     },
-                    new EventStreamSplitter());
+                    new EventStreamSplitter(new ByteBudget(1 << 20)));
 
     private ActiveAttempt attempt(int status) {
         RunnerRegistration runner =
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitterProperties.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitterProperties.java
@@ -1,16 +1,22 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.nullValue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
 class EventStreamSplitterProperties {
+    private static final long CAPACITY = 300_000;
     private static final String[] LINE_ENDS = {"\n", "\r\n", "\r"};
 
     /** Guards against events forwarded in part or lost, however the bytes are split into parts. */
@@ -26,7 +32,7 @@
         }
         String incompleteEvent = "id: " + (events + 1) + end + "data: y";
         byte[] bytes = (stream + incompleteEvent).getBytes(StandardCharsets.UTF_8);
-        EventStreamSplitter splitter = new EventStreamSplitter();
+        EventStreamSplitter splitter = new EventStreamSplitter(new ByteBudget(1 << 20));
         StringBuilder returned = new StringBuilder();
         String lastId = null;
         int position = 0;
@@ -47,6 +53,43 @@
         assertThat(lastId, is(Integer.toString(events)));
     }
 
+    /**
+     * Guards against incomplete events of many calls that fill the memory together, and against
+     * bytes that stay counted after their call.
+     */
+    @Property(seed = "20261205", tries = 200)
+    void incompleteEventsOfAllCallsAreBounded(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ByteBudget budget = new ByteBudget(CAPACITY);
+        List<EventStreamSplitter> open = new ArrayList<>();
+        for (int step = 0; step < 200; step++) {
+            if (open.isEmpty() || random.nextInt(8) == 0) {
+                open.add(new EventStreamSplitter(budget));
+            }
+            int index = random.nextInt(open.size());
+            EventStreamSplitter splitter = open.get(index);
+            if (random.nextInt(10) == 0) {
+                splitter.close();
+                open.remove(index);
+                continue;
+            }
+            byte[] part = "x".repeat(random.nextInt(20_000)).getBytes(StandardCharsets.UTF_8);
+            splitter.append(part);
+            if (random.nextInt(5) == 0) {
+                splitter.append("\n\n".getBytes(StandardCharsets.UTF_8));
+            }
+            if (splitter.isEventTooLong()) {
+                splitter.close();
+                open.remove(index);
+            }
+            assertThat(
+                    budget.held(),
+                    is(both(greaterThanOrEqualTo(0L)).and(lessThanOrEqualTo(CAPACITY))));
+        }
+        open.forEach(EventStreamSplitter::close);
+        assertThat(budget.held(), is(0L));
+    }
+
     /** Guards against taking the data of an event for its id. */
     @Example
     void idIsFoundAtStartOfLineOnly() {
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
@@ -40,7 +40,7 @@
                             mInputs.add(input);
                             return OfferResult.ACCEPTED;
                         },
-                        new EventStreamSplitter());
+                        new EventStreamSplitter(new ByteBudget(1 << 20)));
         relay.admit();
         byte[] part = new byte[PART_BYTES];
         Arrays.fill(part, (byte) 'x');
