--- a/core/src/main/java/org/oleanderspring/core/quarantine/RunnerCrash.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/RunnerCrash.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.core.quarantine;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import org.oleanderspring.core.fleet.EndpointId;
@@ -28,4 +29,18 @@
     public RunnerCrash withCalls(List<SuspectCall> others) {
         return new RunnerCrash(runner, endedAt, others);
     }
+
+    /**
+     * Divides the calls among several reports of the same crash.
+     *
+     * @param maxCalls the number of calls in a report
+     */
+    public List<RunnerCrash> split(int maxCalls) {
+        List<RunnerCrash> reports = new ArrayList<>();
+        for (int start = 0; start < calls.size(); start += maxCalls) {
+            int end = Math.min(calls.size(), start + maxCalls);
+            reports.add(withCalls(calls.subList(start, end)));
+        }
+        return reports;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/DefaultQuarantineDecider.java
@@ -37,9 +37,8 @@
  * sent or written.
  *
  * <p>A decision may be wrong. It is therefore only a suspicion until a trial confirms it ({@link
- * Trials}): callers are asked to come back, and one call is let through. An answered call with the
- * pattern withdraws the decision, and after {@link QuarantineEntry#REFUSAL_TIME} calls are let
- * through again.
+ * Trials}): callers are asked to come back, and one call is let through. An answered call withdraws
+ * the decision, and it ends after {@link QuarantineEntry#REFUSAL_TIME}.
  */
 public final class DefaultQuarantineDecider implements QuarantineDecider {
     /** How long to wait for other daemons that know a suspected part to be sound. */
@@ -188,23 +187,13 @@
         }
         mEvidenceChanged |= mCrashes.add(crash);
         mReportedAt.putIfAbsent(crash.runner(), now);
-        for (RunnerCrash report : split(crash)) {
+        for (RunnerCrash report : crash.split(MAX_CALLS_IN_A_REPORT)) {
             mCrashRepetitions.add(report, now);
             decisions.add(new QuarantineDecision.SendCrash(otherMembers(), report, false));
         }
         renewEntriesOnProbation(crash, now, decisions);
     }
 
-    private static List<RunnerCrash> split(RunnerCrash crash) {
-        List<RunnerCrash> reports = new ArrayList<>();
-        int calls = crash.calls().size();
-        for (int start = 0; start < calls; start += MAX_CALLS_IN_A_REPORT) {
-            int end = Math.min(calls, start + MAX_CALLS_IN_A_REPORT);
-            reports.add(crash.withCalls(crash.calls().subList(start, end)));
-        }
-        return reports;
-    }
-
     /** Leaves out the calls all of whose shared parts are sound. */
     private RunnerCrash withSuspects(RunnerCrash crash, Instant now) {
         List<SuspectCall> suspects =
@@ -310,7 +299,7 @@
     private void share(MemberId newcomer, List<QuarantineDecision> decisions) {
         Set<MemberId> recipient = Set.of(newcomer);
         for (RunnerCrash crash : mCrashes.reports()) {
-            for (RunnerCrash report : split(crash)) {
+            for (RunnerCrash report : crash.split(MAX_CALLS_IN_A_REPORT)) {
                 decisions.add(new QuarantineDecision.SendCrash(recipient, report, true));
             }
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.duty.command.ByteBudget;
 
 /**
  * Splits a stream of server-sent events at event boundaries; an event ends with an empty line.
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -33,6 +33,7 @@
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
@@ -21,6 +21,7 @@
 import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.front.Refusal;
 import org.oleanderspring.daemon.front.ResponseStream;
+import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.OfferResult;
 
 /** What the end of an attempt shows about its prompt. */
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitterProperties.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/EventStreamSplitterProperties.java
@@ -14,6 +14,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.oleanderspring.duty.command.ByteBudget;
 
 class EventStreamSplitterProperties {
     private static final long CAPACITY = 300_000;
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
@@ -14,6 +14,7 @@
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.daemon.front.Refusal;
 import org.oleanderspring.daemon.front.ResponseStream;
+import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.OfferResult;
 
 class GatewayResponseRelayTest {
--- a/peer/src/main/java/org/oleanderspring/peer/command/PeerConnection.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerConnection.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.peer.PeerLimits;
 import org.oleanderspring.peer.SendResult;
 
@@ -28,8 +29,8 @@
     private final Bootstrap mBootstrap;
     private final EventLoop mEventLoop;
     private final TrafficCounter mTraffic;
-    private final SendBudget mReceiverBudget;
-    private final SendBudget mTotalBudget;
+    private final ByteBudget mReceiverBudget;
+    private final ByteBudget mTotalBudget;
     private final Consumer<PeerConnection> mUnusedListener;
     private final Deque<byte[]> mAwaitingConnection = new ArrayDeque<>();
     private @Nullable Channel mChannel;
@@ -41,24 +42,24 @@
             Bootstrap bootstrap,
             EventLoop loop,
             PeerLimits limits,
-            SendBudget totalBudget,
+            ByteBudget totalBudget,
             TrafficCounter traffic,
             Consumer<PeerConnection> unusedListener) {
         mReceiver = receiver;
         mBootstrap = bootstrap.clone(loop);
         mEventLoop = loop;
         mTraffic = traffic;
-        mReceiverBudget = new SendBudget(limits.queuedBytesPerPeer());
+        mReceiverBudget = new ByteBudget(limits.queuedBytesPerPeer());
         mTotalBudget = totalBudget;
         mUnusedListener = unusedListener;
     }
 
     /** Queues a frame without blocking. May be called on any thread. */
     SendResult offer(byte[] frame) {
-        if (!mReceiverBudget.reserve(frame.length)) {
+        if (!mReceiverBudget.tryHold(frame.length)) {
             return SendResult.QUEUE_FULL;
         }
-        if (!mTotalBudget.reserve(frame.length)) {
+        if (!mTotalBudget.tryHold(frame.length)) {
             mReceiverBudget.release(frame.length);
             return SendResult.QUEUE_FULL;
         }
--- a/peer/src/main/java/org/oleanderspring/peer/command/PeerTransport.java
+++ b/peer/src/main/java/org/oleanderspring/peer/command/PeerTransport.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.peer.PeerLimits;
 import org.oleanderspring.peer.PeerMessage;
@@ -61,7 +62,7 @@
     private final PeerLimits mLimits;
     private final PeerCodec mCodec = new PeerCodec();
     private final TrafficCounter mTraffic = new TrafficCounter();
-    private final SendBudget mTotalBudget;
+    private final ByteBudget mTotalBudget;
     private final MessageReceiver mReceiver;
     private final EventLoopGroup mEventLoops;
     private final Bootstrap mClientBootstrap;
@@ -72,7 +73,7 @@
 
     private PeerTransport(EventSink<ReceivedMessage> sink, PeerLimits limits) {
         mLimits = limits;
-        mTotalBudget = new SendBudget(limits.queuedBytes());
+        mTotalBudget = new ByteBudget(limits.queuedBytes());
         mReceiver = new MessageReceiver(mCodec, sink, mTraffic);
         mEventLoops =
                 new MultiThreadIoEventLoopGroup(
@@ -173,7 +174,7 @@
         if (datagrams == null || !datagrams.isOpen()) {
             return SendResult.CLOSED;
         }
-        if (!mTotalBudget.reserve(bytes.length)) {
+        if (!mTotalBudget.tryHold(bytes.length)) {
             return SendResult.QUEUE_FULL;
         }
         datagrams
