Do not suspect a pattern that concerns a single request after three crashes

The three attempts of one request had crashed three runners, so a decision about this request alone (its own last part is in all its calls) came before the one about the part that it shares with others.

Cause: three crashes are enough since decisions are tested by trials, and one request can account for three. With four required that took more than the attempts of a request.

Change: if all calls with a part have the same prompt, one crash more is required.

Evidence: QuarantineTest.attemptsOfOneRequestAreNotEnough, DeadlyPromptTest and RunnerGroupCrashTest pass; the new test was not run on the code before.

--- a/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
+++ b/core/src/main/java/org/oleanderspring/core/quarantine/command/PatternFinder.java
@@ -145,7 +145,7 @@
         }
         Map<PromptPattern, Finding> findings = new HashMap<>();
         for (Suspicion candidate : distinct.values()) {
-            if (independentCrashes(candidate, candidate.mRunners) >= mLimits.crashesRequired()
+            if (independentCrashes(candidate, candidate.mRunners) >= crashesRequired(candidate)
                     && !isExplained(candidate, distinct.values())) {
                 Finding finding = finding(candidate);
                 findings.put(finding.pattern(), finding);
@@ -154,6 +154,19 @@
         return List.copyOf(findings.values());
     }
 
+    /**
+     * The attempts and the repeat of one request can account for all required crashes. Its own last
+     * part then is in all calls, and the pattern would concern no other request.
+     */
+    private int crashesRequired(Suspicion suspicion) {
+        long prompts =
+                suspicion.mCalls.stream()
+                        .mapToObj(call -> mCalls.get(call).prompt())
+                        .distinct()
+                        .count();
+        return mLimits.crashesRequired() + (prompts == 1 ? 1 : 0);
+    }
+
     private boolean isExplained(Suspicion candidate, Collection<Suspicion> others) {
         for (Suspicion other : others) {
             if (other != candidate && explains(other, candidate)) {
--- a/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
+++ b/core/src/test/java/org/oleanderspring/core/quarantine/command/QuarantineTest.java
@@ -120,6 +120,23 @@
         assertThat(mFleet.isRefusedAnywhere(mFleet.prompt("idle")), is(false));
     }
 
+    /**
+     * Guards against a decision that concerns a single request, because all its attempts crashed
+     * their runners, before another request shows what they have in common.
+     */
+    @Test
+    void attemptsOfOneRequestAreNotEnough() {
+        Prompt request = mFleet.prompt("dead");
+        for (int crash = 0; crash < 3; crash++) {
+            mFleet.breakAnswer(0, "runner-" + crash, request);
+        }
+        mFleet.pass(BOUND);
+        assertThat(mFleet.isRefusedAnywhere(request), is(false));
+        mFleet.breakAnswer(1, "runner-3", mFleet.prompt("dead"));
+        mFleet.pass(BOUND);
+        assertThat(mFleet.isRefusedEverywhere(mFleet.prompt("dead")), is(true));
+    }
+
     /**
      * Guards against the refusal of calls that were sent from one runner to the next while a group
      * of runners ended, which takes some milliseconds.
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
@@ -89,10 +89,11 @@
         for (int crash = 0; crash < 3; crash++) {
             crashHolder();
         }
+        mFixture.stream(0, "second", "m1", "idle,ownsecond");
+        crashHolder();
         GatewayFixture.await(
                 "the application is suspected",
                 () -> mFixture.metrics().contains("quarantine_patterns_suspected 1"));
-        mServing.forEach(HostedRunnerStandin::release);
         AtomicInteger next = new AtomicInteger();
         List<Integer> statuses = new ArrayList<>();
         GatewayFixture.await(
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -132,11 +132,6 @@
         mHoldsStreams = true;
     }
 
-    /** Ends the effect of {@link #holdStreams} on later streams. */
-    public synchronized void release() {
-        mHoldsStreams = false;
-    }
-
     /** Returns the number of streams that were stopped by {@link #holdStreams}. */
     public synchronized int heldStreams() {
         return mHeldStreams;
