Let the runners of RunnerGroupCrashTest end together

Its log shows why: requests of the first round were still being sent, or were sent again, when some of the runners had ended and others still accepted connections, so their ends counted as separate evidence, as they should. The test claims that the runners end together, so it now waits until all requests of the round are at a runner, and closes all ports before it ends the runners. Its checks are unchanged.

--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/RunnerGroupCrashTest.java
@@ -56,6 +56,10 @@
         return answers;
     }
 
+    private int executedAttempts() {
+        return mServing.stream().mapToInt(runner -> runner.executedAttempts().size()).sum();
+    }
+
     /** Returns the status of an answer, or 0 if it broke off. */
     private static int status(CompletableFuture<HttpResponse<String>> answer) {
         return answer.handle((response, failure) -> response == null ? 0 : response.statusCode())
@@ -118,8 +122,12 @@
     void applicationIsServedAfterItsRunnersEndedTogether() {
         List<CompletableFuture<HttpResponse<String>>> first = ask("a");
         GatewayFixture.await(
-                "each runner has begun an answer",
-                () -> mServing.stream().allMatch(runner -> !runner.executedAttempts().isEmpty()));
+                "each runner has begun an answer, and no request is on its way",
+                () ->
+                        mServing.stream().allMatch(runner -> !runner.executedAttempts().isEmpty())
+                                && executedAttempts() == USERS);
+        // A request that is sent again must not reach a runner that ends some milliseconds later.
+        mServing.forEach(HostedRunnerStandin::closePort);
         mServing.parallelStream().forEach(HostedRunnerStandin::crash);
         List<Integer> statuses = new ArrayList<>();
         first.forEach(answer -> statuses.add(status(answer)));
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -142,6 +142,11 @@
         return mCrashed;
     }
 
+    /** Refuses new connections; open ones go on. */
+    public void closePort() {
+        mServer.closePort();
+    }
+
     /** Ends the runner: its connections and its port are closed. */
     public void crash() {
         synchronized (this) {
--- a/standin/src/main/java/org/oleanderspring/standin/http/ResourceServer.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/ResourceServer.java
@@ -66,6 +66,11 @@
         return mConnector.getLocalPort();
     }
 
+    /** Refuses new connections; open ones go on. */
+    public void closePort() {
+        mConnector.close();
+    }
+
     @Override
     public void close() {
         try {
