Follow the store by one duty that uses all evidence that it answers

Cause: a poll that begins while the store is silent never gets an answer, and was waited for 3.8 s, though other calls of the same daemon were answered 0.2 s after the store's return. Each watch knew only its own call.

Change: the duty "store-watch" makes all calls that follow the store (coordination.watch decides, platform only calls) and hears of the results of all other calls. An answer after a failure makes all watches call again, spread over the daemons by the store's rate of reads; while calls fail, one watch at a time probes with a call that may not be delayed; the limit of a waiting call follows from the platform's settle time. A silence of a second or more counts as an interruption also for a watch whose call has not failed, so that entries that lapsed meanwhile are still kept. PacedWatchTest is now StoreWatchDutyTest, with the same checks; RunnerWatchTest checks the events in place of calls, and a test of the decider the pause that is chosen before a watch begins; RetryDelayTest moved with its class.

--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/ChangesResult.java
@@ -0,0 +1,39 @@
+package org.oleanderspring.coordination.store.query;
+
+import java.util.List;
+import java.util.Objects;
+import org.oleanderspring.coordination.store.Revision;
+
+/** The result of a poll for changes of the values under a prefix. */
+public sealed interface ChangesResult {
+    /**
+     * The changes after the revision of the poll.
+     *
+     * @param changes the changes, the oldest first; empty if there was none within the wait
+     * @param revision the revision after which the next poll starts
+     */
+    record Changes(List<StoreChange> changes, Revision revision) implements ChangesResult {
+        /** Copies the list; rejects null components. */
+        public Changes {
+            changes = List.copyOf(changes);
+            Objects.requireNonNull(revision, "revision");
+        }
+    }
+
+    /** The key-value service no longer has the changes after the revision of the poll. */
+    record HistoryLost() implements ChangesResult {}
+
+    /**
+     * The key-value service could not be reached, did not answer in time or turned the call away.
+     *
+     * @param reason the cause, for log messages
+     */
+    record Unavailable(String reason) implements ChangesResult {}
+
+    /**
+     * The key-value service answered with something that cannot be read.
+     *
+     * @param reason the cause, for log messages
+     */
+    record Unreadable(String reason) implements ChangesResult {}
+}
--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.coordination.store.query;
 
+import java.time.Duration;
 import java.util.List;
 import org.oleanderspring.coordination.store.StoredValue;
 
@@ -33,6 +34,8 @@
     /**
      * Called when the key-value service responds again; changes missed in the meantime are reported
      * next.
+     *
+     * @param outdatedFor the time for which the values may have been outdated
      */
-    void resumed();
+    void resumed(Duration outdatedFor);
 }
--- /dev/null
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/PendingCall.java
@@ -0,0 +1,14 @@
+package org.oleanderspring.coordination.watch.command;
+
+import java.time.Instant;
+import org.oleanderspring.coordination.store.StoreOperationId;
+
+/**
+ * A call of a watch that has not ended.
+ *
+ * @param id its identity
+ * @param sentAt when it was sent
+ * @param giveUpAt when it counts as failed without an answer
+ * @param isProbe whether it was sent while the contact to the service was in doubt
+ */
+record PendingCall(StoreOperationId id, Instant sentAt, Instant giveUpAt, boolean isProbe) {}
--- a/platform/src/main/java/org/oleanderspring/platform/hosted/query/RetryDelay.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/RetryDelay.java
@@ -1,7 +1,6 @@
-package org.oleanderspring.platform.hosted.query;
+package org.oleanderspring.coordination.watch.command;
 
 import java.time.Duration;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -13,35 +12,39 @@
 final class RetryDelay {
     static final Duration FIRST = Duration.ofMillis(200);
 
-    /** Bounds the time for which the end of an outage is not noticed. */
-    static final Duration LONGEST = Duration.ofMillis(1_200);
-
     /** The share of a delay that is random. */
     private static final double RANDOM_SHARE = 0.25;
 
-    private final Supplier<RandomGenerator> mRandom;
-    private Duration mNext = FIRST;
+    private final Duration mLongest;
+    private final RandomGenerator mRandom;
+    private Duration mNext;
 
     /**
      * Creates delays that begin with {@link #FIRST}.
      *
-     * @param random the source of random numbers of the calling thread
+     * @param longest bounds the time for which the end of an outage is not noticed
+     * @param random the source of random numbers
      */
-    RetryDelay(Supplier<RandomGenerator> random) {
+    RetryDelay(Duration longest, RandomGenerator random) {
+        mLongest = longest;
         mRandom = random;
+        mNext = shorter(FIRST);
     }
 
     /** Returns the delay before the next call. */
     Duration next() {
         Duration longest = mNext;
-        Duration doubled = longest.multipliedBy(2);
-        mNext = doubled.compareTo(LONGEST) < 0 ? doubled : LONGEST;
-        double factor = 1 - RANDOM_SHARE * mRandom.get().nextDouble();
+        mNext = shorter(longest.multipliedBy(2));
+        double factor = 1 - RANDOM_SHARE * mRandom.nextDouble();
         return Duration.ofNanos((long) (longest.toNanos() * factor));
     }
 
     /** Begins with the first delay again, after a call that succeeded. */
     void reset() {
-        mNext = FIRST;
+        mNext = shorter(FIRST);
+    }
+
+    private Duration shorter(Duration delay) {
+        return delay.compareTo(mLongest) < 0 ? delay : mLongest;
     }
 }
--- a/platform/src/test/java/org/oleanderspring/platform/hosted/query/RetryDelayTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/watch/command/RetryDelayTest.java
@@ -1,4 +1,4 @@
-package org.oleanderspring.platform.hosted.query;
+package org.oleanderspring.coordination.watch.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -12,7 +12,9 @@
     private static final Duration OUTAGE = Duration.ofSeconds(9);
     private static final int MOST_CALLS = 14;
 
-    private final RetryDelay mDelay = new RetryDelay(() -> new SplittableRandom(7));
+    private static final Duration LONGEST = Duration.ofMillis(1_200);
+
+    private final RetryDelay mDelay = new RetryDelay(LONGEST, new SplittableRandom(7));
 
     /** Guards against a call from each daemon every 200 ms while the key-value service is down. */
     @Test
@@ -31,7 +33,7 @@
     void delaysStayWithinTheirBounds() {
         for (int call = 0; call < 50; call++) {
             Duration delay = mDelay.next();
-            assertThat(delay, lessThanOrEqualTo(RetryDelay.LONGEST));
+            assertThat(delay, lessThanOrEqualTo(LONGEST));
             assertThat(delay, greaterThanOrEqualTo(Duration.ofMillis(100)));
         }
         mDelay.reset();
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -99,6 +99,29 @@
             description = "Metadata store of the platform.")
     private String mStore;
 
+    @Option(
+            names = "--store-reads-per-second",
+            paramLabel = "COUNT",
+            defaultValue = "2000",
+            description = "Reads that the metadata store takes from all daemons in a second.")
+    private double mStoreReadsPerSecond;
+
+    @Option(
+            names = "--settle-millis",
+            paramLabel = "MILLISECONDS",
+            defaultValue = "3000",
+            description =
+                    "Time from the end of a disturbance of the store or of connections until the"
+                            + " daemon acts on current values again.")
+    private double mSettleMillis;
+
+    @Option(
+            names = "--drain-millis",
+            paramLabel = "MILLISECONDS",
+            defaultValue = "2000",
+            description = "Time after which a runner that leaves gets no request.")
+    private double mDrainMillis;
+
     @Option(
             names = "--directory-ttl-seconds",
             paramLabel = "SECONDS",
@@ -220,6 +243,9 @@
         checkRange("--metrics-port", mMetricsPort, HIGHEST_PORT);
         checkRange("--peer-port", mPeerPort, HIGHEST_PORT);
         checkRange("--directory-ttl-seconds", mDirectoryTtlSeconds, 60);
+        checkBound("--store-reads-per-second", mStoreReadsPerSecond, 1, Integer.MAX_VALUE);
+        checkBound("--settle-millis", mSettleMillis, 100, 3_600_000);
+        checkBound("--drain-millis", mDrainMillis, 1, 3_600_000);
         checkBound("--retry-window-seconds", mRetryWindowSeconds, 1, 3_600);
         checkBound("--stop-limit-seconds", mStopLimitSeconds, 1, 3_600);
         checkBound("--holder-pause-millis", mHolderPauseMillis, 0, 3_600_000);
@@ -238,6 +264,9 @@
                 new Address(front.ip(), mMetricsPort),
                 mPeerPort,
                 address("--store", mStore),
+                (int) mStoreReadsPerSecond,
+                milliseconds(mSettleMillis),
+                milliseconds(mDrainMillis),
                 Duration.ofSeconds(mDirectoryTtlSeconds),
                 (int) Math.floor(mRetryRatio * PERCENT),
                 (int) Math.floor(mRetryExtra),
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -101,8 +101,16 @@
                             + "\"");
             return false;
         }
-        mirror.resumed(now);
-        LOGGER.log(Level.INFO, mLogPrefix + " store-regained prefix=" + update.prefix());
+        if (update instanceof StoreUpdate.Resumed resumed) {
+            mirror.resumed(now);
+            LOGGER.log(
+                    Level.INFO,
+                    mLogPrefix
+                            + " store-regained prefix="
+                            + update.prefix()
+                            + " outdated-ms="
+                            + resumed.outdatedFor().toMillis());
+        }
         return false;
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -15,6 +15,10 @@
  * @param metrics the address at which metrics are served
  * @param peerPort the port for messages between daemons, the same on all VMs
  * @param store the address of the platform's key-value service
+ * @param storeReadsPerSecond the number of reads that it takes from all daemons in a second
+ * @param settleLimit the longest time from the end of a disturbance of the key-value service or of
+ *     connections until the daemon acts on current values again
+ * @param drainLimit the time after which a runner that leaves must get no request
  * @param directoryTtl how long clients may cache a list of addresses
  * @param retryPercent the number of retries allowed for each hundred requests
  * @param extraRetries the number of further retries allowed in each window, over all daemons
@@ -32,6 +36,9 @@
         Address metrics,
         int peerPort,
         Address store,
+        int storeReadsPerSecond,
+        Duration settleLimit,
+        Duration drainLimit,
         Duration directoryTtl,
         int retryPercent,
         int extraRetries,
@@ -47,6 +54,8 @@
         Objects.requireNonNull(directory, "directory");
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(store, "store");
+        Objects.requireNonNull(settleLimit, "settleLimit");
+        Objects.requireNonNull(drainLimit, "drainLimit");
         Objects.requireNonNull(directoryTtl, "directoryTtl");
         Objects.requireNonNull(retryWindow, "retryWindow");
         Objects.requireNonNull(stopLimit, "stopLimit");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import org.oleanderspring.coordination.store.StoreKey;
@@ -57,11 +58,13 @@
      * The key-value service responds again; the changes during the interruption follow.
      *
      * @param prefix the watched prefix
+     * @param outdatedFor the time for which the values may have been outdated
      */
-    record Resumed(StoreKey prefix) implements StoreUpdate {
-        /** Rejects a null prefix. */
+    record Resumed(StoreKey prefix, Duration outdatedFor) implements StoreUpdate {
+        /** Rejects null components. */
         public Resumed {
             Objects.requireNonNull(prefix, "prefix");
+            Objects.requireNonNull(outdatedFor, "outdatedFor");
         }
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -17,8 +17,12 @@
 import org.oleanderspring.coordination.lease.LeaseOptions;
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.coordination.store.query.PacedWatch;
-import org.oleanderspring.coordination.store.query.PrefixQueries;
+import org.oleanderspring.coordination.store.StoreKey;
+import org.oleanderspring.coordination.store.command.KeyValueCommands;
+import org.oleanderspring.coordination.store.query.PrefixListener;
+import org.oleanderspring.coordination.watch.WatchOptions;
+import org.oleanderspring.coordination.watch.command.DefaultWatchDecider;
+import org.oleanderspring.coordination.watch.command.WatchEvent;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.quarantine.command.DefaultQuarantineDecider;
 import org.oleanderspring.core.residency.command.DefaultResidencyDecider;
@@ -47,10 +51,15 @@
 import org.oleanderspring.daemon.gateway.routing.command.GatewayPorts;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingDuty;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
+import org.oleanderspring.daemon.gateway.store.command.ObservedKeyValueCommands;
+import org.oleanderspring.daemon.gateway.store.command.ObservedValueQueries;
+import org.oleanderspring.daemon.gateway.store.command.StoreWatchDuty;
+import org.oleanderspring.daemon.gateway.store.command.StoreWatchMeters;
 import org.oleanderspring.daemon.operator.query.TextMetricsHandler;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.DutyTimer;
+import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.duty.query.RingUsage;
 import org.oleanderspring.peer.PeerLimits;
 import org.oleanderspring.peer.command.PeerStartResult;
@@ -72,6 +81,13 @@
     private static final Logger LOGGER = System.getLogger(Gateway.class.getName());
 
     private static final Duration STORE_TIMEOUT = Duration.ofMillis(800);
+
+    /** The names of the followed prefixes of the key-value service in the metrics. */
+    private static final Map<StoreKey, String> WATCH_NAMES =
+            Map.of(
+                    GatewayKeys.CONFIGURATION_AND_DAEMONS, "configuration",
+                    GatewayKeys.RUNNERS, "runners");
+
     private static final Duration RUNNER_TIMEOUT = Duration.ofSeconds(1);
 
     /**
@@ -121,7 +137,7 @@
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final GatewayRings mRings = new GatewayRings();
-    private final RunnerWatch mRunnerWatch = new RunnerWatch();
+    private final RunnerWatch mRunnerWatch;
     private final SharedHttpClient mClient =
             new SharedHttpClient(
                     new HttpClientOptions(
@@ -140,6 +156,7 @@
      */
     public Gateway(GatewaySettings settings) {
         mSettings = settings;
+        mRunnerWatch = new RunnerWatch(mRings.storeWatchSink(), settings.drainLimit());
     }
 
     /**
@@ -171,7 +188,7 @@
             return failure;
         }
         mRings.placementSink().offer(placement.candidacyInput());
-        watchStore();
+        startStoreWatch();
         mRings.startTicks();
         LOGGER.log(
                 Level.INFO,
@@ -209,7 +226,6 @@
     }
 
     private ResidencyDuty startPlacement(PeerMessenger messenger) {
-        HttpCallSender calls = new HttpCallSender(mClient, MAX_CONCURRENT_CALLS);
         DefaultLeaseDecider leases =
                 new DefaultLeaseDecider(
                         mSettings.self().id(),
@@ -218,8 +234,8 @@
                         new SplittableRandom(mSettings.self().id().hashCode()));
         ResidencyPorts ports =
                 new ResidencyPorts(
-                        new HostedKeyValueCommands(calls, mSettings.store(), STORE_TIMEOUT),
-                        storeQueries(calls),
+                        storeCommands(),
+                        new ObservedValueQueries(storeQueries(), mRings.storeWatchSink()),
                         new HostedResidencyCommands(runnerCalls(), RUNNER_TIMEOUT),
                         new HostedRunnerStateQueries(runnerCalls(), RUNNER_TIMEOUT),
                         messenger,
@@ -240,10 +256,9 @@
     }
 
     private void startQuarantine(PeerMessenger messenger) {
-        HttpCallSender calls = new HttpCallSender(mClient, MAX_CONCURRENT_CALLS);
         QuarantinePorts ports =
                 new QuarantinePorts(
-                        new HostedKeyValueCommands(calls, mSettings.store(), STORE_TIMEOUT),
+                        storeCommands(),
                         new HostedRunnerStateQueries(runnerCalls(), RUNNER_CHECK_TIMEOUT),
                         messenger,
                         quarantine ->
@@ -266,33 +281,66 @@
         return new HttpCallSender(mClient, MAX_CONCURRENT_CALLS, MAX_RUNNER_STATE_BYTES);
     }
 
-    private HostedKeyValueQueries storeQueries(HttpCallSender calls) {
+    private KeyValueCommands storeCommands() {
+        return new ObservedKeyValueCommands(
+                new HostedKeyValueCommands(
+                        new HttpCallSender(mClient, MAX_CONCURRENT_CALLS),
+                        mSettings.store(),
+                        STORE_TIMEOUT),
+                mRings.storeWatchSink());
+    }
+
+    private HostedKeyValueQueries storeQueries() {
         return new HostedKeyValueQueries(
-                calls, mClient.jettyClient().getScheduler(), mSettings.store(), STORE_TIMEOUT);
+                new HttpCallSender(mClient, MAX_CONCURRENT_CALLS),
+                mSettings.store(),
+                STORE_TIMEOUT);
+    }
+
+    private void startStoreWatch() {
+        WatchOptions options =
+                new WatchOptions(
+                        mSettings.settleLimit(), STORE_TIMEOUT, mSettings.storeReadsPerSecond());
+        EventSink<WatchEvent> ring = mRings.storeWatchSink();
+        mRings.storeWatch()
+                .start(
+                        new StoreWatchDuty(
+                                new DefaultWatchDecider(
+                                        options,
+                                        new SplittableRandom(mSettings.self().id().hashCode())),
+                                storeQueries(),
+                                storeListeners(),
+                                new StoreWatchMeters(mMetrics, WATCH_NAMES),
+                                new SuspendAwareClock(Clock.systemUTC()),
+                                mRings.timer(),
+                                ring));
+        // While the service does not answer, the first prefix is the one that is probed.
+        ring.offer(new WatchEvent.PrefixFollowed(GatewayKeys.CONFIGURATION_AND_DAEMONS));
+        ring.offer(new WatchEvent.PrefixFollowed(GatewayKeys.RUNNERS));
     }
 
-    private void watchStore() {
-        PrefixQueries queries = storeQueries(new HttpCallSender(mClient, MAX_CONCURRENT_CALLS));
-        mOpenResources.add(
-                queries.follow(
-                        GatewayKeys.CONFIGURATION_AND_DAEMONS,
-                        new PrefixSplitter(
-                                Map.of(
-                                        GatewayKeys.CONFIGURATION,
-                                        new StoreUpdatePublisher(GatewayKeys.CONFIGURATION, mRings),
-                                        GatewayKeys.DAEMONS,
-                                        new StoreUpdatePublisher(GatewayKeys.DAEMONS, mRings)))));
-        PacedWatch runners =
-                queries.follow(
-                        GatewayKeys.RUNNERS, new StoreUpdatePublisher(GatewayKeys.RUNNERS, mRings));
-        mOpenResources.add(runners);
-        mRunnerWatch.connect(runners);
+    private Map<StoreKey, PrefixListener> storeListeners() {
+        PrefixSplitter configurationAndDaemons =
+                new PrefixSplitter(
+                        Map.of(
+                                GatewayKeys.CONFIGURATION,
+                                new StoreUpdatePublisher(GatewayKeys.CONFIGURATION, mRings),
+                                GatewayKeys.DAEMONS,
+                                new StoreUpdatePublisher(GatewayKeys.DAEMONS, mRings),
+                                GatewayKeys.LEASES,
+                                new DaemonCounter(mRings.storeWatchSink())));
+        return Map.of(
+                GatewayKeys.CONFIGURATION_AND_DAEMONS,
+                configurationAndDaemons,
+                GatewayKeys.RUNNERS,
+                new StoreUpdatePublisher(GatewayKeys.RUNNERS, mRings));
     }
 
     private @Nullable String openPorts() {
         registerRingGauges("routing", mRings.routing());
         registerRingGauges("placement", mRings.placement());
         registerRingGauges("quarantine", mRings.quarantine());
+        registerRingGauges("store-watch", mRings.storeWatch());
         Handler frontHandler =
                 new GatewayRequestHandler(
                         mRings,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.coordination.watch.command.WatchEvent;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
@@ -31,6 +32,9 @@
     private static final int PLACEMENT_CAPACITY = 2_048;
     private static final int QUARANTINE_CAPACITY = 1_024;
 
+    /** Several times the calls to the key-value service that are in flight at a time. */
+    private static final int STORE_WATCH_CAPACITY = 256;
+
     /**
      * Messages of other daemons about their demand, which are repeated several times a second,
      * leave this part of the ring to replies of the key-value service and of runners.
@@ -57,12 +61,15 @@
             new DutyThread<>("placement", PLACEMENT_CAPACITY, DutyEventKinds::of);
     private final DutyThread<QuarantineInput> mQuarantine =
             new DutyThread<>("quarantine", QUARANTINE_CAPACITY, DutyEventKinds::of);
+    private final DutyThread<WatchEvent> mStoreWatch =
+            new DutyThread<>("store-watch", STORE_WATCH_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
     private final EventSink<GatewayRoutingInput> mRoutingSink =
             new RetryingSink<>(mRouting, mTimer);
     private final EventSink<ResidencyInput> mPlacementSink = new RetryingSink<>(mPlacement, mTimer);
     private final EventSink<QuarantineInput> mQuarantineSink =
             new RetryingSink<>(mQuarantine, mTimer);
+    private final EventSink<WatchEvent> mStoreWatchSink = new RetryingSink<>(mStoreWatch, mTimer);
     private final EventSink<ResidencyInput> mDemandSink =
             new ReservingSink<>(mPlacement, mPlacement, PLACEMENT_RESERVE);
 
@@ -70,6 +77,7 @@
         mRouting.onLoad(load -> DutyLoadLog.log("routing", load));
         mPlacement.onLoad(load -> DutyLoadLog.log("placement", load));
         mQuarantine.onLoad(load -> DutyLoadLog.log("quarantine", load));
+        mStoreWatch.onLoad(load -> DutyLoadLog.log("store-watch", load));
     }
 
     DutyThread<GatewayRoutingInput> routing() {
@@ -84,6 +92,15 @@
         return mQuarantine;
     }
 
+    DutyThread<WatchEvent> storeWatch() {
+        return mStoreWatch;
+    }
+
+    /** Returns the sink for events of the duty that follows the key-value service. */
+    EventSink<WatchEvent> storeWatchSink() {
+        return mStoreWatchSink;
+    }
+
     /** Returns the sink for events of the quarantine duty that must not be lost. */
     EventSink<QuarantineInput> quarantineSink() {
         return mQuarantineSink;
@@ -187,6 +204,7 @@
     @Override
     public void close() {
         mTimer.close();
+        mStoreWatch.close();
         mPlacement.close();
         mQuarantine.close();
         mRouting.close();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.process.command;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -57,8 +58,8 @@
     }
 
     @Override
-    public void resumed() {
-        mListeners.values().forEach(PrefixListener::resumed);
+    public void resumed(Duration outdatedFor) {
+        mListeners.values().forEach(listener -> listener.resumed(outdatedFor));
     }
 
     private static boolean isUnder(StoreKey prefix, StoreKey key) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.process.command;
 
+import java.time.Duration;
 import java.util.List;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
@@ -40,8 +41,8 @@
     }
 
     @Override
-    public void resumed() {
-        offer(new StoreUpdate.Resumed(mPrefix));
+    public void resumed(Duration outdatedFor) {
+        offer(new StoreUpdate.Resumed(mPrefix, outdatedFor));
     }
 
     private void offer(StoreUpdate update) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/query/QuarantineReader.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/query/QuarantineReader.java
@@ -29,12 +29,7 @@
      * @param store the address of the platform's key-value service
      */
     public QuarantineReader(SharedHttpClient client, Address store) {
-        mQueries =
-                new HostedKeyValueQueries(
-                        new HttpCallSender(client, 1),
-                        client.jettyClient().getScheduler(),
-                        store,
-                        TIMEOUT);
+        mQueries = new HostedKeyValueQueries(new HttpCallSender(client, 1), store, TIMEOUT);
     }
 
     /**
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.oleanderspring.coordination.membership.Address;
-import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.daemon.gateway.process.command.Gateway;
 import org.oleanderspring.standin.hosted.HostedRunnerStandin;
 import org.oleanderspring.standin.hosted.HostedStoreStandin;
@@ -100,21 +99,15 @@
 
     private GatewaySettings settings(int index, int peerPort) throws IOException {
         String ip = "127.0.0." + (index + 1);
-        return new GatewaySettings(
-                GatewayMember.of("vm-" + (index + 1), unusedAddress(ip)),
-                new FailureDomain("east"),
+        return SampleSettings.at(
+                "vm-" + (index + 1),
+                unusedAddress(ip),
                 unusedAddress(ip),
                 unusedAddress(ip),
                 unusedAddress(ip),
                 peerPort,
                 new Address(IP, mStore.port()),
-                Duration.ofSeconds(2),
-                20,
-                50,
-                Duration.ofSeconds(10),
-                Duration.ofSeconds(5),
-                Duration.ofMillis(50),
-                2);
+                Duration.ofMillis(50));
     }
 
     private static Gateway startGateway(GatewaySettings settings) {
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -38,7 +38,6 @@
 import org.oleanderspring.coordination.store.command.WriteResult;
 import org.oleanderspring.coordination.store.query.ReadResult;
 import org.oleanderspring.coordination.store.query.ValueQueries;
-import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
@@ -56,6 +55,7 @@
 import org.oleanderspring.daemon.gateway.GatewayKeys;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.SampleSettings;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.DutyTimer;
@@ -107,22 +107,7 @@
 
     private ResidencyDuty newDuty() {
         Address address = new Address("127.0.0.1", 80);
-        GatewaySettings settings =
-                new GatewaySettings(
-                        GatewayMember.of("vm-1", address),
-                        new FailureDomain("east"),
-                        address,
-                        address,
-                        address,
-                        81,
-                        STORE,
-                        Duration.ofSeconds(2),
-                        20,
-                        50,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(5),
-                        PAUSE,
-                        2);
+        GatewaySettings settings = SampleSettings.at(address, STORE, PAUSE);
         ResidencyPorts ports =
                 new ResidencyPorts(
                         mStore,
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitterTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitterTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -47,7 +48,7 @@
     @Test
     void everyListenerLearnsOfAnInterruption() {
         mSplitter.interrupted("down");
-        mSplitter.resumed();
+        mSplitter.resumed(Duration.ofSeconds(1));
         mCalls.sort(null);
         assertThat(
                 mCalls,
@@ -81,7 +82,7 @@
         }
 
         @Override
-        public void resumed() {
+        public void resumed(Duration outdatedFor) {
             mCalls.add(mName + " resumed");
         }
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/RunnerWatchTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/RunnerWatchTest.java
@@ -2,49 +2,39 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
-import static org.hamcrest.Matchers.empty;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.oleanderspring.coordination.store.query.PacedWatch;
+import org.oleanderspring.coordination.watch.command.WatchEvent;
+import org.oleanderspring.daemon.gateway.GatewayKeys;
+import org.oleanderspring.duty.command.OfferResult;
 
 /**
  * Guards against a holder of the placement lease that follows the registered runners with the long
- * pause, for example because it acquired the lease before its watch was started.
+ * pause, and against a daemon without the lease that follows them with the short one.
  */
 class RunnerWatchTest {
-    private final RunnerWatch mRunnerWatch = new RunnerWatch();
-    private final RecordingWatch mWatch = new RecordingWatch();
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(2);
 
-    private static final class RecordingWatch implements PacedWatch {
-        private final List<String> mCalls = new ArrayList<>();
-
-        @Override
-        public void setPause(Duration pause) {
-            mCalls.add(pause.toString());
-        }
-
-        @Override
-        public void close() {
-            mCalls.add("close");
-        }
-    }
-
-    @Test
-    void pauseChosenBeforeTheWatchStartsIsKept() {
-        mRunnerWatch.useShortPause();
-        assertThat(mWatch.mCalls, empty());
-        mRunnerWatch.connect(mWatch);
-        assertThat(mWatch.mCalls, contains("PT0.06S"));
-    }
+    private final List<WatchEvent> mEvents = new ArrayList<>();
+    private final RunnerWatch mRunnerWatch =
+            new RunnerWatch(
+                    event -> {
+                        mEvents.add(event);
+                        return OfferResult.ACCEPTED;
+                    },
+                    DRAIN_LIMIT);
 
     @Test
     void pauseFollowsThePlacementLease() {
-        mRunnerWatch.connect(mWatch);
         mRunnerWatch.useShortPause();
         mRunnerWatch.useLongPause();
-        assertThat(mWatch.mCalls, contains("PT1S", "PT0.06S", "PT1S"));
+        assertThat(mEvents, contains(pause(1_000), pause(60), pause(1_000)));
+    }
+
+    private static WatchEvent pause(long millis) {
+        return new WatchEvent.PauseChanged(GatewayKeys.RUNNERS, Duration.ofMillis(millis));
     }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -15,7 +15,6 @@
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.core.fleet.EndpointId;
-import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
@@ -45,6 +44,7 @@
 import org.oleanderspring.daemon.gateway.GatewayKeys;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.SampleSettings;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 import org.oleanderspring.daemon.gateway.routing.query.CallerPresence;
 import org.oleanderspring.daemon.process.MonotonicClock;
@@ -94,22 +94,7 @@
     }
 
     private GatewayRoutingDuty newDuty() {
-        GatewaySettings settings =
-                new GatewaySettings(
-                        GatewayMember.of("vm-1", ADDRESS),
-                        new FailureDomain("east"),
-                        ADDRESS,
-                        ADDRESS,
-                        ADDRESS,
-                        81,
-                        ADDRESS,
-                        Duration.ofSeconds(2),
-                        20,
-                        50,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(5),
-                        Duration.ofMillis(50),
-                        2);
+        GatewaySettings settings = SampleSettings.at(ADDRESS, ADDRESS, Duration.ofMillis(50));
         return new GatewayRoutingDuty(
                 settings,
                 new DefaultRoutingDecider(
--- a/platform/src/test/java/org/oleanderspring/platform/hosted/PacedWatchTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDutyTest.java
@@ -1,11 +1,15 @@
-package org.oleanderspring.platform.hosted;
+package org.oleanderspring.daemon.gateway.store.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.nullValue;
 
+import com.codahale.metrics.MetricRegistry;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -15,9 +19,14 @@
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
-import org.oleanderspring.coordination.store.query.PacedWatch;
 import org.oleanderspring.coordination.store.query.PrefixListener;
 import org.oleanderspring.coordination.store.query.StoreChange;
+import org.oleanderspring.coordination.watch.WatchOptions;
+import org.oleanderspring.coordination.watch.command.DefaultWatchDecider;
+import org.oleanderspring.coordination.watch.command.WatchEvent;
+import org.oleanderspring.daemon.process.SuspendAwareClock;
+import org.oleanderspring.duty.command.DutyThread;
+import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.platform.hosted.query.HostedKeyValueQueries;
 import org.oleanderspring.platform.http.HttpCallSender;
 import org.oleanderspring.platform.http.HttpClientOptions;
@@ -28,9 +37,11 @@
  * Guards the pause of a watch: a daemon that needs no current data must not make a call for each
  * write of a runner, and must receive all changes as soon as the pause ends.
  */
-class PacedWatchTest {
+class StoreWatchDutyTest {
     private static final String IP = "127.0.0.1";
     private static final Duration CALL_TIME_LIMIT = Duration.ofSeconds(5);
+    private static final Duration SETTLE_LIMIT = Duration.ofSeconds(3);
+    private static final StoreKey PREFIX = new StoreKey("/servers/");
     private static final Duration LONG_PAUSE = Duration.ofMinutes(1);
     private static final long NO_CHANGE_MILLIS = 400;
     private static final long WAIT_SECONDS = 10;
@@ -38,7 +49,8 @@
     private final HostedStoreStandin mStore = new HostedStoreStandin(IP, 0);
     private final SharedHttpClient mClient = new SharedHttpClient(HttpClientOptions.DEFAULT);
     private final BlockingQueue<String> mListenerCalls = new LinkedBlockingQueue<>();
-    private PacedWatch mWatch;
+    private final DutyThread<WatchEvent> mRing = new DutyThread<>("store-watch", 64);
+    private final DutyTimer mTimer = new DutyTimer();
 
     private final class Listener implements PrefixListener {
         @Override
@@ -57,7 +69,7 @@
         }
 
         @Override
-        public void resumed() {
+        public void resumed(Duration outdatedFor) {
             mListenerCalls.add("resumed");
         }
     }
@@ -67,11 +79,21 @@
         HostedKeyValueQueries queries =
                 new HostedKeyValueQueries(
                         new HttpCallSender(mClient, 8),
-                        mClient.jettyClient().getScheduler(),
                         new Address(IP, mStore.port()),
                         CALL_TIME_LIMIT);
-        mWatch = queries.follow(new StoreKey("/servers/"), new Listener());
-        mWatch.setPause(LONG_PAUSE);
+        mRing.start(
+                new StoreWatchDuty(
+                        new DefaultWatchDecider(
+                                new WatchOptions(SETTLE_LIMIT, CALL_TIME_LIMIT, 2_000),
+                                new SplittableRandom(1)),
+                        queries,
+                        Map.of(PREFIX, new Listener()),
+                        new StoreWatchMeters(new MetricRegistry(), Map.of()),
+                        new SuspendAwareClock(Clock.systemUTC()),
+                        mTimer,
+                        mRing));
+        mRing.offer(new WatchEvent.PrefixFollowed(PREFIX));
+        setPause(LONG_PAUSE);
         assertThat(next(), equalTo("listed 0"));
         mStore.put("servers/a", "1");
         assertThat(next(), equalTo("changed 1"));
@@ -79,11 +101,16 @@
 
     @AfterEach
     void close() {
-        mWatch.close();
+        mTimer.close();
+        mRing.close();
         mClient.close();
         mStore.close();
     }
 
+    private void setPause(Duration pause) {
+        mRing.offer(new WatchEvent.PauseChanged(PREFIX, pause));
+    }
+
     private String next() throws InterruptedException {
         return mListenerCalls.poll(WAIT_SECONDS, TimeUnit.SECONDS);
     }
@@ -98,7 +125,7 @@
     @Test
     void changesOfAPauseAreReportedTogetherAtItsEnd() throws InterruptedException {
         writeDuringPause();
-        mWatch.setPause(LONG_PAUSE);
+        setPause(LONG_PAUSE);
         assertThat(next(), equalTo("changed 2"));
     }
 
@@ -106,7 +133,7 @@
     @Test
     void shorterPauseTakesEffectImmediately() throws InterruptedException {
         writeDuringPause();
-        mWatch.setPause(Duration.ofMillis(10));
+        setPause(Duration.ofMillis(10));
         assertThat(next(), equalTo("changed 2"));
         mStore.put("servers/c", "1");
         assertThat(next(), equalTo("changed 1"));
@@ -116,9 +143,9 @@
     @Test
     void repeatedPausesDoNotRepeatChanges() throws InterruptedException {
         writeDuringPause();
-        mWatch.setPause(LONG_PAUSE);
-        mWatch.setPause(LONG_PAUSE);
-        mWatch.setPause(LONG_PAUSE);
+        setPause(LONG_PAUSE);
+        setPause(LONG_PAUSE);
+        setPause(LONG_PAUSE);
         assertThat(next(), equalTo("changed 2"));
         assertThat(mListenerCalls.poll(NO_CHANGE_MILLIS, TimeUnit.MILLISECONDS), nullValue());
     }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
@@ -55,7 +55,10 @@
     private long mRevision = 1;
     private long mCompactedRevision;
     private long mNextLease = 1;
+    private final List<String> mCalls = new ArrayList<>();
     private boolean mDown;
+    private boolean mSilent;
+    private boolean mRecordsCalls;
 
     private record Lease(long timeToLiveMillis, long expiresAtMillis) {}
 
@@ -160,6 +163,28 @@
         }
     }
 
+    /**
+     * Makes the key-value service silent or lets it answer again. Calls that arrive while it is
+     * silent, and watches that are open when it becomes silent, never get an answer. Leases also
+     * expire while it is silent.
+     *
+     * @param silent whether calls get no answer
+     */
+    public synchronized void setSilent(boolean silent) {
+        mSilent = silent;
+        mWatches.clear();
+        mCalls.clear();
+        mRecordsCalls = true;
+    }
+
+    /**
+     * Returns the calls that arrived since the last call of {@link #setSilent}, in order: the path,
+     * and the value of the query parameter {@code prefix} after a space.
+     */
+    public synchronized List<String> calls() {
+        return List.copyOf(mCalls);
+    }
+
     /**
      * Clears the change history and ends the watches with 410, so that clients have to list again.
      */
@@ -175,6 +200,12 @@
     }
 
     private synchronized void handleIfUp(Exchange exchange, Handler handler) {
+        if (mRecordsCalls) {
+            mCalls.add(exchange.path() + " " + exchange.queryString("prefix"));
+        }
+        if (mSilent) {
+            return;
+        }
         if (mDown) {
             replyUnavailable(exchange);
             return;
