Send no requests to a runner that says in a response that it leaves

Cause: no source read the field Server-Leaving; the store was the only one asked.

Change: the head of each response that belongs to its attempt is read for what the endpoint says about itself, also if the response is a refusal or breaks off later. A runner that leaves gets nothing from then on, whatever lists it. The daemon adds this to its report to the holder of the placement, which counts the runner's models as not loaded and tells all daemons in its notices.

--- a/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 
@@ -73,7 +74,10 @@
                 (id, endpoint) ->
                         loads.add(
                                 new EndpointLoad(
-                                        id, endpoint.running(now), endpoint.slowness(now))));
+                                        id,
+                                        endpoint.running(now),
+                                        endpoint.slowness(now),
+                                        endpoint.statement(now))));
         mEndpoints.values().removeIf(endpoint -> endpoint.isIdle(now));
         return loads;
     }
@@ -86,9 +90,13 @@
         private final Map<MemberId, Running> mRunning = new HashMap<>();
         private double mSlowness = 1;
         private Instant mSampledAt = Instant.MIN;
+        private Instant mLeavingReportedAt = Instant.MIN;
 
         void report(MemberId daemon, EndpointUse use, Instant now) {
             mRunning.put(daemon, new Running(use.running(), now));
+            if (use.statement().leaving()) {
+                mLeavingReportedAt = now;
+            }
             if (use.answered() == 0) {
                 return;
             }
@@ -114,8 +122,15 @@
             return 1 + (mSlowness - 1) * Math.exp(-age / seconds(RECOVERY_TIME));
         }
 
+        EndpointStatement statement(Instant now) {
+            boolean leaving = mLeavingReportedAt.plus(REPORT_VALIDITY).isAfter(now);
+            return leaving ? new EndpointStatement(true) : EndpointStatement.NONE;
+        }
+
         boolean isIdle(Instant now) {
-            return running(now) == 0 && Math.abs(slowness(now) - 1) < USUAL;
+            return running(now) == 0
+                    && Math.abs(slowness(now) - 1) < USUAL
+                    && statement(now).equals(EndpointStatement.NONE);
         }
 
         private static double seconds(Duration duration) {
--- a/core/src/main/java/org/oleanderspring/core/port/command/ResponseListener.java
+++ b/core/src/main/java/org/oleanderspring/core/port/command/ResponseListener.java
@@ -1,11 +1,21 @@
 package org.oleanderspring.core.port.command;
 
 import java.util.List;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.routing.AttemptOutcome;
 
 /** Receives the response to one attempt, in order, on threads of the HTTP client. */
 public interface ResponseListener {
+    /**
+     * Called when the head of a response has arrived in which the endpoint says something about
+     * itself, whatever the response says about the call. Comes before the other callbacks. Not
+     * called for a response that belongs to another attempt. Does nothing by default.
+     *
+     * @param statement what the endpoint says
+     */
+    default void endpointStated(EndpointStatement statement) {}
+
     /**
      * Called when the first byte of the response has arrived. Not called for a response which
      * states that the work did not run.
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -63,7 +63,7 @@
             return context.decisions();
         }
         boolean isPlanningDue = !now.isBefore(mNextPlanning);
-        if (isDemandMessage(event) && !isPlanningDue) {
+        if (isRepeatedMessage(event) && !isPlanningDue) {
             schedulePlanning(context);
             return context.decisions();
         }
@@ -83,8 +83,10 @@
         return context.decisions();
     }
 
-    private static boolean isDemandMessage(ResidencyEvent event) {
+    /** Returns whether an event is a message of a daemon, which the daemon repeats. */
+    private static boolean isRepeatedMessage(ResidencyEvent event) {
         return event instanceof ResidencyEvent.LoadRequested
+                || event instanceof ResidencyEvent.RunnerLeaving
                 || event instanceof ResidencyEvent.DemandReported;
     }
 
@@ -130,6 +132,8 @@
             mDemand.applyRequest(
                     requested.daemon(), requested.target(), requested.waiting(), context.now());
             repeatStatements(requested, context);
+        } else if (event instanceof ResidencyEvent.RunnerLeaving leaving) {
+            mFleet.markLeaving(leaving.runner());
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
             mTenure.begin(began, mFleet.ids());
             mFleet.records().forEach(record -> record.reset(context.now()));
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
@@ -110,6 +110,13 @@
     record OrderReplied(EndpointId runner, long order, ResidencyOrderReply reply)
             implements ResidencyEvent {}
 
+    /**
+     * A daemon heard from a runner that it leaves, which the runner's registration may not say yet.
+     *
+     * @param runner the runner
+     */
+    record RunnerLeaving(EndpointId runner) implements ResidencyEvent {}
+
     /** The periodic timer or a scheduled timer fired. */
     record TimerFired() implements ResidencyEvent {}
 }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -33,6 +33,14 @@
         return mRecords.keySet();
     }
 
+    /** Records that a runner has said to a daemon that it leaves. */
+    void markLeaving(EndpointId id) {
+        RunnerRecord record = mRecords.get(id);
+        if (record != null) {
+            record.markLeaving();
+        }
+    }
+
     @Nullable RunnerRecord record(EndpointId id) {
         return mRecords.get(id);
     }
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -74,6 +74,7 @@
 
     private Instant mLoadEnd = Instant.MIN;
     private int mRejectedEarlyOrders;
+    private boolean mLeaving;
     private Instant mNextEarlyOrder = Instant.MIN;
 
     RunnerRecord(RunnerRegistration registration, EngineDescription engine) {
@@ -156,7 +157,12 @@
 
     /** Returns whether the runner may hold models for new calls, that is, it is not draining. */
     boolean isUsable() {
-        return !mRegistration.draining();
+        return !mLeaving && !mRegistration.draining();
+    }
+
+    /** Records that the runner has said to a daemon that it leaves. It does not come back. */
+    void markLeaving() {
+        mLeaving = true;
     }
 
     /** Returns whether new steps may be planned now. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -134,10 +134,14 @@
         } else if (event instanceof RoutingEvent.EndpointDraining draining) {
             fleet.drain(draining.endpoint(), context.now());
             mState.markWaitingForDispatch();
+        } else if (event instanceof RoutingEvent.EndpointStated stated) {
+            fleet.stated(stated.endpoint(), stated.statement(), context.now());
+            mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.EndpointLoadObserved load) {
             fleet.updateLoad(load.endpoint(), load.callsOfOtherDaemons(), load.observedAt());
         } else if (event instanceof RoutingEvent.EndpointLoadsReported reported) {
             fleet.loadsReported(reported.loads(), context.now());
+            mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.EndpointUseReportDue) {
             context.add(new RoutingDecision.ReportEndpointUse(fleet.takeUses()));
         } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 
@@ -44,6 +45,10 @@
     private final List<TargetState> mTargets = new ArrayList<>(1);
     private int mRunning;
     private boolean mDraining;
+
+    /** Whether the endpoint has said to this daemon that it leaves. */
+    private boolean mStatedLeaving;
+
     private Instant mLastListed;
     private int mCallsOfOtherDaemons;
     private int mConsecutiveUnanswered;
@@ -98,6 +103,11 @@
         mDraining = true;
     }
 
+    /** Records that the endpoint has said to this daemon that it leaves. */
+    void statedLeaving() {
+        mStatedLeaving = true;
+    }
+
     void addTarget(TargetState target) {
         mTargets.add(target);
     }
@@ -160,11 +170,14 @@
 
     /** Returns the use since the last call, or null if there is nothing to report. */
     @Nullable EndpointUse takeUse() {
-        if (mRunning == 0 && mReportedRunning == 0 && mSamples == 0) {
+        // Once the registry says so as well, the endpoint has no targets any more.
+        boolean leaving = mStatedLeaving && !mTargets.isEmpty();
+        if (mRunning == 0 && mReportedRunning == 0 && mSamples == 0 && !leaving) {
             return null;
         }
         double slowness = mSamples == 0 ? 1 : mSlownessSum / mSamples;
-        EndpointUse use = new EndpointUse(mId, mRunning, mSamples, slowness);
+        EndpointUse use =
+                new EndpointUse(mId, mRunning, mSamples, slowness, new EndpointStatement(leaving));
         mReportedRunning = mRunning;
         mSamples = 0;
         mSlownessSum = 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
@@ -82,6 +83,15 @@
      */
     record EndpointDraining(EndpointId endpoint) implements RoutingEvent {}
 
+    /**
+     * An endpoint said something about itself in the head of a response.
+     *
+     * @param endpoint the endpoint
+     * @param statement what it said
+     */
+    record EndpointStated(EndpointId endpoint, EndpointStatement statement)
+            implements RoutingEvent {}
+
     /**
      * The operators changed a setting that routing uses.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.routing.Replica;
@@ -108,6 +109,9 @@
             if (state != null) {
                 state.loadReported(load, now);
             }
+            if (load.statement().leaving()) {
+                drain(load.endpoint(), now);
+            }
         }
     }
 
@@ -123,6 +127,14 @@
         return uses;
     }
 
+    /** Applies what an endpoint said about itself to this daemon. */
+    void stated(EndpointId id, EndpointStatement statement, Instant now) {
+        if (statement.leaving()) {
+            endpoint(id, now).statedLeaving();
+            drain(id, now);
+        }
+    }
+
     /** Excludes an endpoint from all selections. Its running attempts continue. */
     void drain(EndpointId id, Instant now) {
         EndpointState state = endpoint(id, now);
--- a/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
@@ -13,8 +13,10 @@
 import org.oleanderspring.coordination.dispatch.RecordState;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.CallRequest;
@@ -171,10 +173,21 @@
         deliver(new RoutingEvent.AuthorityChanged(mayDecide));
     }
 
-    void draining(int endpoint) {
+    /** Lets an endpoint drain; this daemon hears it from one of several sources. */
+    void draining(int endpoint, int source) {
         EndpointId id = endpoint(endpoint);
+        EndpointStatement leaving = new EndpointStatement(true);
         mOracle.mDraining.add(id);
-        deliver(new RoutingEvent.EndpointDraining(id));
+        switch (source % 3) {
+            case 0 -> deliver(new RoutingEvent.EndpointDraining(id));
+            case 1 -> deliver(new RoutingEvent.EndpointStated(id, leaving));
+            default -> {
+                mOracle.loadObserved(id, 0, mNow);
+                deliver(
+                        new RoutingEvent.EndpointLoadsReported(
+                                List.of(new EndpointLoad(id, 0, 1, leaving))));
+            }
+        }
     }
 
     void estimateAndLoad(int target, int millis) {
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.load.EndpointLoad;
@@ -405,7 +406,8 @@
         decide(new RoutingEvent.ResponseBegan(attempt), START.plusMillis(60));
         decide(new RoutingEvent.AttemptFinished(attempt, new AttemptOutcome.Completed(true)), end);
         decide(
-                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 40, 1))),
+                new RoutingEvent.EndpointLoadsReported(
+                        List.of(new EndpointLoad(FIRST, 40, 1, EndpointStatement.NONE))),
                 end);
         List<RoutingDecision> decisions =
                 decide(new RoutingEvent.CallArrived(call(2, end.plusSeconds(12))), end);
@@ -423,11 +425,13 @@
     void urgentCallIsSentToAFullReplica() {
         table(FIRST);
         decide(
-                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 0, 1))),
+                new RoutingEvent.EndpointLoadsReported(
+                        List.of(new EndpointLoad(FIRST, 0, 1, EndpointStatement.NONE))),
                 START);
         decide(new RoutingEvent.CallArrived(call(1, START.plusSeconds(12))), START);
         decide(
-                new RoutingEvent.EndpointLoadsReported(List.of(new EndpointLoad(FIRST, 40, 1))),
+                new RoutingEvent.EndpointLoadsReported(
+                        List.of(new EndpointLoad(FIRST, 40, 1, EndpointStatement.NONE))),
                 START.plusMillis(10));
         List<RoutingDecision> urgent =
                 decide(
--- a/core/src/test/java/org/oleanderspring/core/routing/command/RoutingFuzz.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/RoutingFuzz.java
@@ -64,7 +64,7 @@
                 .withAction(
                         2, one("disconnect", small.map(i -> i / 5), FuzzWorld::disconnectCaller))
                 .withAction(2, one("table", small.map(Long::valueOf), FuzzWorld::table))
-                .withAction(1, one("draining", small, FuzzWorld::draining))
+                .withAction(1, two("draining", small, small, FuzzWorld::draining))
                 .withAction(1, one("authority", rarely.map(r -> !r), FuzzWorld::authority))
                 .withAction(2, two("estimate and load", small, millis, FuzzWorld::estimateAndLoad))
                 .withAction(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -23,6 +23,7 @@
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.port.query.FetchResult;
 import org.oleanderspring.core.residency.ResidencyOrder;
 import org.oleanderspring.core.residency.ResidencyOrderReply;
@@ -148,6 +149,11 @@
             apply(mFleet.apply(changed.update(), mClock.now()));
         } else if (input instanceof ResidencyInput.EndpointUseReported reported) {
             mEndpointLoads.report(reported, mClock.now());
+            for (EndpointUse use : reported.uses()) {
+                if (use.statement().leaving()) {
+                    decide(new ResidencyEvent.RunnerLeaving(use.endpoint()));
+                }
+            }
         } else if (input instanceof ResidencyInput.TimerFired) {
             decide(new LeaseEvent.TimerFired());
             if (mFleet.expire(mClock.now())) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -141,6 +141,11 @@
                         + "\"");
     }
 
+    /** Logs that a runner has said that it leaves, to this daemon or to another one. */
+    static void runnerLeaves(EndpointId runner) {
+        log("runner-leaving runner=" + runner);
+    }
+
     /** Logs a load request to the holder of the placement lease. */
     static void loadRequested(RoutingDecision.RequestLoad request, String holder) {
         log(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -82,4 +82,9 @@
     void loadRequested() {
         mLoadRequests.inc();
     }
+
+    /** Counts a runner that has said that it leaves before its registration said so. */
+    void runnerLeaves() {
+        mRegistry.counter("gateway.runners.leaving").inc();
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.port.command.ResponseListener;
 import org.oleanderspring.core.routing.AttemptId;
@@ -16,6 +18,7 @@
  */
 final class GatewayResponseRelay implements ResponseListener {
     private final AttemptId mAttempt;
+    private final EndpointId mRunner;
     private final CallerResponse mResponse;
     private final EventSink<GatewayRoutingInput> mSink;
     private final @Nullable EventStreamSplitter mSplitter;
@@ -25,10 +28,12 @@
 
     GatewayResponseRelay(
             AttemptId attempt,
+            EndpointId runner,
             CallerResponse response,
             EventSink<GatewayRoutingInput> sink,
             @Nullable EventStreamSplitter splitter) {
         mAttempt = attempt;
+        mRunner = runner;
         mResponse = response;
         mSink = sink;
         mSplitter = splitter;
@@ -50,6 +55,11 @@
         return mCompleteEvents;
     }
 
+    @Override
+    public void endpointStated(EndpointStatement statement) {
+        mSink.offer(new GatewayRoutingInput.RunnerStated(mRunner, statement));
+    }
+
     @Override
     public void responseBegan(int status, List<Header> headers) {
         mSink.offer(new GatewayRoutingInput.ResponseBegan(mAttempt, this, status, headers));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.quarantine.Prompt;
@@ -115,6 +117,8 @@
     public void handle(GatewayRoutingInput input) {
         if (input instanceof GatewayRoutingInput.RequestRead read) {
             accept(read.request());
+        } else if (input instanceof GatewayRoutingInput.RunnerStated stated) {
+            runnerStated(stated.runner(), stated.statement());
         } else if (input instanceof GatewayRoutingInput.ResponseBegan began) {
             admit(began);
         } else if (input instanceof GatewayRoutingInput.ResponseInvalid invalid) {
@@ -130,6 +134,7 @@
                     new RoutingEvent.ReadinessEstimated(
                             estimated.target(), mClock.now().plus(estimated.readyAfter())));
         } else if (input instanceof GatewayRoutingInput.EndpointLoadsReceived received) {
+            received.loads().forEach(load -> noteLeaving(load.endpoint(), load.statement()));
             decide(new RoutingEvent.EndpointLoadsReported(received.loads()));
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
@@ -143,6 +148,18 @@
         completeIdleWaiters();
     }
 
+    private void runnerStated(EndpointId runner, EndpointStatement statement) {
+        noteLeaving(runner, statement);
+        decide(new RoutingEvent.EndpointStated(runner, statement));
+    }
+
+    private void noteLeaving(EndpointId runner, EndpointStatement statement) {
+        if (statement.leaving() && mFleet.markLeaving(runner, mClock.now())) {
+            CallLog.runnerLeaves(runner);
+            mMeters.runnerLeaves();
+        }
+    }
+
     private void handle(RoutingEvent event) {
         if (event instanceof RoutingEvent.TimerFired) {
             mFleet.expire(mClock.now()).ifPresent(this::decide);
@@ -372,6 +389,7 @@
         GatewayResponseRelay relay =
                 new GatewayResponseRelay(
                         attempt,
+                        runner.id(),
                         call.response(),
                         mOwnRing,
                         stream ? new EventStreamSplitter(mIncompleteEvents) : null);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.quarantine.query.Quarantine;
@@ -29,6 +31,15 @@
      */
     record RequestRead(GatewayRequest request) implements GatewayRoutingInput {}
 
+    /**
+     * A runner said something about itself in the head of a response.
+     *
+     * @param runner the runner
+     * @param statement what it said
+     */
+    record RunnerStated(EndpointId runner, EndpointStatement statement)
+            implements GatewayRoutingInput {}
+
     /**
      * The response to an attempt began.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,9 +29,16 @@
  * the routing decider which targets it affects.
  */
 final class HostedFleet {
+    /** Longer than a runner serves after it has said that it leaves. */
+    private static final Duration LEAVING_RETENTION = Duration.ofMinutes(10);
+
     private final FleetView mView = new FleetView("[gateway]");
     private final ResidencyView mResidency = new ResidencyView();
     private final Map<EndpointId, RunnerRegistration> mRunners = new HashMap<>();
+
+    /** The runners that have said that they leave, and when this was last heard. */
+    private final Map<EndpointId, Instant> mLeaving = new HashMap<>();
+
     private @Nullable RouteIndex mRoutes;
     private @Nullable HostedRoutingTableBuilder mTableBuilder;
 
@@ -54,7 +62,22 @@
     /** Returns whether a runner is about to shut down, or is no longer registered. */
     boolean isLeaving(EndpointId id) {
         RunnerRegistration runner = mRunners.get(id);
-        return runner == null || runner.draining();
+        return runner == null || runner.draining() || mLeaving.containsKey(id);
+    }
+
+    /**
+     * Records that a runner has said that it leaves. Returns whether that was not known.
+     *
+     * @param id the runner
+     * @param now the current time
+     */
+    boolean markLeaving(EndpointId id, Instant now) {
+        return mLeaving.put(id, now) == null && !isDraining(id);
+    }
+
+    private boolean isDraining(EndpointId id) {
+        RunnerRegistration runner = mRunners.get(id);
+        return runner != null && runner.draining();
     }
 
     Optional<Route> findRoute(String host, String path) {
@@ -114,6 +137,7 @@
 
     /** Removes entries whose grace period is over. Returns the change of the table, if any. */
     Optional<RoutingEvent> expire(Instant now) {
+        mLeaving.values().removeIf(at -> at.plus(LEAVING_RETENTION).isBefore(now));
         return mView.expire(now) ? runnersChanged(now) : Optional.empty();
     }
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
@@ -33,6 +33,7 @@
     private final GatewayResponseRelay mRelay =
             new GatewayResponseRelay(
                     new AttemptId(new CallId(1), 1),
+                    new EndpointId("i-1@1"),
                     new CallerResponse(new DiscardingStream()),
                     input -> {
                         mInputs.add(input);
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
@@ -36,6 +37,7 @@
         GatewayResponseRelay relay =
                 new GatewayResponseRelay(
                         new AttemptId(new CallId(1), 1),
+                        new EndpointId("i-1@1"),
                         new CallerResponse(new CountingStream()),
                         input -> {
                             mInputs.add(input);
--- a/peer/src/main/java/org/oleanderspring/peer/codec/EndpointLoadCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/EndpointLoadCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.peer.PeerMessage;
@@ -24,7 +25,8 @@
                     .setEndpoint(use.endpoint().value())
                     .setRunning(use.running())
                     .setAnswered(use.answered())
-                    .setSlownessPercent(use.answered() == 0 ? 0 : percent(use.slowness()));
+                    .setSlownessPercent(use.answered() == 0 ? 0 : percent(use.slowness()))
+                    .setLeaving(use.statement().leaving());
         }
         return encoded.build();
     }
@@ -36,7 +38,8 @@
             encoded.addLoadsBuilder()
                     .setEndpoint(load.endpoint().value())
                     .setRunning(load.running())
-                    .setSlownessPercent(percent(load.slowness()));
+                    .setSlownessPercent(percent(load.slowness()))
+                    .setLeaving(load.statement().leaving());
         }
         return encoded.build();
     }
@@ -50,7 +53,8 @@
                             new EndpointId(WireValues.nonEmpty(use.getEndpoint())),
                             WireValues.requireNonNegative(use.getRunning()),
                             answered,
-                            answered == 0 ? 1 : slowness(use.getSlownessPercent())));
+                            answered == 0 ? 1 : slowness(use.getSlownessPercent()),
+                            new EndpointStatement(use.getLeaving())));
         }
         return new PeerMessage.EndpointUseReport(
                 new MemberId(WireValues.nonEmpty(report.getDaemon())), uses);
@@ -63,7 +67,8 @@
                     new EndpointLoad(
                             new EndpointId(WireValues.nonEmpty(load.getEndpoint())),
                             WireValues.requireNonNegative(load.getRunning()),
-                            slowness(load.getSlownessPercent())));
+                            slowness(load.getSlownessPercent()),
+                            new EndpointStatement(load.getLeaving())));
         }
         return new PeerMessage.EndpointLoadNotice(loads);
     }
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.coordination.membership.MembershipMessage;
 import org.oleanderspring.core.fleet.CellName;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
@@ -91,15 +92,60 @@
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
+        samples.addAll(loadMessages());
+        samples.addAll(quarantineMessages());
+        samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
+        samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
+        samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
+        samples.add(
+                new PeerMessage.ActivationRequest(DAEMON, CELL, MODEL, Duration.ofMillis(-20), 3));
+        samples.add(new PeerMessage.ReadyNotice(CELL, MODEL, Duration.ofSeconds(2)));
+        for (UnreadyReason reason : UnreadyReason.values()) {
+            samples.add(new PeerMessage.UnreadyNotice(CELL, MODEL, reason));
+        }
+        samples.add(new PeerMessage.UseReport(DAEMON, CELL, List.of(new ModelUse(MODEL, 1, 2, 3))));
+        samples.add(new PeerMessage.TermAnnouncement(CELL, new FencingToken(8), DAEMON));
+        samples.add(new PeerMessage.TermAcknowledgement(CELL, new FencingToken(8), DAEMON));
+        samples.add(new PeerMessage.ClaimRequest(CLAIM, KEY, Duration.ofMillis(900)));
+        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Claimed()));
+        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Unavailable("no owner")));
+        for (RecordState state : RecordState.values()) {
+            samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.AlreadyClaimed(state)));
+            samples.add(new PeerMessage.OutcomeReport(KEY, state));
+        }
+        for (EndpointCondition condition : EndpointCondition.values()) {
+            samples.add(new PeerMessage.EndpointNotice(new EndpointId("runner-2/5"), condition));
+        }
+        return samples;
+    }
+
+    private static List<PeerMessage> loadMessages() {
+        List<PeerMessage> samples = new ArrayList<>();
         samples.add(
                 new PeerMessage.EndpointUseReport(
                         DAEMON,
                         List.of(
-                                new EndpointUse(RESIDENCY.runner(), 3, 0, 1),
-                                new EndpointUse(RESIDENCY.runner(), 0, 2, 4.25))));
+                                new EndpointUse(
+                                        RESIDENCY.runner(), 3, 0, 1, EndpointStatement.NONE),
+                                new EndpointUse(
+                                        RESIDENCY.runner(),
+                                        0,
+                                        2,
+                                        4.25,
+                                        new EndpointStatement(true)))));
         samples.add(
                 new PeerMessage.EndpointLoadNotice(
-                        List.of(new EndpointLoad(RESIDENCY.runner(), 12, 1.5))));
+                        List.of(
+                                new EndpointLoad(
+                                        RESIDENCY.runner(),
+                                        12,
+                                        1.5,
+                                        new EndpointStatement(true)))));
+        return samples;
+    }
+
+    private static List<PeerMessage> quarantineMessages() {
+        List<PeerMessage> samples = new ArrayList<>();
         SuspectCall call =
                 new SuspectCall(
                         "c5d7a7c49db7f424",
@@ -122,28 +168,6 @@
                         Duration.ofMillis(-5),
                         List.of(RESIDENCY.runner()),
                         List.of("c5d7a7c49db7f424")));
-        samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
-        samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
-        samples.add(new PeerMessage.DocumentReply(5, null, DocumentDigest.EMPTY));
-        samples.add(
-                new PeerMessage.ActivationRequest(DAEMON, CELL, MODEL, Duration.ofMillis(-20), 3));
-        samples.add(new PeerMessage.ReadyNotice(CELL, MODEL, Duration.ofSeconds(2)));
-        for (UnreadyReason reason : UnreadyReason.values()) {
-            samples.add(new PeerMessage.UnreadyNotice(CELL, MODEL, reason));
-        }
-        samples.add(new PeerMessage.UseReport(DAEMON, CELL, List.of(new ModelUse(MODEL, 1, 2, 3))));
-        samples.add(new PeerMessage.TermAnnouncement(CELL, new FencingToken(8), DAEMON));
-        samples.add(new PeerMessage.TermAcknowledgement(CELL, new FencingToken(8), DAEMON));
-        samples.add(new PeerMessage.ClaimRequest(CLAIM, KEY, Duration.ofMillis(900)));
-        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Claimed()));
-        samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.Unavailable("no owner")));
-        for (RecordState state : RecordState.values()) {
-            samples.add(new PeerMessage.ClaimReply(CLAIM, new ClaimResult.AlreadyClaimed(state)));
-            samples.add(new PeerMessage.OutcomeReport(KEY, state));
-        }
-        for (EndpointCondition condition : EndpointCondition.values()) {
-            samples.add(new PeerMessage.EndpointNotice(new EndpointId("runner-2/5"), condition));
-        }
         return samples;
     }
 }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -61,6 +61,7 @@
     private boolean mHoldsStreams;
     private int mHeldStreams;
     private boolean mCrashed;
+    private boolean mLeaving;
 
     /**
      * Starts a runner on a free port, which accepts requests at once.
@@ -127,6 +128,17 @@
         mDeadlyPart = part;
     }
 
+    /** Makes the runner say in all its responses that it leaves; it goes on serving. */
+    public synchronized void leave() {
+        mLeaving = true;
+    }
+
+    private synchronized void addStatements(Exchange exchange) {
+        if (mLeaving) {
+            exchange.withHeader("Server-Leaving", "1");
+        }
+    }
+
     /** Makes the runner stop each stream after its first event, without an end. */
     public synchronized void holdStreams() {
         mHoldsStreams = true;
@@ -181,6 +193,7 @@
         report.put("busy", mBusy).put("seq", mOrderCount).put("queued", 0).put("active", 0);
         addModels(report.putArray("models"));
         addAvailable(report);
+        addStatements(exchange);
         exchange.reply(OK, report);
     }
 
@@ -198,6 +211,7 @@
 
     private synchronized void handleOrder(Exchange exchange) {
         JsonNode order = exchange.json();
+        addStatements(exchange);
         if (mBusy || order.path("expected").asInt(mOrderCount) != mOrderCount) {
             exchange.reply(CONFLICT, Json.object());
             return;
@@ -224,6 +238,7 @@
         String instance = exchange.header("Expect-Instance");
         String model = exchange.header("Model");
         exchange.withHeader("Attempt-Id", String.valueOf(exchange.header("Attempt-Id")));
+        addStatements(exchange);
         synchronized (this) {
             boolean otherInstance = instance != null && !instance.equals(mInstance);
             if (otherInstance || model != null && !mModels.contains(model)) {
