--- a/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
@@ -12,6 +12,7 @@
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 
@@ -91,12 +92,18 @@
         private double mSlowness = 1;
         private Instant mSampledAt = Instant.MIN;
         private Instant mLeavingReportedAt = Instant.MIN;
+        private StatedLimit mLimit = new StatedLimit.Unlimited();
+        private Instant mLimitReportedAt = Instant.MIN;
 
         void report(MemberId daemon, EndpointUse use, Instant now) {
             mRunning.put(daemon, new Running(use.running(), now));
             if (use.statement().leaving()) {
                 mLeavingReportedAt = now;
             }
+            if (use.statement().limit() instanceof StatedLimit.Limited limited) {
+                mLimit = limited;
+                mLimitReportedAt = now;
+            }
             if (use.answered() == 0) {
                 return;
             }
@@ -124,7 +131,8 @@
 
         EndpointStatement statement(Instant now) {
             boolean leaving = mLeavingReportedAt.plus(REPORT_VALIDITY).isAfter(now);
-            return leaving ? new EndpointStatement(true) : EndpointStatement.NONE;
+            boolean limited = mLimitReportedAt.plus(REPORT_VALIDITY).isAfter(now);
+            return new EndpointStatement(leaving, limited ? mLimit : new StatedLimit.Unlimited());
         }
 
         boolean isIdle(Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -48,6 +48,8 @@
             18,
             Severity.ERROR,
             "it is being checked whether a part of the prompt for {0} crashes the endpoints"),
+    /** The endpoints limit the rate of calls, and there is no room before the deadline. */
+    RATE_LIMITED(19, Severity.ERROR, "the endpoints of {0} take no more calls for now"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- a/core/src/main/java/org/oleanderspring/core/port/command/ResponseListener.java
+++ b/core/src/main/java/org/oleanderspring/core/port/command/ResponseListener.java
@@ -8,7 +8,7 @@
 /** Receives the response to one attempt, in order, on threads of the HTTP client. */
 public interface ResponseListener {
     /**
-     * Called when the head of a response has arrived in which the endpoint says something about
+     * Called when the head of a response has arrived, with what the endpoint says in it about
      * itself, whatever the response says about the call. Comes before the other callbacks. Not
      * called for a response that belongs to another attempt. Does nothing by default.
      *
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DefaultResidencyDecider.java
@@ -86,7 +86,7 @@
     /** Returns whether an event is a message of a daemon, which the daemon repeats. */
     private static boolean isRepeatedMessage(ResidencyEvent event) {
         return event instanceof ResidencyEvent.LoadRequested
-                || event instanceof ResidencyEvent.RunnerLeaving
+                || event instanceof ResidencyEvent.RunnerStated
                 || event instanceof ResidencyEvent.DemandReported;
     }
 
@@ -132,8 +132,8 @@
             mDemand.applyRequest(
                     requested.daemon(), requested.target(), requested.waiting(), context.now());
             repeatStatements(requested, context);
-        } else if (event instanceof ResidencyEvent.RunnerLeaving leaving) {
-            mFleet.markLeaving(leaving.runner());
+        } else if (event instanceof ResidencyEvent.RunnerStated stated) {
+            mFleet.applyStatement(stated.runner(), stated.statement(), context.now());
         } else if (event instanceof ResidencyEvent.TenureBegan began) {
             mTenure.begin(began, mFleet.ids());
             mFleet.records().forEach(record -> record.reset(context.now()));
--- a/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/DemandTracker.java
@@ -31,6 +31,12 @@
     /** A target that nobody has asked for during this time does not count as unserved. */
     static final Duration UNSERVED_VALIDITY = Duration.ofSeconds(20);
 
+    /** The time of a call that is assumed until longer ones are seen. */
+    private static final Duration USUAL_CALL_TIME = Duration.ofSeconds(2);
+
+    /** Below this call rate per second, too few calls run to tell how long they take. */
+    private static final double LEAST_MEASURED_RATE = 0.5;
+
     /** The time constant of the exponential decay of call rates. */
     static final Duration RATE_TIME_CONSTANT = Duration.ofSeconds(6);
 
@@ -178,6 +184,16 @@
         return rate;
     }
 
+    /** Returns how long a call for a model takes on average, by the calls that run and arrive. */
+    Duration callTime(ServiceName service, ModelName model, Instant now) {
+        double rate = rate(service, model, now);
+        if (rate < LEAST_MEASURED_RATE) {
+            return USUAL_CALL_TIME;
+        }
+        Duration time = Duration.ofMillis((long) (1_000 * running(service, model, now) / rate));
+        return time.compareTo(USUAL_CALL_TIME) > 0 ? time : USUAL_CALL_TIME;
+    }
+
     /** Returns the call rate of all adapters of a model per second. */
     double adapterRate(ServiceName service, ModelName model, Instant now) {
         Target.ServiceModelTarget base =
--- a/core/src/main/java/org/oleanderspring/core/residency/command/EvictionPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/EvictionPlanner.java
@@ -46,10 +46,12 @@
 
     private final RunnerFleet mFleet;
     private final DemandTracker mDemand;
+    private final ModelCapacity mCapacity;
 
-    EvictionPlanner(RunnerFleet fleet, DemandTracker demand) {
+    EvictionPlanner(RunnerFleet fleet, DemandTracker demand, ModelCapacity capacity) {
         mFleet = fleet;
         mDemand = demand;
+        mCapacity = capacity;
     }
 
     /**
@@ -87,22 +89,39 @@
             return false;
         }
         ServiceName service = record.registration().service();
-        boolean isLastReplica = mFleet.replicas(service, model) <= 1;
+        boolean isLastReplica = isLastReplica(record, model, now);
         Instant lastUse = mDemand.lastUse(service, model);
         return !isLastReplica
                 || lastUse.equals(Instant.MIN)
                 || lastUse.plus(RECENT_USE).isBefore(now);
     }
 
+    /**
+     * Returns whether no other runner can take over the calls of a model. Runners that limit the
+     * rate of their calls cannot take over those of one that does not.
+     */
+    private boolean isLastReplica(RunnerRecord record, ModelName model, Instant now) {
+        ServiceName service = record.registration().service();
+        boolean isLimited = record.intake().limit(now) != null;
+        int replicas =
+                isLimited
+                        ? mFleet.replicas(service, model)
+                        : mFleet.unlimitedReplicas(service, model, now);
+        return replicas <= 1;
+    }
+
     private Candidate candidate(RunnerRecord record, ModelName model, Instant now) {
         ServiceName service = record.registration().service();
         int replicas = Math.max(1, mFleet.replicas(service, model));
-        double rate = mDemand.rate(service, model, now) / replicas;
+        double rate = mCapacity.rateAt(record, model, now);
         EngineModel description = record.engine().models().get(model);
         // A model without a description is assumed to load in 1 s.
         double reloadSeconds =
                 description == null ? 1 : description.diskLoad().toMillis() / 1_000.0;
-        double cost = rate * reloadSeconds * (replicas == 1 ? LAST_REPLICA_FACTOR : 1);
+        double cost =
+                rate
+                        * reloadSeconds
+                        * (isLastReplica(record, model, now) ? LAST_REPLICA_FACTOR : 1);
         cost += mDemand.running(service, model, now) > 0 ? RUNNING_COST : 0;
         cost += mDemand.isEmpty() ? INITIAL_REPLICA_COST * replicas : 0;
         int adapters = record.adapters(model).size();
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyEvent.java
@@ -7,6 +7,7 @@
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.residency.ResidencyOrderReply;
@@ -111,11 +112,13 @@
             implements ResidencyEvent {}
 
     /**
-     * A daemon heard from a runner that it leaves, which the runner's registration may not say yet.
+     * A daemon reported what a runner has said about itself in its responses. Repeated for as long
+     * as it holds.
      *
      * @param runner the runner
+     * @param statement what it said
      */
-    record RunnerLeaving(EndpointId runner) implements ResidencyEvent {}
+    record RunnerStated(EndpointId runner, EndpointStatement statement) implements ResidencyEvent {}
 
     /** The periodic timer or a scheduled timer fired. */
     record TimerFired() implements ResidencyEvent {}
--- a/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/ResidencyLoadPlanner.java
@@ -59,6 +59,12 @@
 
     private static final int MAX_REPLICAS = 6;
 
+    /**
+     * The cost, in seconds, of a load on a runner whose limit for the rate of its calls is used up;
+     * more than that of loads from copies elsewhere.
+     */
+    private static final double USED_LIMIT_COST = 10;
+
     /**
      * The maximum by which the eviction cost of a prefetch may exceed its demand, so that a model
      * in use is not evicted for one without calls.
@@ -68,13 +74,15 @@
     private final RunnerFleet mFleet;
     private final DemandTracker mDemand;
     private final EvictionPlanner mEvictionPlanner;
+    private final ModelCapacity mCapacity;
     private final StoreConcurrency mStoreConcurrency;
 
     ResidencyLoadPlanner(
             RunnerFleet fleet, DemandTracker demand, StoreConcurrency storeConcurrency) {
         mFleet = fleet;
         mDemand = demand;
-        mEvictionPlanner = new EvictionPlanner(fleet, demand);
+        mCapacity = new ModelCapacity(fleet, demand);
+        mEvictionPlanner = new EvictionPlanner(fleet, demand, mCapacity);
         mStoreConcurrency = storeConcurrency;
     }
 
@@ -136,33 +144,34 @@
                 continue;
             }
             for (EngineModel model : engine.models().values()) {
-                if (wantedReplicas(service, model.name(), engine, now) > 1) {
-                    planReplica(service, model, engine, now);
+                if (needsReplica(service, model.name(), engine, now)) {
+                    planReplica(service, model, now);
                 }
             }
         }
     }
 
-    /** Returns the number of replicas that the running and waiting calls of a model need. */
-    private int wantedReplicas(
+    /** Returns whether the calls of a model that has replicas need another one. */
+    private boolean needsReplica(
             ServiceName service, ModelName model, EngineDescription engine, Instant now) {
-        int calls = mDemand.running(service, model, now) + mDemand.waiting(service, model, now);
-        int wanted = (int) Math.ceil(calls / (REPLICA_UTILIZATION * engine.slots()));
-        int least = mDemand.rate(service, model, now) > SECOND_REPLICA_RATE ? 2 : 1;
-        return Math.min(MAX_REPLICAS, Math.max(wanted, least));
+        int replicas = mFleet.replicas(service, model);
+        if (replicas == 0 || mFleet.unlimitedReplicas(service, model, now) >= MAX_REPLICAS) {
+            return false;
+        }
+        double calls = mCapacity.calls(service, model, now);
+        double capacity = mCapacity.ofReplicas(service, model, engine, now);
+        return calls > REPLICA_UTILIZATION * capacity
+                || replicas < 2 && mDemand.rate(service, model, now) > SECOND_REPLICA_RATE;
     }
 
-    private void planReplica(
-            ServiceName service, EngineModel model, EngineDescription engine, Instant now) {
-        double rate = mDemand.rate(service, model.name(), now);
-        int replicas = mFleet.replicas(service, model.name());
-        if (replicas == 0
-                || replicas >= wantedReplicas(service, model.name(), engine, now)
-                || mFleet.isLoading(service, model.name())) {
+    private void planReplica(ServiceName service, EngineModel model, Instant now) {
+        if (mFleet.isLoading(service, model.name())) {
             return;
         }
         LoadOption best = bestOption(service, model, Source.COPY, now);
-        if (best != null && best.eviction().cost() < rate / (replicas + 1)) {
+        if (best != null
+                && best.eviction().cost()
+                        < mCapacity.rateOfNewReplica(best.record(), model.name(), now)) {
             best.addSteps(model.name(), "busy model");
         }
     }
@@ -227,10 +236,11 @@
             EngineDescription engine,
             int copies,
             Instant now) {
-        int calls = mDemand.running(service, model, now);
-        return copies == 0 || copies >= MAX_REPLICAS
-                ? 0
-                : Math.max(0, calls - copies * engine.slots());
+        if (copies == 0 || mFleet.unlimitedCopies(service, model, now) >= MAX_REPLICAS) {
+            return 0;
+        }
+        double running = mCapacity.running(service, model, now);
+        return (int) Math.max(0, running - mCapacity.ofCopies(service, model, engine, now));
     }
 
     private void planFromStore(StoreCandidate candidate, Instant now) {
@@ -249,13 +259,15 @@
             ServiceName service, EngineModel model, Source source, Instant now) {
         LoadOption best = null;
         Map<ModelName, Integer> copies = source == Source.STORE ? mFleet.copies(service) : Map.of();
+        // A further replica on a runner whose limit is used up would serve no further calls.
+        boolean isReplicated = mFleet.replicas(service, model.name()) > 0;
         for (RunnerRecord record : mFleet.usable(service)) {
             boolean isCandidate =
                     source == Source.STORE
                             ? !record.hasCopy(model.name())
                             : !record.needsStore(model.name())
                                     && !record.models().contains(model.name());
-            if (!isCandidate) {
+            if (!isCandidate || isReplicated && mCapacity.isLimitUsed(record, now)) {
                 continue;
             }
             LoadOption option = option(record, model, copies, now);
@@ -280,6 +292,7 @@
         double cost = seconds + eviction.get().cost();
         cost += seconds * blockedRate(record, now) * BLOCKED_CALL_COST;
         cost += seconds * rateOfOnlyCopies(record, copies, now);
+        cost += mCapacity.usedLimit(record, model.name(), now) * USED_LIMIT_COST;
         return new LoadOption(record, eviction.get(), cost);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.route.EngineDescription;
@@ -33,11 +34,11 @@
         return mRecords.keySet();
     }
 
-    /** Records that a runner has said to a daemon that it leaves. */
-    void markLeaving(EndpointId id) {
+    /** Applies what a runner has said about itself to a daemon. */
+    void applyStatement(EndpointId id, EndpointStatement statement, Instant now) {
         RunnerRecord record = mRecords.get(id);
         if (record != null) {
-            record.markLeaving();
+            record.intake().apply(statement, now);
         }
     }
 
@@ -80,6 +81,26 @@
         return replicas;
     }
 
+    /** Returns the number of {@link #replicas} on runners that do not limit their call rate. */
+    int unlimitedReplicas(ServiceName service, ModelName model, Instant now) {
+        int replicas = 0;
+        for (RunnerRecord record : mRecords.values()) {
+            boolean isUnlimited = serves(record, service) && record.intake().limit(now) == null;
+            replicas += isUnlimited && record.isRoutable(model) ? 1 : 0;
+        }
+        return replicas;
+    }
+
+    /** Returns the number of {@link #copies} on runners that do not limit their call rate. */
+    int unlimitedCopies(ServiceName service, ModelName model, Instant now) {
+        int copies = 0;
+        for (RunnerRecord record : mRecords.values()) {
+            boolean isUnlimited = serves(record, service) && record.intake().limit(now) == null;
+            copies += isUnlimited && record.hasCopy(model) ? 1 : 0;
+        }
+        return copies;
+    }
+
     /** Returns whether a load of a model is planned or in progress on any runner of a service. */
     boolean isLoading(ServiceName service, ModelName model) {
         for (RunnerRecord record : mRecords.values()) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -74,7 +74,7 @@
 
     private Instant mLoadEnd = Instant.MIN;
     private int mRejectedEarlyOrders;
-    private boolean mLeaving;
+    private final RunnerIntake mIntake = new RunnerIntake();
     private Instant mNextEarlyOrder = Instant.MIN;
 
     RunnerRecord(RunnerRegistration registration, EngineDescription engine) {
@@ -157,12 +157,12 @@
 
     /** Returns whether the runner may hold models for new calls, that is, it is not draining. */
     boolean isUsable() {
-        return !mLeaving && !mRegistration.draining();
+        return !mIntake.isLeaving() && !mRegistration.draining();
     }
 
-    /** Records that the runner has said to a daemon that it leaves. It does not come back. */
-    void markLeaving() {
-        mLeaving = true;
+    /** Returns how much the runner takes, as it has said to daemons. */
+    RunnerIntake intake() {
+        return mIntake;
     }
 
     /** Returns whether new steps may be planned now. */
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -8,6 +8,11 @@
     QUEUE_FULL,
     /** According to the estimate the call cannot be served before its deadline. */
     DEADLINE_TOO_SHORT,
+    /**
+     * All endpoints of the target limit the rate of their calls, and the call cannot be served
+     * within these limits before its deadline.
+     */
+    RATE_LIMITED,
     /**
      * The deadline passed before the response began, or before it ended if the deadline bounds the
      * complete response.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -6,7 +6,6 @@
 import org.oleanderspring.coordination.dispatch.IdempotencyKey;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.RefusalReason;
-import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.WorkState;
 
 /** Admits or refuses calls on arrival. */
@@ -45,15 +44,15 @@
     }
 
     /**
-     * Refuses the waiting calls of a target that a new readiness estimate shows to be impossible to
-     * serve in time. Does nothing if the target has a ready replica.
+     * Refuses the waiting calls of a target that new information shows to be impossible to serve in
+     * time: an estimate of when a replica is ready, or the times of permits. Does nothing if the
+     * target has a ready replica without a limit.
      */
-    void recheckWaiting(Target target, CallCloser closer, RoutingContext context) {
-        TargetState state = mState.fleet().target(target);
-        if (state.capacity() > 0) {
+    void recheckWaiting(TargetState target, CallCloser closer, RoutingContext context) {
+        if (target.capacity() > 0 && !target.isRateLimited()) {
             return;
         }
-        for (CallState call : state.queue().calls()) {
+        for (CallState call : target.queue().calls()) {
             RefusalReason refusal = refusalByEstimate(call, context.now());
             if (refusal != null) {
                 closer.refuse(call, refusal, context);
@@ -126,7 +125,11 @@
                         target.capacity() > 0,
                         target.estimatedWait(callsBefore, now));
         OverloadAction action = mPolicy.decide(call.request(), load);
-        return action instanceof OverloadAction.RefuseNow refuse ? refuse.reason() : null;
+        if (!(action instanceof OverloadAction.RefuseNow refuse)) {
+            return null;
+        }
+        boolean isTooLate = refuse.reason() == RefusalReason.DEADLINE_TOO_SHORT;
+        return isTooLate && target.isRateLimited() ? RefusalReason.RATE_LIMITED : refuse.reason();
     }
 
     private void admit(CallState call, RoutingContext context) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -14,7 +14,7 @@
 
     void start(CallState call, TrackedReplica replica, String reason, RoutingContext context) {
         mState.dequeue(call);
-        boolean trial = replica.endpoint().backoff().callStarted();
+        boolean trial = replica.endpoint().intake().callStarted(context.now());
         call.target().attemptStarted(replica);
         call.attemptStarted(replica, context.now(), trial);
         mState.statistics().attemptStarted(call.attempts());
@@ -68,7 +68,7 @@
         } else if (outcome instanceof AttemptOutcome.NotHeld) {
             attempt.replica().markNotHeld(now);
         } else {
-            endpoint.backoff().failed(now);
+            endpoint.intake().backoff().failed(now);
         }
     }
 
@@ -117,7 +117,7 @@
         boolean lastedAverageTime = elapsed.compareTo(times.firstByte()) >= 0;
         boolean unresponsive = lastedAverageTime && endpoint.attemptUnanswered();
         if (unresponsive || times.indicatesFault(elapsed)) {
-            endpoint.backoff().failed(context.now());
+            endpoint.intake().backoff().failed(context.now());
         } else {
             times.recordMissingFirstByte(elapsed);
         }
@@ -127,7 +127,7 @@
         call.attemptEnded();
         call.target().attemptEnded(attempt.replica());
         if (attempt.trial()) {
-            attempt.replica().endpoint().backoff().trialEnded();
+            attempt.replica().endpoint().intake().backoff().trialEnded();
         }
         mState.markForDispatch(call.target());
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.oleanderspring.coordination.dispatch.command.ClaimResult;
+import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -137,16 +138,18 @@
         } else if (event instanceof RoutingEvent.EndpointStated stated) {
             fleet.stated(stated.endpoint(), stated.statement(), context.now());
             mState.markWaitingForDispatch();
+        } else if (event instanceof RoutingEvent.PermitsGranted granted) {
+            permitsGranted(granted.grant(), context);
         } else if (event instanceof RoutingEvent.EndpointLoadObserved load) {
             fleet.updateLoad(load.endpoint(), load.callsOfOtherDaemons(), load.observedAt());
         } else if (event instanceof RoutingEvent.EndpointLoadsReported reported) {
             fleet.loadsReported(reported.loads(), context.now());
             mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.EndpointUseReportDue) {
-            context.add(new RoutingDecision.ReportEndpointUse(fleet.takeUses()));
+            context.add(new RoutingDecision.ReportEndpointUse(fleet.takeUses(context.now())));
         } else if (event instanceof RoutingEvent.ReadinessEstimated estimated) {
             fleet.readinessEstimated(estimated.target(), estimated.readyAt(), context.now());
-            mAdmission.recheckWaiting(estimated.target(), mCloser, context);
+            mAdmission.recheckWaiting(fleet.target(estimated.target()), mCloser, context);
         } else if (event instanceof RoutingEvent.LimitsChanged changed) {
             limitsChanged(changed.limits(), context);
         } else if (event instanceof RoutingEvent.QuarantineChanged changed) {
@@ -164,6 +167,17 @@
         }
     }
 
+    /**
+     * Applies permits. A reply that gives fewer or later ones than expected shows that some of the
+     * waiting calls cannot be served in time.
+     */
+    private void permitsGranted(PermitGrant grant, RoutingContext context) {
+        for (TargetState target : mState.fleet().permitsGranted(grant, context.now())) {
+            mAdmission.recheckWaiting(target, mCloser, context);
+            mState.markForDispatch(target);
+        }
+    }
+
     private void dispatchRecorded(CallId id, ClaimResult result, RoutingContext context) {
         CallState call = mState.calls().get(id);
         if (call == null || call.phase() != CallPhase.CLAIMING) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -2,6 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -12,6 +15,9 @@
  * ready replica.
  */
 final class Dispatcher {
+    /** The permits that are asked for at one endpoint at a time; more could not be used soon. */
+    private static final int MAX_PERMITS_AHEAD = 2;
+
     private final RoutingState mState;
     private final EndpointSelector mSelector;
     private final OverloadPolicy mPolicy;
@@ -35,6 +41,7 @@
         for (TargetState target : mState.takeMarkedForDispatch()) {
             if (mState.fleet().isKnown(target.target())) {
                 startWaiting(target, context);
+                requestPermits(target, target.queue().size(), context);
                 requestActivation(target, context);
             } else {
                 refuseWaiting(target, context);
@@ -87,9 +94,45 @@
             return false;
         }
         mAttempts.start(call, replica, choice.get().reason(), context);
+        if (replica.isNearlyFull(context.now())) {
+            // The next calls may find no room here.
+            requestPermits(target, target.queue().size() + 1, context);
+        }
         return true;
     }
 
+    /**
+     * Asks for permits at the replicas that limit their rate, until as many are expected as calls
+     * wait. Replicas whose next permit starts first are asked first.
+     */
+    private void requestPermits(TargetState target, int calls, RoutingContext context) {
+        Instant now = context.now();
+        List<TrackedReplica> limited = new ArrayList<>();
+        int missing = calls;
+        for (TrackedReplica replica : target.listedReplicas()) {
+            CallPermits permits = replica.endpoint().intake().permits();
+            if (permits.isLimited() && replica.isAvailableWithPermit(now, false)) {
+                limited.add(replica);
+                missing -= permits.expected(now);
+            }
+        }
+        limited.sort(Comparator.comparing(replica -> nextPermitAt(replica, now)));
+        for (TrackedReplica replica : limited) {
+            CallPermits permits = replica.endpoint().intake().permits();
+            if (missing > 0 && permits.mayRequest(now)) {
+                int count = Math.min(missing, MAX_PERMITS_AHEAD);
+                missing -= count;
+                context.add(
+                        new RoutingDecision.RequestPermits(
+                                permits.request(replica.endpoint(), count, now)));
+            }
+        }
+    }
+
+    private static Instant nextPermitAt(TrackedReplica replica, Instant now) {
+        return replica.endpoint().intake().permits().nextStart(now);
+    }
+
     private void requestActivation(TargetState target, RoutingContext context) {
         CallState first = target.queue().first();
         if (first == null || target.capacity() > 0) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -9,6 +9,7 @@
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.routing.IntakeState;
 
 /** The routing state of one endpoint, shared by all targets that it serves. */
 final class EndpointState {
@@ -41,10 +42,9 @@
     private static final int SLOW_ENDPOINT_CALLS = 4;
 
     private final EndpointId mId;
-    private final EndpointBackoff mBackoff = new EndpointBackoff();
+    private final EndpointIntake mIntake = new EndpointIntake();
     private final List<TargetState> mTargets = new ArrayList<>(1);
     private int mRunning;
-    private boolean mDraining;
 
     /** Whether the endpoint has said to this daemon that it leaves. */
     private boolean mStatedLeaving;
@@ -67,8 +67,15 @@
         return mId;
     }
 
-    EndpointBackoff backoff() {
-        return mBackoff;
+    /** Returns why, until when and how much the endpoint takes new calls. */
+    EndpointIntake intake() {
+        return mIntake;
+    }
+
+    /** Returns how the endpoint takes new calls. */
+    IntakeState intakeState(Instant now) {
+        IntakeState state = mIntake.state();
+        return state == IntakeState.OPEN && isSlow(now) ? IntakeState.SLOW : state;
     }
 
     int running() {
@@ -82,7 +89,7 @@
     /** Called when a response to any attempt begins. Returns whether this ends a back-off. */
     boolean responseBegan(Instant startedAt) {
         mConsecutiveUnanswered = 0;
-        return mBackoff.responseBegan(startedAt);
+        return mIntake.backoff().responseBegan(startedAt);
     }
 
     /**
@@ -95,14 +102,6 @@
         return mConsecutiveUnanswered >= UNANSWERED_LIMIT;
     }
 
-    boolean isDraining() {
-        return mDraining;
-    }
-
-    void drain() {
-        mDraining = true;
-    }
-
     /** Records that the endpoint has said to this daemon that it leaves. */
     void statedLeaving() {
         mStatedLeaving = true;
@@ -142,6 +141,7 @@
 
     /** Applies a report of the load over all daemons, in which this daemon's last report counts. */
     void loadReported(EndpointLoad load, Instant now) {
+        mIntake.permits().reported(load.statement().limit(), now);
         updateLoad(Math.max(0, load.running() - mReportedRunning), now);
         mSlowness = load.slowness();
     }
@@ -152,10 +152,13 @@
      */
     int equivalentCalls(Instant now) {
         int calls = callsOfAllDaemons(now);
-        if (mSlowness < SLOW || mLoadObservedAt.plus(LOAD_VALIDITY).isBefore(now)) {
-            return calls;
-        }
-        return calls + (int) Math.round((mSlowness - 1) * SLOW_ENDPOINT_CALLS);
+        return isSlow(now)
+                ? calls + (int) Math.round((mSlowness - 1) * SLOW_ENDPOINT_CALLS)
+                : calls;
+    }
+
+    private boolean isSlow(Instant now) {
+        return mSlowness >= SLOW && !mLoadObservedAt.plus(LOAD_VALIDITY).isBefore(now);
     }
 
     /**
@@ -169,15 +172,18 @@
     }
 
     /** Returns the use since the last call, or null if there is nothing to report. */
-    @Nullable EndpointUse takeUse() {
+    @Nullable EndpointUse takeUse(Instant now) {
         // Once the registry says so as well, the endpoint has no targets any more.
         boolean leaving = mStatedLeaving && !mTargets.isEmpty();
-        if (mRunning == 0 && mReportedRunning == 0 && mSamples == 0 && !leaving) {
+        EndpointStatement statement = new EndpointStatement(leaving, mIntake.permits().heard(now));
+        if (mRunning == 0
+                && mReportedRunning == 0
+                && mSamples == 0
+                && statement.equals(EndpointStatement.NONE)) {
             return null;
         }
         double slowness = mSamples == 0 ? 1 : mSlownessSum / mSamples;
-        EndpointUse use =
-                new EndpointUse(mId, mRunning, mSamples, slowness, new EndpointStatement(leaving));
+        EndpointUse use = new EndpointUse(mId, mRunning, mSamples, slowness, statement);
         mReportedRunning = mRunning;
         mSamples = 0;
         mSlownessSum = 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingDecision.java
@@ -9,6 +9,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.permit.PermitRequest;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -72,6 +73,13 @@
     record RequestLoad(Target.ServiceModelTarget target, Instant earliestDeadline, int waiting)
             implements RoutingDecision {}
 
+    /**
+     * Ask for permits for calls to an endpoint that limits their rate.
+     *
+     * @param request the request
+     */
+    record RequestPermits(PermitRequest request) implements RoutingDecision {}
+
     /**
      * Refuse a call.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -7,6 +7,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -92,6 +93,13 @@
     record EndpointStated(EndpointId endpoint, EndpointStatement statement)
             implements RoutingEvent {}
 
+    /**
+     * Permits for calls to an endpoint that limits their rate were granted, or refused for now.
+     *
+     * @param grant the permits
+     */
+    record PermitsGranted(PermitGrant grant) implements RoutingEvent {}
+
     /**
      * The operators changed a setting that routing uses.
      *
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -13,6 +13,7 @@
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingTable;
 import org.oleanderspring.core.routing.Target;
@@ -53,7 +54,7 @@
     }
 
     private void removeUnusedEndpoints() {
-        mEndpoints.values().removeIf(state -> state.isUnused() && !state.isDraining());
+        mEndpoints.values().removeIf(state -> state.isUnused() && !state.intake().isLeaving());
     }
 
     /**
@@ -116,10 +117,10 @@
     }
 
     /** Returns the use of all endpoints since the last call. */
-    List<EndpointUse> takeUses() {
+    List<EndpointUse> takeUses(Instant now) {
         List<EndpointUse> uses = new ArrayList<>();
         for (EndpointState state : mEndpoints.values()) {
-            EndpointUse use = state.takeUse();
+            EndpointUse use = state.takeUse(now);
             if (use != null) {
                 uses.add(use);
             }
@@ -129,19 +130,37 @@
 
     /** Applies what an endpoint said about itself to this daemon. */
     void stated(EndpointId id, EndpointStatement statement, Instant now) {
+        EndpointState known = mEndpoints.get(id);
+        if (known != null) {
+            known.intake().permits().stated(statement.limit(), now);
+        }
         if (statement.leaving()) {
             endpoint(id, now).statedLeaving();
             drain(id, now);
         }
     }
 
+    /**
+     * Applies permits for calls to an endpoint.
+     *
+     * @return the targets of the endpoint
+     */
+    List<TargetState> permitsGranted(PermitGrant grant, Instant now) {
+        EndpointState state = mEndpoints.get(grant.endpoint());
+        if (state == null) {
+            return List.of();
+        }
+        state.intake().permits().granted(grant, now);
+        return List.copyOf(state.targets());
+    }
+
     /** Excludes an endpoint from all selections. Its running attempts continue. */
     void drain(EndpointId id, Instant now) {
         EndpointState state = endpoint(id, now);
-        if (state.isDraining()) {
+        if (state.intake().isLeaving()) {
             return;
         }
-        state.drain();
+        state.intake().leave();
         mDraining.add(state);
         state.targets().forEach(TargetState::recalculateCapacity);
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotBuilder.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/SnapshotBuilder.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.oleanderspring.core.routing.IntakeState;
 import org.oleanderspring.core.routing.query.EndpointStatus;
 import org.oleanderspring.core.routing.query.RoutingSnapshot;
 import org.oleanderspring.core.routing.query.TargetStatus;
@@ -11,7 +12,7 @@
 /**
  * Copies the routing state into a {@link RoutingSnapshot}. Its numbers of tracked targets and
  * endpoints include those that its lists leave out: targets without open calls, and endpoints that
- * run no attempts of this daemon, do not drain and are not in back-off.
+ * run no attempts of this daemon and take calls as usual.
  */
 final class SnapshotBuilder {
     private final RoutingState mState;
@@ -58,15 +59,15 @@
     private List<EndpointStatus> endpoints(Instant now) {
         List<EndpointStatus> statuses = new ArrayList<>();
         for (EndpointState endpoint : mState.fleet().endpoints()) {
-            boolean backingOff = endpoint.backoff().isActive();
-            if (endpoint.running() > 0 || endpoint.isDraining() || backingOff) {
+            IntakeState state = endpoint.intakeState(now);
+            if (endpoint.running() > 0 || state != IntakeState.OPEN) {
                 statuses.add(
                         new EndpointStatus(
                                 endpoint.id(),
                                 endpoint.running(),
                                 endpoint.callsOfAllDaemons(now),
-                                endpoint.isDraining(),
-                                backingOff));
+                                state,
+                                endpoint.intake().permits().limit()));
             }
         }
         statuses.sort(Comparator.comparing(EndpointStatus::endpoint));
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -9,6 +9,7 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.RateLimit;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.Target;
@@ -29,6 +30,8 @@
      */
     static final Duration ESTIMATE_VALIDITY = Duration.ofSeconds(10);
 
+    private static final int MILLIS_PER_SECOND = 1_000;
+
     private final Target mTarget;
     private final CallQueue mQueue = new CallQueue();
     private final ServiceTimes mTimes = new ServiceTimes();
@@ -236,7 +239,48 @@
         if (concurrency > 0) {
             wait = wait.plus(mTimes.timeUntilEnded(attemptsToEnd, concurrency));
         }
-        return wait.plus(mTimes.firstByte());
+        return longer(wait, untilPermit(callsBefore, now)).plus(mTimes.firstByte());
+    }
+
+    /** Returns whether the target has replicas that take calls, and all of them limit the rate. */
+    boolean isRateLimited() {
+        boolean isLimited = false;
+        for (TrackedReplica tracked : mListed) {
+            if (tracked.isServing()) {
+                if (!tracked.endpoint().intake().permits().isLimited()) {
+                    return false;
+                }
+                isLimited = true;
+            }
+        }
+        return isLimited;
+    }
+
+    /**
+     * Returns the time until a call has a permit; zero if a replica needs none. Counts the calls
+     * before it as those of this daemon only, so other daemons may make it longer.
+     */
+    private Duration untilPermit(int callsBefore, Instant now) {
+        if (!isRateLimited()) {
+            return Duration.ZERO;
+        }
+        Instant first = Instant.MAX;
+        double callsPerSecond = 0;
+        for (TrackedReplica tracked : mListed) {
+            CallPermits permits = tracked.endpoint().intake().permits();
+            RateLimit limit = permits.limit();
+            if (tracked.isServing() && limit != null) {
+                Instant next = permits.nextStart(now);
+                first = next.isBefore(first) ? next : first;
+                callsPerSecond += limit.callsPerSecond();
+            }
+        }
+        Duration untilFirst = Duration.between(now, first);
+        return untilFirst.plusMillis((long) (MILLIS_PER_SECOND * callsBefore / callsPerSecond));
+    }
+
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) >= 0 ? first : second;
     }
 
     /** Returns the number of calls of all daemons that wait at the replicas for others to end. */
@@ -250,12 +294,13 @@
 
     /**
      * Returns the estimated time until a replica is ready, or until the calls that wait at full
-     * replicas have begun; null if a replica has room, if there is no valid estimate, or if the
-     * estimated time has passed.
+     * replicas or for permits have begun; null if a replica has room, if there is no valid
+     * estimate, or if the estimated time has passed.
      */
     @Nullable Duration readyIn(Instant now) {
         Duration wait = mCapacity > 0 ? untilRoom(now) : untilReady(now);
-        return wait.isZero() ? null : wait;
+        Duration longest = longer(wait, untilPermit(mQueue.size(), now));
+        return longest.isZero() ? null : longest;
     }
 
     private Duration untilRoom(Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
@@ -13,6 +13,9 @@
      */
     static final Duration NOT_HELD_PAUSE = Duration.ofMillis(1_500);
 
+    /** The share of an endpoint's concurrency from which on other replicas are preferred. */
+    private static final double NEARLY_FULL = 0.75;
+
     private final EndpointState mEndpoint;
     private Replica mReplica;
     private boolean mListed;
@@ -51,7 +54,7 @@
 
     /** Returns whether the replica accepts new calls, regardless of its load. */
     boolean isServing() {
-        return mListed && mReplica.state() == ReplicaState.READY && !mEndpoint.isDraining();
+        return mListed && mReplica.state() == ReplicaState.READY && !mEndpoint.intake().isLeaving();
     }
 
     /**
@@ -60,13 +63,27 @@
      * @param urgent whether the endpoint begins to run the call before others that wait there
      */
     boolean isAvailable(Instant now, boolean urgent) {
+        return isAvailableWithPermit(now, urgent) && mEndpoint.intake().permits().allows(now);
+    }
+
+    /**
+     * Returns whether a call that has a permit can be started on the replica now.
+     *
+     * @param urgent whether the endpoint begins to run the call before others that wait there
+     */
+    boolean isAvailableWithPermit(Instant now, boolean urgent) {
         return mRunning < mReplica.concurrency()
                 && isServing()
                 && !now.isBefore(mNotHeldUntil)
-                && mEndpoint.backoff().allows(now)
+                && mEndpoint.intake().allowsWithPermit(now)
                 && (urgent || !mEndpoint.isCrowded(mReplica.concurrency(), now));
     }
 
+    /** Returns whether further calls will soon wait at the endpoint. */
+    boolean isNearlyFull(Instant now) {
+        return mEndpoint.equivalentCalls(now) >= NEARLY_FULL * mReplica.concurrency();
+    }
+
     /** Returns the number of calls of all daemons at the endpoint; 0 if it accepts no new calls. */
     int callsOfAllDaemons(Instant now) {
         return isServing() ? mEndpoint.callsOfAllDaemons(now) : 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/query/RoutingSnapshot.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/query/RoutingSnapshot.java
@@ -15,7 +15,7 @@
  * @param trackedEndpoints the number of endpoints for which routing keeps state
  * @param retriesLeft the number of retries left in the retry budget of the daemon
  * @param targets the targets with open calls, sorted by name
- * @param endpoints the endpoints that run calls, drain or are in back-off, sorted by identity
+ * @param endpoints the endpoints that run calls or do not take them as usual, sorted by identity
  * @param counters the counters since the start of the daemon
  */
 public record RoutingSnapshot(
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -16,9 +16,11 @@
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.MemberId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.residency.ModelDemand;
 import org.oleanderspring.core.residency.ResidencyOrderReply;
 import org.oleanderspring.core.route.EngineDescription;
@@ -239,4 +241,28 @@
         decide(new ResidencyEvent.TimerFired(), 200);
         assertThat(mTargets, contains("two busy"));
     }
+
+    /**
+     * Guards against a popular model that stays on runners that limit the rate of their calls: its
+     * calls are rejected there, so none of them run and the model seems to need no further copy.
+     */
+    @Test
+    void popularModelOnLimitedRunnersGetsACopyOnAnother() {
+        SimulatedRunner one = addRunner("one", "busy");
+        one.hold(ModelReference.parse("busy"));
+        SimulatedRunner two = addRunner("two", "busy");
+        two.hold(ModelReference.parse("busy"));
+        SimulatedRunner free = addRunner("unlimited");
+        beginTenure();
+        for (SimulatedRunner limited : List.of(one, two)) {
+            EndpointStatement statement = new EndpointStatement(false, new StatedLimit.Limited(1));
+            decide(new ResidencyEvent.RunnerStated(limited.id(), statement), 1);
+        }
+        report(demand("busy", 0, 60));
+        for (SimulatedRunner runner : mRunners) {
+            decide(new ResidencyEvent.StateRead(runner.id(), runner.state(START)), 2);
+        }
+        decide(new ResidencyEvent.TimerFired(), 200);
+        assertThat(mTargets, contains(free.id().value() + " busy"));
+    }
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/FuzzWorld.java
@@ -176,7 +176,7 @@
     /** Lets an endpoint drain; this daemon hears it from one of several sources. */
     void draining(int endpoint, int source) {
         EndpointId id = endpoint(endpoint);
-        EndpointStatement leaving = new EndpointStatement(true);
+        EndpointStatement leaving = EndpointStatement.LEAVING;
         mOracle.mDraining.add(id);
         switch (source % 3) {
             case 0 -> deliver(new RoutingEvent.EndpointDraining(id));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -23,6 +23,7 @@
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.port.query.FetchResult;
 import org.oleanderspring.core.residency.ResidencyOrder;
@@ -150,8 +151,8 @@
         } else if (input instanceof ResidencyInput.EndpointUseReported reported) {
             mEndpointLoads.report(reported, mClock.now());
             for (EndpointUse use : reported.uses()) {
-                if (use.statement().leaving()) {
-                    decide(new ResidencyEvent.RunnerLeaving(use.endpoint()));
+                if (!use.statement().equals(EndpointStatement.NONE)) {
+                    decide(new ResidencyEvent.RunnerStated(use.endpoint(), use.statement()));
                 }
             }
         } else if (input instanceof ResidencyInput.TimerFired) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -42,6 +42,7 @@
 import org.oleanderspring.daemon.gateway.front.command.StatusRefusalWriter;
 import org.oleanderspring.daemon.gateway.front.query.ReadinessHandler;
 import org.oleanderspring.daemon.gateway.front.query.ResolveHandler;
+import org.oleanderspring.daemon.gateway.permit.command.PermitDuty;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyDuty;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyPorts;
 import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineDuty;
@@ -183,6 +184,7 @@
         startRouting(messenger);
         ResidencyDuty placement = startPlacement(messenger);
         startQuarantine(messenger);
+        mRings.permits().start(new PermitDuty(messenger, new MonotonicClock(Clock.systemUTC())));
         String failure = openPorts();
         if (failure != null) {
             return failure;
@@ -213,6 +215,7 @@
                 new GatewayPorts(
                         new HostedEndpointCommands(mClient, RESPONSE_SILENCE_LIMIT),
                         messenger,
+                        messenger,
                         mRings);
         mRings.routing()
                 .start(
@@ -341,6 +344,7 @@
         registerRingGauges("placement", mRings.placement());
         registerRingGauges("quarantine", mRings.quarantine());
         registerRingGauges("store-watch", mRings.storeWatch());
+        registerRingGauges("permits", mRings.permits());
         Handler frontHandler =
                 new GatewayRequestHandler(
                         mRings,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -14,6 +14,7 @@
 import org.oleanderspring.core.routing.command.RoutingEvent;
 import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.daemon.gateway.front.command.GatewayIntake;
+import org.oleanderspring.daemon.gateway.permit.command.PermitInput;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
 import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineInput;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRequest;
@@ -35,6 +36,9 @@
     /** Several times the calls to the key-value service that are in flight at a time. */
     private static final int STORE_WATCH_CAPACITY = 256;
 
+    /** A request that finds no room is repeated by its daemon. */
+    private static final int PERMIT_CAPACITY = 1_024;
+
     /**
      * Messages of other daemons about their demand, which are repeated several times a second,
      * leave this part of the ring to replies of the key-value service and of runners.
@@ -63,6 +67,7 @@
             new DutyThread<>("quarantine", QUARANTINE_CAPACITY, DutyEventKinds::of);
     private final DutyThread<WatchEvent> mStoreWatch =
             new DutyThread<>("store-watch", STORE_WATCH_CAPACITY);
+    private final DutyThread<PermitInput> mPermits = new DutyThread<>("permits", PERMIT_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
     private final EventSink<GatewayRoutingInput> mRoutingSink =
             new RetryingSink<>(mRouting, mTimer);
@@ -78,6 +83,7 @@
         mPlacement.onLoad(load -> DutyLoadLog.log("placement", load));
         mQuarantine.onLoad(load -> DutyLoadLog.log("quarantine", load));
         mStoreWatch.onLoad(load -> DutyLoadLog.log("store-watch", load));
+        mPermits.onLoad(load -> DutyLoadLog.log("permits", load));
     }
 
     DutyThread<GatewayRoutingInput> routing() {
@@ -92,6 +98,10 @@
         return mQuarantine;
     }
 
+    DutyThread<PermitInput> permits() {
+        return mPermits;
+    }
+
     DutyThread<WatchEvent> storeWatch() {
         return mStoreWatch;
     }
@@ -205,6 +215,7 @@
     public void close() {
         mTimer.close();
         mStoreWatch.close();
+        mPermits.close();
         mPlacement.close();
         mQuarantine.close();
         mRouting.close();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -12,6 +12,8 @@
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.permit.PermitGrant;
+import org.oleanderspring.core.permit.PermitRequest;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.quarantine.PromptPart;
 import org.oleanderspring.core.quarantine.QuarantineEntry;
@@ -23,10 +25,13 @@
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.permit.command.PermitGrantNotifier;
+import org.oleanderspring.daemon.gateway.permit.command.PermitInput;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyNotifier;
 import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineNotifier;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
+import org.oleanderspring.daemon.gateway.routing.command.PermitNotifier;
 import org.oleanderspring.daemon.gateway.routing.command.PlacementNotifier;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.duty.command.EventSink;
@@ -43,6 +48,8 @@
  */
 final class PeerMessenger
         implements PlacementNotifier,
+                PermitNotifier,
+                PermitGrantNotifier,
                 ResidencyNotifier,
                 QuarantineNotifier,
                 EventSink<ReceivedMessage> {
@@ -152,6 +159,24 @@
         }
     }
 
+    @Override
+    public void requestPermits(GatewayMember issuer, PermitRequest request) {
+        if (issuer.equals(mSettings.self())) {
+            mRings.permits().offer(new PermitInput.Requested(issuer.id(), request));
+            return;
+        }
+        send(issuer, new PeerMessage.PermitRequested(mSettings.self().id(), request));
+    }
+
+    @Override
+    public void sendPermits(GatewayMember member, PermitGrant grant) {
+        if (member.equals(mSettings.self())) {
+            mRings.routing().offer(new GatewayRoutingInput.PermitsReceived(grant));
+            return;
+        }
+        send(member, new PeerMessage.PermitsGranted(grant));
+    }
+
     private void offerEstimate(Target.ServiceModelTarget target, Duration readyAfter) {
         mRings.routing().offer(new GatewayRoutingInput.ReadinessEstimated(target, readyAfter));
     }
@@ -206,6 +231,13 @@
             return mRings.routing()
                     .offer(new GatewayRoutingInput.ResidencyReceived(statement.residency()));
         }
+        if (message instanceof PeerMessage.PermitRequested requested) {
+            return mRings.permits()
+                    .offer(new PermitInput.Requested(requested.daemon(), requested.request()));
+        }
+        if (message instanceof PeerMessage.PermitsGranted granted) {
+            return mRings.routing().offer(new GatewayRoutingInput.PermitsReceived(granted.grant()));
+        }
         QuarantineEvent quarantineEvent = quarantineEvent(message);
         if (quarantineEvent != null) {
             return mRings.offerQuarantine(quarantineEvent);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.routing.command.RoutingDecision;
@@ -146,6 +147,23 @@
         log("runner-leaving runner=" + runner);
     }
 
+    /** Logs a limit that a runner has named, or its end. */
+    static void runnerLimit(EndpointId runner, StatedLimit limit) {
+        log("runner-limit runner=" + runner + " " + text(limit));
+    }
+
+    private static String text(StatedLimit limit) {
+        if (limit instanceof StatedLimit.Limited limited) {
+            return "per-second="
+                    + limited.limit().callsPerSecond()
+                    + " named="
+                    + limited.callsPerSecond();
+        }
+        return limit instanceof StatedLimit.Unreadable unreadable
+                ? "unreadable=\"" + unreadable.text() + "\""
+                : "per-second=none";
+    }
+
     /** Logs a load request to the holder of the placement lease. */
     static void loadRequested(RoutingDecision.RequestLoad request, String holder) {
         log(
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.Target;
@@ -79,6 +80,14 @@
         mCallersDisconnected.inc();
     }
 
+    /** Counts permits that were granted, and replies without any. */
+    void permitsReceived(PermitGrant grant) {
+        mRegistry.counter("gateway.permits.granted").inc(grant.startsIn().size());
+        if (grant.startsIn().isEmpty()) {
+            mRegistry.counter("gateway.permits.deferred").inc();
+        }
+    }
+
     void loadRequested() {
         mLoadRequests.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayPorts.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayPorts.java
@@ -8,14 +8,19 @@
  *
  * @param endpoints sends attempts to runners
  * @param placement sends demand reports and load requests to the holder of the placement lease
+ * @param permits sends requests for permits to the daemons that issue them
  * @param prompts receives what answers show about prompts
  */
 public record GatewayPorts(
-        EndpointCommands endpoints, PlacementNotifier placement, PromptObserver prompts) {
+        EndpointCommands endpoints,
+        PlacementNotifier placement,
+        PermitNotifier permits,
+        PromptObserver prompts) {
     /** Rejects null components. */
     public GatewayPorts {
         Objects.requireNonNull(endpoints, "endpoints");
         Objects.requireNonNull(placement, "placement");
+        Objects.requireNonNull(permits, "permits");
         Objects.requireNonNull(prompts, "prompts");
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelay.java
@@ -19,6 +19,7 @@
 final class GatewayResponseRelay implements ResponseListener {
     private final AttemptId mAttempt;
     private final EndpointId mRunner;
+    private final boolean mRunnerIsLimited;
     private final CallerResponse mResponse;
     private final EventSink<GatewayRoutingInput> mSink;
     private final @Nullable EventStreamSplitter mSplitter;
@@ -29,11 +30,13 @@
     GatewayResponseRelay(
             AttemptId attempt,
             EndpointId runner,
+            boolean runnerIsLimited,
             CallerResponse response,
             EventSink<GatewayRoutingInput> sink,
             @Nullable EventStreamSplitter splitter) {
         mAttempt = attempt;
         mRunner = runner;
+        mRunnerIsLimited = runnerIsLimited;
         mResponse = response;
         mSink = sink;
         mSplitter = splitter;
@@ -55,9 +58,12 @@
         return mCompleteEvents;
     }
 
+    /** Passes on what changes something: that a limit has ended, or any statement but none. */
     @Override
     public void endpointStated(EndpointStatement statement) {
-        mSink.offer(new GatewayRoutingInput.RunnerStated(mRunner, statement));
+        if (mRunnerIsLimited || !statement.equals(EndpointStatement.NONE)) {
+            mSink.offer(new GatewayRoutingInput.RunnerStated(mRunner, statement));
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -75,6 +75,7 @@
     private final Map<CallId, GatewayCall> mCalls = new HashMap<>();
     private final Map<AttemptId, ActiveAttempt> mActiveAttempts = new HashMap<>();
     private final DemandReporter mDemandReporter;
+    private final PermitRequester mPermitRequester;
     private final AnswerRecorder mAnswerRecorder;
     private final ByteBudget mIncompleteEvents = new ByteBudget(MAX_INCOMPLETE_EVENT_BYTES);
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
@@ -108,6 +109,7 @@
         mPorts = ports;
         mAnswerRecorder = new AnswerRecorder(ports.prompts());
         mDemandReporter = new DemandReporter(ports.placement(), mFleet);
+        mPermitRequester = new PermitRequester(ports.permits(), mFleet);
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -136,6 +138,9 @@
         } else if (input instanceof GatewayRoutingInput.EndpointLoadsReceived received) {
             received.loads().forEach(load -> noteLeaving(load.endpoint(), load.statement()));
             decide(new RoutingEvent.EndpointLoadsReported(received.loads()));
+        } else if (input instanceof GatewayRoutingInput.PermitsReceived received) {
+            mMeters.permitsReceived(received.grant());
+            decide(new RoutingEvent.PermitsGranted(received.grant()));
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
@@ -150,6 +155,9 @@
 
     private void runnerStated(EndpointId runner, EndpointStatement statement) {
         noteLeaving(runner, statement);
+        if (mFleet.limitStated(runner, statement.limit())) {
+            CallLog.runnerLimit(runner, statement.limit());
+        }
         decide(new RoutingEvent.EndpointStated(runner, statement));
     }
 
@@ -363,6 +371,8 @@
             mMeters.loadRequested();
         } else if (decision instanceof RoutingDecision.ReportEndpointUse report) {
             mDemandReporter.reportEndpointUse(report.uses());
+        } else if (decision instanceof RoutingDecision.RequestPermits request) {
+            mPermitRequester.send(request.request());
         }
     }
 
@@ -390,6 +400,7 @@
                 new GatewayResponseRelay(
                         attempt,
                         runner.id(),
+                        mFleet.isLimited(runner.id()),
                         call.response(),
                         mOwnRing,
                         stream ? new EventStreamSplitter(mIncompleteEvents) : null);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -6,6 +6,7 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.residency.Residency;
@@ -114,6 +115,13 @@
      */
     record QuarantineChanged(Quarantine quarantine) implements GatewayRoutingInput {}
 
+    /**
+     * A daemon replied to a request for permits.
+     *
+     * @param grant the permits
+     */
+    record PermitsReceived(PermitGrant grant) implements GatewayRoutingInput {}
+
     /** The next report of the demand for models is due. */
     record DemandReportDue() implements GatewayRoutingInput {}
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.query.HostedRoutingTableBuilder;
 import org.oleanderspring.core.residency.query.ResidencyView;
@@ -39,6 +40,9 @@
     /** The runners that have said that they leave, and when this was last heard. */
     private final Map<EndpointId, Instant> mLeaving = new HashMap<>();
 
+    /** What the registered runners have last said about their limit, if they have named one. */
+    private final Map<EndpointId, StatedLimit> mLimits = new HashMap<>();
+
     private @Nullable RouteIndex mRoutes;
     private @Nullable HostedRoutingTableBuilder mTableBuilder;
 
@@ -65,6 +69,25 @@
         return runner == null || runner.draining() || mLeaving.containsKey(id);
     }
 
+    /** Returns whether a runner has named a limit of the rate of its requests. */
+    boolean isLimited(EndpointId id) {
+        return mLimits.containsKey(id);
+    }
+
+    /**
+     * Records the limit that a runner names. Returns whether this differs from what was known.
+     *
+     * @param id the runner
+     * @param limit what it says; an unreadable limit changes nothing but is recorded
+     */
+    boolean limitStated(EndpointId id, StatedLimit limit) {
+        if (limit instanceof StatedLimit.Unlimited) {
+            return mLimits.remove(id) != null;
+        }
+        boolean isKnown = limit instanceof StatedLimit.Unreadable && mLimits.containsKey(id);
+        return !isKnown && !limit.equals(mLimits.put(id, limit));
+    }
+
     /**
      * Records that a runner has said that it leaves. Returns whether that was not known.
      *
@@ -152,6 +175,7 @@
         List<RunnerRegistration> runners = mView.runners();
         mRunners.clear();
         runners.forEach(runner -> mRunners.put(runner.id(), runner));
+        mLimits.keySet().retainAll(mRunners.keySet());
         mResidency.applyRegistrations(runners, now);
         return runners;
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -195,7 +195,12 @@
     }
 
     HttpResponse<String> order(String id) {
-        return send(request("/order/1", id).POST(body("x")).build());
+        return order(0, id);
+    }
+
+    HttpResponse<String> order(int daemon, String id) {
+        Address address = mSettings.get(daemon).self().frontAddress();
+        return send(request(address, "/order/1", id).POST(body("x")).build());
     }
 
     CompletableFuture<HttpResponse<String>> stream(String id, String model) {
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/ActiveAttemptTest.java
@@ -34,6 +34,7 @@
             new GatewayResponseRelay(
                     new AttemptId(new CallId(1), 1),
                     new EndpointId("i-1@1"),
+                    false,
                     new CallerResponse(new DiscardingStream()),
                     input -> {
                         mInputs.add(input);
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/GatewayResponseRelayTest.java
@@ -38,6 +38,7 @@
                 new GatewayResponseRelay(
                         new AttemptId(new CallId(1), 1),
                         new EndpointId("i-1@1"),
+                        false,
                         new CallerResponse(new CountingStream()),
                         input -> {
                             mInputs.add(input);
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -101,7 +101,11 @@
                         new LeastLoadedSelector(1),
                         new RefuseLateStartPolicy(),
                         new ResumingRetryPolicy(new SafeRetryPolicy())),
-                new GatewayPorts(this::send, new SilentNotifier(), new SilentObserver()),
+                new GatewayPorts(
+                        this::send,
+                        new SilentNotifier(),
+                        (issuer, request) -> {},
+                        new SilentObserver()),
                 new GatewayMeters(new MetricRegistry()),
                 new MonotonicClock(Clock.systemUTC()),
                 input -> {
--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -19,6 +19,8 @@
 import org.oleanderspring.core.fleet.ModelName;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.permit.PermitGrant;
+import org.oleanderspring.core.permit.PermitRequest;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
 import org.oleanderspring.core.quarantine.PromptPart;
@@ -202,6 +204,21 @@
         }
     }
 
+    /**
+     * Asks for permits for calls to an endpoint that limits their rate.
+     *
+     * @param daemon the daemon that asks
+     * @param request the request
+     */
+    record PermitRequested(MemberId daemon, PermitRequest request) implements PeerMessage {}
+
+    /**
+     * Replies to a {@link PermitRequested}.
+     *
+     * @param grant the permits
+     */
+    record PermitsGranted(PermitGrant grant) implements PeerMessage {}
+
     /**
      * Reports the end of a runner and the calls that it was beginning to answer.
      *
@@ -271,6 +288,8 @@
                 || this instanceof ResidencyStatement
                 || this instanceof EndpointUseReport
                 || this instanceof EndpointLoadNotice
+                || this instanceof PermitRequested
+                || this instanceof PermitsGranted
                 || this instanceof CrashReport
                 || this instanceof SoundParts
                 || this instanceof QuarantineNotice;
--- a/peer/src/main/java/org/oleanderspring/peer/codec/EndpointLoadCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/EndpointLoadCodec.java
@@ -5,6 +5,8 @@
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
+import org.oleanderspring.core.fleet.RateLimit;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.peer.PeerMessage;
@@ -13,6 +15,7 @@
 /** Encodes and decodes messages about the load of endpoints. */
 final class EndpointLoadCodec {
     private static final double PERCENT = 100;
+    private static final double LIMIT_SECONDS = 1_000;
     private static final int MAX_SLOWNESS_PERCENT = 100_000;
 
     private EndpointLoadCodec() {}
@@ -26,7 +29,8 @@
                     .setRunning(use.running())
                     .setAnswered(use.answered())
                     .setSlownessPercent(use.answered() == 0 ? 0 : percent(use.slowness()))
-                    .setLeaving(use.statement().leaving());
+                    .setLeaving(use.statement().leaving())
+                    .setLimitPerThousandSeconds(encodeLimit(use.statement().limit()));
         }
         return encoded.build();
     }
@@ -39,7 +43,8 @@
                     .setEndpoint(load.endpoint().value())
                     .setRunning(load.running())
                     .setSlownessPercent(percent(load.slowness()))
-                    .setLeaving(load.statement().leaving());
+                    .setLeaving(load.statement().leaving())
+                    .setLimitPerThousandSeconds(encodeLimit(load.statement().limit()));
         }
         return encoded.build();
     }
@@ -54,7 +59,7 @@
                             WireValues.requireNonNegative(use.getRunning()),
                             answered,
                             answered == 0 ? 1 : slowness(use.getSlownessPercent()),
-                            new EndpointStatement(use.getLeaving())));
+                            statement(use.getLeaving(), use.getLimitPerThousandSeconds())));
         }
         return new PeerMessage.EndpointUseReport(
                 new MemberId(WireValues.nonEmpty(report.getDaemon())), uses);
@@ -68,11 +73,33 @@
                             new EndpointId(WireValues.nonEmpty(load.getEndpoint())),
                             WireValues.requireNonNegative(load.getRunning()),
                             slowness(load.getSlownessPercent()),
-                            new EndpointStatement(load.getLeaving())));
+                            statement(load.getLeaving(), load.getLimitPerThousandSeconds())));
         }
         return new PeerMessage.EndpointLoadNotice(loads);
     }
 
+    private static EndpointStatement statement(boolean leaving, int limitPerThousandSeconds) {
+        return new EndpointStatement(
+                leaving,
+                limitPerThousandSeconds == 0
+                        ? new StatedLimit.Unlimited()
+                        : new StatedLimit.Limited(
+                                decodeLimit(limitPerThousandSeconds).callsPerSecond()));
+    }
+
+    /** Returns the limit as the number of calls in {@link #LIMIT_SECONDS}; 0 if there is none. */
+    private static int encodeLimit(StatedLimit limit) {
+        return limit instanceof StatedLimit.Limited limited ? encodeLimit(limited.limit()) : 0;
+    }
+
+    static int encodeLimit(RateLimit limit) {
+        return (int) Math.round(limit.callsPerSecond() * LIMIT_SECONDS);
+    }
+
+    static RateLimit decodeLimit(int perThousandSeconds) {
+        return RateLimit.nearest(WireValues.requireNonNegative(perThousandSeconds) / LIMIT_SECONDS);
+    }
+
     private static int percent(double slowness) {
         return (int) Math.max(1, Math.min(MAX_SLOWNESS_PERCENT, Math.round(slowness * PERCENT)));
     }
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -68,6 +68,10 @@
             envelope.setEndpointUseReport(EndpointLoadCodec.encode(report));
         } else if (message instanceof PeerMessage.EndpointLoadNotice notice) {
             envelope.setEndpointLoadNotice(EndpointLoadCodec.encode(notice));
+        } else if (message instanceof PeerMessage.PermitRequested requested) {
+            envelope.setPermitRequest(PermitCodec.encode(requested));
+        } else if (message instanceof PeerMessage.PermitsGranted granted) {
+            envelope.setPermitGrant(PermitCodec.encode(granted));
         } else if (message instanceof PeerMessage.CrashReport report) {
             envelope.setCrashReport(QuarantineCodec.encode(report));
         } else if (message instanceof PeerMessage.SoundParts sound) {
@@ -221,6 +225,8 @@
                             ResidencyCodec.decode(envelope.getResidencyStatement()));
             case ENDPOINT_USE_REPORT -> EndpointLoadCodec.decode(envelope.getEndpointUseReport());
             case ENDPOINT_LOAD_NOTICE -> EndpointLoadCodec.decode(envelope.getEndpointLoadNotice());
+            case PERMIT_REQUEST -> PermitCodec.decode(envelope.getPermitRequest());
+            case PERMIT_GRANT -> PermitCodec.decode(envelope.getPermitGrant());
             case CRASH_REPORT -> QuarantineCodec.decode(envelope.getCrashReport());
             case SOUND_PARTS -> QuarantineCodec.decode(envelope.getSoundParts());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(envelope.getQuarantineNotice());
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -21,8 +21,13 @@
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.ModelName;
+import org.oleanderspring.core.fleet.RateLimit;
+import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.permit.IssuerRank;
+import org.oleanderspring.core.permit.PermitGrant;
+import org.oleanderspring.core.permit.PermitRequest;
 import org.oleanderspring.core.placement.ModelUse;
 import org.oleanderspring.core.placement.UnreadyReason;
 import org.oleanderspring.core.quarantine.Prompt;
@@ -88,11 +93,15 @@
                         new MembershipMessage.Acknowledgement(3, sender, updates, new byte[0])));
     }
 
+    private static final EndpointStatement LIMITED_AND_LEAVING =
+            new EndpointStatement(true, new StatedLimit.Limited(2.5));
+
     static List<PeerMessage> framedMessages() {
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(new PeerMessage.DocumentPush(DOCUMENT));
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
         samples.addAll(loadMessages());
+        samples.addAll(permitMessages());
         samples.addAll(quarantineMessages());
         samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
         samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
@@ -119,6 +128,26 @@
         return samples;
     }
 
+    private static List<PeerMessage> permitMessages() {
+        List<PeerMessage> samples = new ArrayList<>();
+        for (IssuerRank rank : IssuerRank.values()) {
+            samples.add(
+                    new PeerMessage.PermitRequested(
+                            DAEMON,
+                            new PermitRequest(RESIDENCY.runner(), 2, new RateLimit(1.25), rank)));
+        }
+        samples.add(
+                new PeerMessage.PermitsGranted(
+                        new PermitGrant(
+                                RESIDENCY.runner(),
+                                List.of(Duration.ZERO, Duration.ofMillis(800)),
+                                Duration.ofMillis(1_600))));
+        samples.add(
+                new PeerMessage.PermitsGranted(
+                        new PermitGrant(RESIDENCY.runner(), List.of(), Duration.ofSeconds(4))));
+        return samples;
+    }
+
     private static List<PeerMessage> loadMessages() {
         List<PeerMessage> samples = new ArrayList<>();
         samples.add(
@@ -128,19 +157,12 @@
                                 new EndpointUse(
                                         RESIDENCY.runner(), 3, 0, 1, EndpointStatement.NONE),
                                 new EndpointUse(
-                                        RESIDENCY.runner(),
-                                        0,
-                                        2,
-                                        4.25,
-                                        new EndpointStatement(true)))));
+                                        RESIDENCY.runner(), 0, 2, 4.25, LIMITED_AND_LEAVING))));
         samples.add(
                 new PeerMessage.EndpointLoadNotice(
                         List.of(
                                 new EndpointLoad(
-                                        RESIDENCY.runner(),
-                                        12,
-                                        1.5,
-                                        new EndpointStatement(true)))));
+                                        RESIDENCY.runner(), 12, 1.5, LIMITED_AND_LEAVING))));
         return samples;
     }
 
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -62,6 +62,7 @@
     private int mHeldStreams;
     private boolean mCrashed;
     private boolean mLeaving;
+    private @Nullable String mLimit;
 
     /**
      * Starts a runner on a free port, which accepts requests at once.
@@ -133,7 +134,19 @@
         mLeaving = true;
     }
 
+    /**
+     * Sets the limit that the runner names in all its responses; it serves all requests anyway.
+     *
+     * @param limit the number of requests a second, or any other text; null for none
+     */
+    public synchronized void limit(@Nullable String limit) {
+        mLimit = limit;
+    }
+
     private synchronized void addStatements(Exchange exchange) {
+        if (mLimit != null) {
+            exchange.withHeader("Server-Limit", mLimit);
+        }
         if (mLeaving) {
             exchange.withHeader("Server-Leaving", "1");
         }
