Add the types for organisations, API keys, quotas and the size of calls

The hosted platform's configuration names organisations with API keys and quotas, and admission is to weigh calls by their organisation and size. The types come first, so that the parts that use them can be built side by side. Nothing reads the new fields yet; behaviour is unchanged.

--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/organisation/ApiKeyDigest.java
@@ -0,0 +1,34 @@
+package org.oleanderspring.core.organisation;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * The first 128 bits of the SHA-256 digest of an API key. Only digests are kept and compared, so
+ * that a key itself appears in no log line, message or heap dump of the daemon. Keys are random, so
+ * two of them do not share 128 bits.
+ *
+ * @param high the first 64 bits
+ * @param low the next 64 bits
+ */
+public record ApiKeyDigest(long high, long low) {
+    /**
+     * Returns the digest of a key.
+     *
+     * @param key the key as the caller or the configuration names it
+     */
+    public static ApiKeyDigest of(String key) {
+        ByteBuffer digest = ByteBuffer.wrap(sha256().digest(key.getBytes(StandardCharsets.UTF_8)));
+        return new ApiKeyDigest(digest.getLong(), digest.getLong());
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java platform has SHA-256", missing);
+        }
+    }
+}
--- a/core/src/main/java/org/oleanderspring/core/route/Route.java
+++ b/core/src/main/java/org/oleanderspring/core/route/Route.java
@@ -20,6 +20,8 @@
  * @param shares the services that serve the route, with their weights
  * @param attemptLimit the maximum number of runners to which a request may be sent
  * @param resumable whether an interrupted stream may be resumed on another runner
+ * @param anonymous whether its callers need no API key although the configuration names
+ *     organisations
  */
 public record Route(
         String name,
@@ -32,7 +34,8 @@
         int priority,
         List<ServiceShare> shares,
         int attemptLimit,
-        boolean resumable) {
+        boolean resumable,
+        boolean anonymous) {
     /**
      * Rejects null components, a prefix without slashes at both ends, an empty list of services, an
      * attempt limit below 1 and a timeout that is not positive.
--- a/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/CallRequest.java
@@ -25,6 +25,7 @@
  * @param beginBy the time by which the response must begin, because the caller disconnects then;
  *     not after the deadline
  * @param prompt the parts of the prompt; {@link Prompt#UNKNOWN} if the caller does not name them
+ * @param origin who sent the call and how much it asks for
  */
 public record CallRequest(
         CallId id,
@@ -37,7 +38,8 @@
         int attemptLimit,
         DeadlineScope deadlineScope,
         Instant beginBy,
-        Prompt prompt) {
+        Prompt prompt,
+        CallOrigin origin) {
     /**
      * Rejects null components, a {@code beginBy} after the deadline and an attempt limit below 1.
      */
@@ -49,6 +51,7 @@
         Objects.requireNonNull(deadlineScope, "deadlineScope");
         Objects.requireNonNull(beginBy, "beginBy");
         Objects.requireNonNull(prompt, "prompt");
+        Objects.requireNonNull(origin, "origin");
         if (beginBy.isAfter(deadline)) {
             throw new IllegalArgumentException(
                     "beginBy " + beginBy + " is after the deadline " + deadline);
@@ -89,7 +92,8 @@
                 Integer.MAX_VALUE,
                 DeadlineScope.FIRST_BYTE,
                 deadline,
-                Prompt.UNKNOWN);
+                Prompt.UNKNOWN,
+                CallOrigin.UNKNOWN);
     }
 
     /** Returns whether the call may be repeated although an earlier attempt may have run. */
--- a/core/src/test/java/org/oleanderspring/core/route/query/RouteIndexTest.java
+++ b/core/src/test/java/org/oleanderspring/core/route/query/RouteIndexTest.java
@@ -31,6 +31,7 @@
                 0,
                 List.of(shares),
                 1,
+                false,
                 false);
     }
 
--- a/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/HostedRoutingTest.java
@@ -29,6 +29,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallOrigin;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.DeadlineScope;
 import org.oleanderspring.core.routing.RefusalReason;
@@ -113,7 +114,8 @@
                                 attempts,
                                 DeadlineScope.FULL_RESPONSE,
                                 beginBy,
-                                mPrompt)),
+                                mPrompt,
+                                CallOrigin.UNKNOWN)),
                 START);
     }
 
@@ -457,6 +459,7 @@
                 2,
                 DeadlineScope.FULL_RESPONSE,
                 deadline.minusSeconds(10),
-                Prompt.UNKNOWN);
+                Prompt.UNKNOWN,
+                CallOrigin.UNKNOWN);
     }
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/PlannedStopTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/PlannedStopTest.java
@@ -20,6 +20,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallOrigin;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.DeadlineScope;
 import org.oleanderspring.core.routing.Repetition;
@@ -109,7 +110,8 @@
                                 1,
                                 DeadlineScope.FULL_RESPONSE,
                                 deadline.minusSeconds(10),
-                                Prompt.UNKNOWN)),
+                                Prompt.UNKNOWN,
+                                CallOrigin.UNKNOWN)),
                 sinceStop);
     }
 
--- a/core/src/test/java/org/oleanderspring/core/routing/command/SharedLimitSimulation.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/SharedLimitSimulation.java
@@ -25,6 +25,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallOrigin;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.DeadlineScope;
 import org.oleanderspring.core.routing.Repetition;
@@ -121,7 +122,8 @@
                                     2,
                                     DeadlineScope.FIRST_BYTE,
                                     until,
-                                    Prompt.UNKNOWN)));
+                                    Prompt.UNKNOWN,
+                                    CallOrigin.UNKNOWN)));
         }
         double pause = -Math.log(1 - mRandom.nextDouble()) / perSecond;
         mTime.after(
--- a/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadSimulation.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadSimulation.java
@@ -18,6 +18,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
+import org.oleanderspring.core.routing.CallOrigin;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.DeadlineScope;
 import org.oleanderspring.core.routing.Repetition;
@@ -134,7 +135,8 @@
                                 2,
                                 DeadlineScope.FULL_RESPONSE,
                                 deadline,
-                                Prompt.UNKNOWN)));
+                                Prompt.UNKNOWN,
+                                CallOrigin.UNKNOWN)));
         double pause = -Math.log(1 - mRandom.nextDouble()) / CALLS_PER_SECOND;
         at(mNow.plusNanos((long) (pause * 1e9)), this::callArrives);
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
@@ -10,6 +10,7 @@
 import org.oleanderspring.core.route.Route;
 import org.oleanderspring.core.route.RouteKind;
 import org.oleanderspring.core.route.ServiceDescription;
+import org.oleanderspring.core.routing.CallOrigin;
 import org.oleanderspring.core.routing.CallRequest;
 import org.oleanderspring.core.routing.DeadlineScope;
 import org.oleanderspring.core.routing.Repetition;
@@ -48,7 +49,8 @@
                         route.attemptLimit(),
                         DeadlineScope.FULL_RESPONSE,
                         callerDisconnectsAt.isBefore(deadline) ? callerDisconnectsAt : deadline,
-                        request.head().prompt());
+                        request.head().prompt(),
+                        new CallOrigin(null, request.head().tokens()));
         return new GatewayCall(request, route, call, new CallerResponse(request.stream()));
     }
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.organisation.PresentedKey;
 import org.oleanderspring.core.port.EndpointCall;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.core.port.RequestHead;
@@ -150,7 +151,9 @@
                                         null,
                                         ModelReference.parse("m1"),
                                         0,
-                                        Prompt.UNKNOWN),
+                                        Prompt.UNKNOWN,
+                                        null,
+                                        new PresentedKey.None()),
                                 new byte[0],
                                 new MonotonicClock(Clock.systemUTC()).now(),
                                 new RecordingStream(id),
