Keep one of two replicas when both make way for other models

Cause: two runners that each hold a replica of a popular model may plan a load in the same decision.

Change: a replica that a planned step unloads does not count when the eviction planner asks whether a runner holds the last replica.

Result: StoreLoadTest.onlyOneOfTwoReplicasMakesWay failed before (both replicas were unloaded) and passes now.

--- a/core/src/main/java/org/oleanderspring/core/residency/command/EvictionPlanner.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/EvictionPlanner.java
@@ -98,16 +98,13 @@
 
     /**
      * Returns whether no other runner can take over the calls of a model. Runners that limit the
-     * rate of their calls cannot take over those of one that does not.
+     * rate of their calls cannot take over those of one that does not, and a replica that makes way
+     * for another model cannot take over any.
      */
     private boolean isLastReplica(RunnerRecord record, ModelName model, Instant now) {
         ServiceName service = record.registration().service();
-        boolean isLimited = record.intake().limit(now) != null;
-        int replicas =
-                isLimited
-                        ? mFleet.replicas(service, model)
-                        : mFleet.unlimitedReplicas(service, model, now);
-        return replicas <= 1;
+        boolean isUnlimited = record.intake().limit(now) == null;
+        return mFleet.keptReplicas(service, model, isUnlimited, now) <= 1;
     }
 
     private Candidate candidate(RunnerRecord record, ModelName model, Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerFleet.java
@@ -91,6 +91,23 @@
         return replicas;
     }
 
+    /**
+     * Returns the number of {@link #replicas} that no planned step unloads.
+     *
+     * @param onlyUnlimited whether only runners count that do not limit their call rate
+     */
+    int keptReplicas(ServiceName service, ModelName model, boolean onlyUnlimited, Instant now) {
+        int replicas = 0;
+        for (RunnerRecord record : mRecords.values()) {
+            boolean counts =
+                    serves(record, service)
+                            && record.keeps(model)
+                            && !(onlyUnlimited && record.intake().limit(now) != null);
+            replicas += counts ? 1 : 0;
+        }
+        return replicas;
+    }
+
     /** Returns the number of {@link #copies} on runners that do not limit their call rate. */
     int unlimitedCopies(ServiceName service, ModelName model, Instant now) {
         int copies = 0;
--- a/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/command/RunnerRecord.java
@@ -225,6 +225,19 @@
         return mHeld.containsKey(model) && !mClosing.containsKey(model);
     }
 
+    /** Returns whether the runner holds a model and will hold it after the planned steps. */
+    boolean keeps(ModelName model) {
+        if (!isRoutable(model)) {
+            return false;
+        }
+        for (ModelStep step : mSteps) {
+            if (step.kind() == ResidencyOrderKind.UNLOAD && step.model().equals(model)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns whether the runner holds a model or adapter and is not about to unload it. */
     boolean isRoutable(ModelReference model) {
         return isRoutable(model.base())
--- a/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/residency/command/StoreLoadTest.java
@@ -265,4 +265,25 @@
         decide(new ResidencyEvent.TimerFired(), 200);
         assertThat(mTargets, contains(free.id().value() + " busy"));
     }
+
+    /**
+     * Guards against a popular model that loses both replicas at the same time, because each of
+     * them makes way for a rare model while the other one still counts.
+     */
+    @Test
+    void onlyOneOfTwoReplicasMakesWay() {
+        SimulatedRunner one = addRunner("one", "busy", "rare");
+        SimulatedRunner two = addRunner("two", "busy", "other");
+        for (SimulatedRunner runner : mRunners) {
+            runner.hold(ModelReference.parse("busy"));
+        }
+        beginTenure();
+        report(demand("busy", 0, 30), demand("rare", 1, 1), demand("other", 1, 1));
+        for (SimulatedRunner runner : List.of(one, two)) {
+            decide(new ResidencyEvent.StateRead(runner.id(), runner.state(START)), 2);
+        }
+        decide(new ResidencyEvent.TimerFired(), 200);
+        decide(new ResidencyEvent.TimerFired(), 400);
+        assertThat("models that are unloaded", mLoads, contains("busy"));
+    }
 }
