Start the daemon of a test on other ports if one is taken

Cause: FaultyRunnerScene picks unused ports, closes them and starts a daemon in a process of its own.

Change: the scene starts the daemon again on other ports in this case only, as GatewayFixture does. Any other end of the daemon fails the test as before.

--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/FaultyRunnerScene.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/FaultyRunnerScene.java
@@ -34,6 +34,9 @@
     /** A link of 1,000 Mbit/s, less the overhead of the protocols. */
     private static final long BYTES_PER_SECOND = 100_000_000;
 
+    /** How often the daemon is started if a port is taken between its choice and its use. */
+    private static final int START_LIMIT = 5;
+
     private static final Duration START_TIME = Duration.ofSeconds(30);
     private static final Duration REQUEST_TIME = Duration.ofSeconds(10);
 
@@ -46,9 +49,9 @@
     private final List<AutoCloseable> mRunners = new ArrayList<>();
     private final List<FaultyRunnerStandin> mFaulty = new ArrayList<>();
     private final HttpClient mClient = HttpClient.newHttpClient();
-    private final List<Integer> mPorts = unusedPorts(5);
     private final Path mFolder;
-    private final Process mDaemon;
+    private List<Integer> mPorts = List.of();
+    private Process mDaemon;
     private final AtomicInteger mNext = new AtomicInteger();
 
     FaultyRunnerScene(EndlessAnswer answer) throws IOException {
@@ -60,12 +63,22 @@
         addSound("ledger-2", "ledger");
         mFolder = Files.createTempDirectory("faulty-runner");
         mDaemon = startDaemon();
+        for (int start = 1; start < START_LIMIT && !becomesReady(); start++) {
+            mDaemon = startDaemon();
+        }
         GatewayFixture.await("the daemon is ready", this::isReady);
         for (int index = 0; index < FAULTY_RUNNERS; index++) {
             addFaulty("faulty-" + index, answer);
         }
     }
 
+    /** Returns false if the daemon ended because another process has taken one of its ports. */
+    private boolean becomesReady() throws IOException {
+        GatewayFixture.await(
+                "the daemon is ready or has ended", () -> isReady() || !mDaemon.isAlive());
+        return mDaemon.isAlive() || !logText().startsWith("cannot listen on ");
+    }
+
     private static List<Integer> unusedPorts(int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         for (int index = 0; index < count; index++) {
@@ -101,6 +114,7 @@
     }
 
     private Process startDaemon() throws IOException {
+        mPorts = unusedPorts(5);
         Path settings = mFolder.resolve("node.env");
         List<String> lines = new ArrayList<>();
         Map.of(
