Check a configuration of a hosted fleet before it is sent

Operators could see a fault in a configuration only once it was in force: a route that never matches, a model that no engine can hold, a version that daemons ignore.

configuration check FILE reads the file as daemons do, reviews it by small checks in core.review, and compares it with another file by meaning. Reading the configuration in force from the store and line numbers of findings that are no errors of syntax are not built.

--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -65,6 +65,37 @@
     SETTINGS_UNAVAILABLE(104, Severity.ERROR, "settings cannot be accepted now: {0}"),
     /** The settings document cannot be parsed. */
     SETTINGS_MALFORMED(105, Severity.ERROR, "the settings document is malformed: {0}"),
+    /** The document of a configuration cannot be read. */
+    CONFIGURATION_MALFORMED(150, Severity.ERROR, "{0}: the configuration is malformed: {1}"),
+    /** The document of a configuration is larger than the key-value service takes. */
+    CONFIGURATION_TOO_LARGE(151, Severity.ERROR, "{0}: {1} bytes; allowed: {2}"),
+    /** Daemons ignore a configuration whose version is not higher than the one in force. */
+    VERSION_NOT_HIGHER(152, Severity.ERROR, "{0} is not higher than {1}, which is in force"),
+    /** No request can reach a route because another one has the same host and prefix. */
+    SHADOWED_ROUTE(153, Severity.WARNING, "{0} never matches: {1} has the same host and prefix"),
+    /** A route names a service that does not exist. */
+    UNKNOWN_SERVICE(154, Severity.ERROR, "{0} names the unknown service {1}"),
+    /** A service of a route gets none of its requests. */
+    SHARE_WITHOUT_WEIGHT(155, Severity.WARNING, "{0} gives no requests to {1}: its weight is 0"),
+    /** No route names a service. */
+    UNUSED_SERVICE(156, Severity.WARNING, "no route leads to {0}"),
+    /** Requests time out before their objective is missed. */
+    TIMEOUT_BELOW_OBJECTIVE(
+            157, Severity.WARNING, "{0} times out after {1} ms, before its objective of {2} ms"),
+    /** Requests that may run once have more than one attempt. */
+    ATTEMPTS_OF_UNREPEATABLE_ROUTE(
+            158, Severity.WARNING, "{0} allows {1} attempts for requests that may run only once"),
+    /** No engine can hold a model. */
+    MODEL_TOO_LARGE(159, Severity.ERROR, "{0} has {1} MB; an engine holds {2} MB"),
+    /** No engine can hold an adapter of a model. */
+    ADAPTERS_WITHOUT_ROOM(160, Severity.ERROR, "{0} has adapters that no engine can hold"),
+    /** Nobody can send requests for an organisation. */
+    ORGANISATION_WITHOUT_KEY(161, Severity.WARNING, "{0} has no API key"),
+    /** A key belongs to two organisations. */
+    SHARED_KEY(162, Severity.ERROR, "{0} has an API key of organisation {1}"),
+    /** A quota is lower than the cost of one request. */
+    QUOTA_BELOW_ONE_REQUEST(
+            163, Severity.WARNING, "{0}: a plain request costs {1}, its quota allows {2} at once"),
     /** A command-line flag has an invalid value. */
     BAD_FLAG(200, Severity.ERROR, "{0} has the invalid value \"{1}\"; allowed: {2}"),
     /** A port cannot be opened. */
--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/review/query/package-info.java
@@ -0,0 +1,5 @@
+/** Checks a configuration, and compares it with another one. */
+@NullMarked
+package org.oleanderspring.core.review.query;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/Oleanderspring.java
@@ -4,6 +4,7 @@
 import org.oleanderspring.daemon.cli.command.QuarantineCommand;
 import org.oleanderspring.daemon.cli.command.ServeCommand;
 import org.oleanderspring.daemon.cli.command.SettingsCommand;
+import org.oleanderspring.daemon.cli.query.ConfigurationCommand;
 import org.oleanderspring.daemon.cli.query.EntryCommand;
 import org.oleanderspring.daemon.cli.query.StatusCommand;
 import org.oleanderspring.daemon.process.EnvironmentDefaults;
@@ -26,6 +27,7 @@
             GatewayCommand.class,
             QuarantineCommand.class,
             SettingsCommand.class,
+            ConfigurationCommand.class,
             StatusCommand.class,
             EntryCommand.class
         },
