--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.coordination.store.query;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.oleanderspring.coordination.store.StoredValue;
 
@@ -38,4 +39,12 @@
      * @param outdatedFor the time for which the values may have been outdated
      */
     void resumed(Duration outdatedFor);
+
+    /**
+     * Called after the changes of an answer were reported: all changes that the service had
+     * acknowledged by a time have been reported. Does nothing unless it is overridden.
+     *
+     * @param provenAt that time, by the clock of the caller of this method
+     */
+    default void confirmed(Instant provenAt) {}
 }
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/WatchOptions.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/WatchOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Bounds of the calls that follow key prefixes.
@@ -15,11 +16,25 @@
  * @param settleLimit the longest time from the end of a disturbance until values are current again
  * @param answerLimit how long to wait for an answer that the service does not delay
  * @param readsPerSecond the number of reads that the service takes from all daemons in a second
+ * @param proofLimit the age that the proof of the values must not reach while the service answers,
+ *     or null if none is needed
  */
-public record WatchOptions(Duration settleLimit, Duration answerLimit, int readsPerSecond) {
+public record WatchOptions(
+        Duration settleLimit,
+        Duration answerLimit,
+        int readsPerSecond,
+        @Nullable Duration proofLimit) {
     /** The share of the settle limit for which the service may delay its answer to a poll. */
     private static final double WAIT_SHARE = 0.8;
 
+    /**
+     * The share of the proof limit for which the service may delay its answer to a poll. An answer
+     * with a change proves the values at the time of its call only, so just before the answer to a
+     * poll the proof can be as old as two waits; and the daemon needs the rest for a poll whose
+     * answer is delayed.
+     */
+    private static final double PROOF_WAIT_SHARE = 0.36;
+
     /** The share of the settle limit that a delayed answer may take in addition. */
     private static final double DELAYED_ANSWER_SHARE = 0.1;
 
@@ -46,19 +61,35 @@
         }
     }
 
+    /**
+     * Creates options without a limit for the age of proofs.
+     *
+     * @param settleLimit the longest time from the end of a disturbance until values are current
+     * @param answerLimit how long to wait for an answer that the service does not delay
+     * @param readsPerSecond the number of reads that the service takes from all daemons in a second
+     */
+    public WatchOptions(Duration settleLimit, Duration answerLimit, int readsPerSecond) {
+        this(settleLimit, answerLimit, readsPerSecond, null);
+    }
+
     /** Returns how long the service may delay its answer to a poll if there is no change. */
     public Duration pollWait() {
-        return share(WAIT_SHARE);
+        Duration wait = share(settleLimit, WAIT_SHARE);
+        if (proofLimit == null) {
+            return wait;
+        }
+        Duration proofWait = share(proofLimit, PROOF_WAIT_SHARE);
+        return proofWait.compareTo(wait) < 0 ? proofWait : wait;
     }
 
     /** Returns the time after which a poll without an answer is given up. */
     public Duration pollLimit() {
-        return share(WAIT_SHARE + DELAYED_ANSWER_SHARE);
+        return pollWait().plus(share(settleLimit, DELAYED_ANSWER_SHARE));
     }
 
     /** Returns the longest time between two calls while the service does not answer. */
     public Duration longestRetryDelay() {
-        return share(RETRY_SHARE);
+        return share(settleLimit, RETRY_SHARE);
     }
 
     /**
@@ -73,7 +104,7 @@
         return Duration.ofNanos((long) (seconds * NANOS_PER_SECOND));
     }
 
-    private Duration share(double share) {
-        return Duration.ofNanos((long) (settleLimit.toNanos() * share));
+    private static Duration share(Duration whole, double share) {
+        return Duration.ofNanos((long) (whole.toNanos() * share));
     }
 }
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/FollowedPrefix.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/FollowedPrefix.java
@@ -42,6 +42,8 @@
      */
     private static final Duration REPORTED_CHANGE_SLACK = Duration.ofMillis(150);
 
+    private static final int WAIT_RESERVE = 20;
+
     private final StoreKey mPrefix;
     private final WatchOptions mOptions;
     private final RetryDelay mRetryDelay;
@@ -51,6 +53,7 @@
     private @Nullable Revision mRevision;
 
     private @Nullable Revision mFirstPageRevision;
+    private @Nullable Instant mFirstPageAt;
     private @Nullable PendingCall mPending;
     private Instant mNextCallAt = Instant.MIN;
     private Duration mPause;
@@ -161,11 +164,11 @@
         Revision revision = mRevision;
         boolean waits = revision != null && !probes;
         Duration limit = waits ? mOptions.pollLimit() : mOptions.answerLimit();
-        mPending = new PendingCall(call, now, now.plus(limit).plus(REPORT_SLACK), probes);
+        Duration wait = waits ? mOptions.pollWait() : Duration.ZERO;
+        mPending = new PendingCall(call, now, now.plus(limit).plus(REPORT_SLACK), probes, wait);
         if (revision == null) {
             return new WatchDecision.ReadPage(call, mPrefix, lastKey(), limit);
         }
-        Duration wait = waits ? mOptions.pollWait() : Duration.ZERO;
         return new WatchDecision.Poll(call, mPrefix, revision, wait, limit);
     }
 
@@ -175,15 +178,21 @@
 
     /** Processes a page. */
     void received(PageResult.Page page, Instant now, List<WatchDecision> decisions) {
+        PendingCall call = mPending;
         answered(now, decisions);
         mPages.addAll(page.values());
         if (mFirstPageRevision == null) {
             mFirstPageRevision = page.revision();
+            mFirstPageAt = call == null ? null : call.sentAt();
         }
         if (page.hasMore() && !mPages.isEmpty()) {
             return;
         }
         decisions.add(new WatchDecision.PublishValues(mPrefix, mPages));
+        if (mFirstPageAt != null && mOptions.proofLimit() != null) {
+            // A change after the first page is missing if it belongs to an earlier page.
+            decisions.add(new WatchDecision.ReportConfirmation(mPrefix, mFirstPageAt));
+        }
         mRevision = mFirstPageRevision;
         mFirstPageRevision = null;
         mPages.clear();
@@ -191,16 +200,38 @@
 
     /** Processes the answer to a poll. */
     void received(ChangesResult.Changes changes, Instant now, List<WatchDecision> decisions) {
+        PendingCall call = mPending;
         answered(now, decisions);
         mRevision = changes.revision();
+        if (!changes.changes().isEmpty()) {
+            decisions.add(new WatchDecision.PublishChanges(mPrefix, changes.changes()));
+        }
+        if (call != null && mOptions.proofLimit() != null) {
+            decisions.add(new WatchDecision.ReportConfirmation(mPrefix, proof(call, changes, now)));
+        }
         if (changes.changes().isEmpty()) {
             return;
         }
-        decisions.add(new WatchDecision.PublishChanges(mPrefix, changes.changes()));
         mInPause = true;
         mNextCallAt = now.plus(mPause);
     }
 
+    /**
+     * Returns a time up to which an answer reports all changes. The service may have made the
+     * answer when the call arrived, and the answer may have been on its way ever since. Only if
+     * there is no change has the service waited before it answered; a twentieth of the wait is not
+     * counted on, because its timer may end sooner.
+     */
+    private static Instant proof(PendingCall call, ChangesResult.Changes changes, Instant now) {
+        boolean hasWaited =
+                changes.changes().isEmpty()
+                        && !now.isBefore(call.sentAt().plus(call.longestWait()));
+        return hasWaited
+                ? call.sentAt()
+                        .plus(call.longestWait().minus(call.longestWait().dividedBy(WAIT_RESERVE)))
+                : call.sentAt();
+    }
+
     /** Lists the values again. */
     void historyLost(Instant now) {
         callAgain(now);
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/PendingCall.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/PendingCall.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.coordination.watch.command;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.oleanderspring.coordination.store.StoreOperationId;
 
@@ -10,5 +11,11 @@
  * @param sentAt when it was sent
  * @param giveUpAt when it counts as failed without an answer
  * @param isProbe whether it was sent while the contact to the service was in doubt
+ * @param longestWait how long the service may delay its answer
  */
-record PendingCall(StoreOperationId id, Instant sentAt, Instant giveUpAt, boolean isProbe) {}
+record PendingCall(
+        StoreOperationId id,
+        Instant sentAt,
+        Instant giveUpAt,
+        boolean isProbe,
+        Duration longestWait) {}
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchDecision.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchDecision.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.coordination.watch.command;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
@@ -84,4 +85,12 @@
      * @param outdatedFor the time since the last answer to this watch
      */
     record ReportResumption(StoreKey prefix, Duration outdatedFor) implements WatchDecision {}
+
+    /**
+     * Report that all changes up to a time have been passed on.
+     *
+     * @param prefix the prefix
+     * @param provenAt that time
+     */
+    record ReportConfirmation(StoreKey prefix, Instant provenAt) implements WatchDecision {}
 }
--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -50,6 +50,10 @@
             "it is being checked whether a part of the prompt for {0} crashes the endpoints"),
     /** The endpoints limit the rate of calls, and there is no room before the deadline. */
     RATE_LIMITED(19, Severity.ERROR, "the endpoints of {0} take no more calls for now"),
+    /** The API key is missing, malformed or unknown. */
+    KEY_REJECTED(21, Severity.ERROR, "the API key is missing or unknown"),
+    /** The daemon does not know whether the API keys that it has read are still valid. */
+    KEYS_UNVERIFIED(22, Severity.ERROR, "this entry address cannot verify API keys at present"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
@@ -65,6 +69,8 @@
     SETTINGS_UNAVAILABLE(104, Severity.ERROR, "settings cannot be accepted now: {0}"),
     /** The settings document cannot be parsed. */
     SETTINGS_MALFORMED(105, Severity.ERROR, "the settings document is malformed: {0}"),
+    /** A part of the entry of an organisation in the configuration is left out. */
+    ORGANISATION_REJECTED(106, Severity.ERROR, "organisation {0}: {1}"),
     /** A command-line flag has an invalid value. */
     BAD_FLAG(200, Severity.ERROR, "{0} has the invalid value \"{1}\"; allowed: {2}"),
     /** A port cannot be opened. */
--- a/core/src/main/java/org/oleanderspring/core/port/EndpointCall.java
+++ b/core/src/main/java/org/oleanderspring/core/port/EndpointCall.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.organisation.CallerIdentity;
 
 /**
  * One attempt of a call, as sent to an endpoint.
@@ -20,6 +21,7 @@
  * @param instance the run of the endpoint's process that may take the attempt, or null for any
  * @param lastEventId the identity of the last event that the caller has received, after which the
  *     response resumes, or null if the response starts from the beginning
+ * @param caller on whose behalf the call is made
  */
 public record EndpointCall(
         String attemptName,
@@ -31,8 +33,9 @@
         int priority,
         Duration timeToFirstByte,
         @Nullable String instance,
-        @Nullable String lastEventId) {
-    /** Copies the headers and rejects null components, except for the last two. */
+        @Nullable String lastEventId,
+        CallerIdentity caller) {
+    /** Copies the headers and rejects null components, except for the nullable ones. */
     public EndpointCall {
         Objects.requireNonNull(attemptName, "attemptName");
         Objects.requireNonNull(address, "address");
@@ -41,6 +44,7 @@
         headers = List.copyOf(headers);
         Objects.requireNonNull(body, "body");
         Objects.requireNonNull(timeToFirstByte, "timeToFirstByte");
+        Objects.requireNonNull(caller, "caller");
     }
 
     /**
@@ -75,6 +79,7 @@
                 priority,
                 timeToFirstByte,
                 null,
-                null);
+                null,
+                new CallerIdentity.Unchecked());
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/port/RequestHeadReader.java
+++ b/core/src/main/java/org/oleanderspring/core/port/RequestHeadReader.java
@@ -10,4 +10,12 @@
      * @param headers the header fields of the request
      */
     RequestHead read(List<Header> headers);
+
+    /**
+     * Returns the header fields without those that must not be kept beyond {@link #read}, such as
+     * API keys.
+     *
+     * @param headers the header fields of the request
+     */
+    List<Header> withoutSecrets(List<Header> headers);
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -22,6 +22,10 @@
     QUARANTINED,
     /** The prompt matches a pattern under which several runners crashed; a trial will show why. */
     SUSPECTED,
+    /** The caller's API key is no longer valid. */
+    KEY_REJECTED,
+    /** The caller's API key belongs to another organisation than when the call arrived. */
+    KEYS_UNVERIFIED,
     /** The daemon is shutting down. */
     DRAINING,
     /** The daemon has no settings, or its settings may be out of date. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.RefusalReason;
 
 /** The state of one open call. At most one attempt of a call runs at a time. */
 final class CallState {
@@ -25,6 +26,7 @@
     private boolean mAttemptAnswered;
     private boolean mPossiblyRun;
     private int mTrial;
+    private @Nullable RefusalReason mWithdrawal;
 
     CallState(CallRequest request, TargetState target) {
         mRequest = request;
@@ -138,6 +140,16 @@
         mNotSentAttempts++;
     }
 
+    /** Called when the caller may send no further requests. */
+    void withdrawn(RefusalReason reason) {
+        mWithdrawal = reason;
+    }
+
+    /** Returns why no further attempt may start, or null. */
+    @Nullable RefusalReason withdrawal() {
+        return mWithdrawal;
+    }
+
     /** Returns the number of attempts of which nothing was sent. */
     int notSentAttempts() {
         return mNotSentAttempts;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -116,6 +116,8 @@
             attemptFinished(finished.attempt(), finished.outcome(), context);
         } else if (event instanceof RoutingEvent.CallerDisconnected disconnected) {
             callerDisconnected(disconnected.call(), context);
+        } else if (event instanceof RoutingEvent.CallerWithdrawn withdrawn) {
+            callerWithdrawn(withdrawn.call(), withdrawn.reason(), context);
         } else {
             return false;
         }
@@ -227,8 +229,11 @@
             call.markPossiblyRun();
         }
         RefusalReason quarantined = mState.quarantine().refusal(call);
+        RefusalReason withdrawal = call.withdrawal();
         if (!mState.mayDecide()) {
             mCloser.refuse(call, RefusalReason.NO_AUTHORITY, context);
+        } else if (withdrawal != null) {
+            mCloser.refuse(call, withdrawal, context);
         } else if (quarantined != null) {
             mCloser.refuse(call, quarantined, context);
         } else if (mayRetry(call, outcome, began, context)) {
@@ -268,6 +273,17 @@
         mCloser.abandon(call, context);
     }
 
+    private void callerWithdrawn(CallId id, RefusalReason reason, RoutingContext context) {
+        CallState call = mState.calls().get(id);
+        if (call == null) {
+            return;
+        }
+        call.withdrawn(reason);
+        if (call.running() == null) {
+            mCloser.refuse(call, reason, context);
+        }
+    }
+
     private void authorityChanged(boolean mayDecide, RoutingContext context) {
         mState.mayDecide(mayDecide);
         if (mayDecide) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -13,6 +13,7 @@
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.CallRequest;
+import org.oleanderspring.core.routing.RefusalReason;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.RoutingLimits;
 import org.oleanderspring.core.routing.RoutingTable;
@@ -35,6 +36,15 @@
      */
     record DispatchRecorded(CallId call, ClaimResult result) implements RoutingEvent {}
 
+    /**
+     * The caller of a call may send no further requests. A waiting call is refused, also one that
+     * waits again after an attempt; a running attempt goes on, because it was sent in time.
+     *
+     * @param call the call
+     * @param reason the reason of the refusal
+     */
+    record CallerWithdrawn(CallId call, RefusalReason reason) implements RoutingEvent {}
+
     /**
      * The first byte of a response arrived.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
@@ -179,6 +180,15 @@
             description = "Concurrent loads that the weight store serves at full speed.")
     private int mStoreLoadsAtOnce;
 
+    @Option(
+            names = "--revoke-millis",
+            paramLabel = "MILLISECONDS",
+            description =
+                    "Time after which no request with an API key that was taken away is accepted,"
+                            + " also without contact to the metadata store. Not limited unless"
+                            + " given.")
+    private @Nullable Double mRevokeMillis;
+
     /** Created by picocli, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
     public GatewayCommand() {}
@@ -252,6 +262,9 @@
         checkBound("--wake-slack-millis", mWakeSlackMillis, 0, 3_600_000);
         checkBound("--retry-extra", mRetryExtra, 0, Integer.MAX_VALUE);
         checkRange("--store-loads-at-once", mStoreLoadsAtOnce, 1_000);
+        if (mRevokeMillis != null) {
+            checkBound("--revoke-millis", mRevokeMillis, 1_000, 3_600_000);
+        }
         if (mRetryRatio < 0 || mRetryRatio > 1) {
             throw invalid("--retry-ratio", Double.toString(mRetryRatio), "0 to 1");
         }
@@ -273,7 +286,8 @@
                 milliseconds(mRetryWindowSeconds * MILLIS_PER_SECOND),
                 milliseconds(mStopLimitSeconds * MILLIS_PER_SECOND),
                 milliseconds(mHolderPauseMillis + mWakeSlackMillis),
-                mStoreLoadsAtOnce);
+                mStoreLoadsAtOnce,
+                mRevokeMillis == null ? null : milliseconds(mRevokeMillis));
     }
 
     private Address address(String flag, String text) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -14,11 +14,10 @@
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.command.PrefixMirror;
-import org.oleanderspring.coordination.store.query.StoreChange;
+import org.oleanderspring.core.organisation.query.OrganisationDirectory;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.runner.RunnerRegistration;
 import org.oleanderspring.platform.codec.Decoded;
-import org.oleanderspring.platform.hosted.codec.FleetConfigurationCodec;
 import org.oleanderspring.platform.hosted.codec.HostedRunnerCodec;
 
 /**
@@ -41,6 +40,8 @@
     private final PrefixMirror<LeaseHolder> mLeases =
             new PrefixMirror<>(ENTRY_GRACE, FleetView::decodeHolder);
     private @Nullable FleetConfiguration mCurrentConfiguration;
+    private OrganisationDirectory mOrganisations = OrganisationDirectory.EMPTY;
+    private boolean mLatestIsUnreadable;
 
     /** The part of the view that an update changed. */
     public enum Change {
@@ -73,8 +74,12 @@
      * @return the part of the view that changed
      */
     public Change apply(StoreUpdate update, Instant now) {
-        if (update.prefix().equals(GatewayKeys.CONFIGURATION)) {
-            return applyConfiguration(update) ? Change.CONFIGURATION : Change.NONE;
+        if (update instanceof StoreUpdate.ConfigurationRead read) {
+            return applyConfiguration(read) ? Change.CONFIGURATION : Change.NONE;
+        }
+        if (update instanceof StoreUpdate.Confirmed
+                || update.prefix().equals(GatewayKeys.CONFIGURATION)) {
+            return Change.NONE;
         }
         if (update.prefix().equals(GatewayKeys.RUNNERS)) {
             return apply(mRunners, update, now) ? Change.RUNNERS : Change.NONE;
@@ -115,54 +120,31 @@
     }
 
     /**
-     * Applies configurations in the order of the update. Only a higher version replaces the current
-     * one, and the removal of the key leaves it in effect.
+     * Applies a configuration. Only a higher version replaces the current one, and the removal of
+     * the key leaves it in effect. One that cannot be read leaves the current one in effect too,
+     * which is then not the latest any more.
      */
-    private boolean applyConfiguration(StoreUpdate update) {
-        boolean changed = false;
-        for (StoredValue value : writtenValues(update)) {
-            changed |= applyConfiguration(value);
-        }
-        return changed;
-    }
-
-    private static List<StoredValue> writtenValues(StoreUpdate update) {
-        if (update instanceof StoreUpdate.Listed listed) {
-            return listed.values();
-        }
-        List<StoredValue> values = new ArrayList<>();
-        if (update instanceof StoreUpdate.Changed changed) {
-            for (StoreChange change : changed.changes()) {
-                if (change instanceof StoreChange.Written written) {
-                    values.add(written.value());
-                }
-            }
-        }
-        return values;
-    }
-
-    private boolean applyConfiguration(StoredValue value) {
-        if (!value.key().equals(GatewayKeys.CONFIGURATION)) {
-            return false;
-        }
-        Decoded<FleetConfiguration> decoded = FleetConfigurationCodec.decode(value.bytes());
-        if (!(decoded instanceof Decoded.Value<FleetConfiguration> configuration)) {
+    private boolean applyConfiguration(StoreUpdate.ConfigurationRead read) {
+        if (!(read.configuration() instanceof Decoded.Value<FleetConfiguration> decoded)) {
+            mLatestIsUnreadable = true;
             LOGGER.log(
                     Level.ERROR,
                     mLogPrefix
                             + " configuration-unreadable revision="
-                            + value.revision().value()
+                            + read.revision().value()
                             + " reason=\""
-                            + Decoded.problem(decoded)
+                            + Decoded.problem(read.configuration())
                             + "\"");
             return false;
         }
-        FleetConfiguration next = configuration.value();
+        mLatestIsUnreadable = false;
+        FleetConfiguration next = decoded.value();
         FleetConfiguration current = mCurrentConfiguration;
         if (current != null && next.version() <= current.version()) {
             return false;
         }
         mCurrentConfiguration = next;
+        mOrganisations = read.organisations();
         LOGGER.log(
                 Level.INFO,
                 mLogPrefix
@@ -172,8 +154,10 @@
                         + (current == null ? "none" : Long.toString(current.version()))
                         + " routes="
                         + next.routes().size()
+                        + " organisations="
+                        + next.organisations().size()
                         + " revision="
-                        + value.revision().value());
+                        + read.revision().value());
         return true;
     }
 
@@ -222,6 +206,16 @@
         return mCurrentConfiguration;
     }
 
+    /** Returns the organisations of the current configuration. */
+    public OrganisationDirectory organisations() {
+        return mOrganisations;
+    }
+
+    /** Returns whether a configuration was written that could not be read. */
+    public boolean isLatestUnreadable() {
+        return mLatestIsUnreadable;
+    }
+
     /** Returns whether the list of registered runners has been read at least once. */
     public boolean hasRunners() {
         return mRunners.isListed();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
 
@@ -27,6 +28,8 @@
  * @param pauseBeforeOrders the least time between orders to one runner from two successive holders
  *     of the placement lease: the holder pause plus the slack for suspended daemons
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at full speed
+ * @param revocationLimit the time after which no request with a key that was taken away may be
+ *     accepted, also without contact to the key-value service; null if that is not required
  */
 public record GatewaySettings(
         GatewayMember self,
@@ -45,8 +48,12 @@
         Duration retryWindow,
         Duration stopLimit,
         Duration pauseBeforeOrders,
-        int storeLoadsAtOnce) {
-    /** Rejects null components; the ranges of numbers and durations are not checked here. */
+        int storeLoadsAtOnce,
+        @Nullable Duration revocationLimit) {
+    /**
+     * Rejects null components, except for the last; the ranges of numbers and durations are not
+     * checked here.
+     */
     public GatewaySettings {
         Objects.requireNonNull(self, "self");
         Objects.requireNonNull(failureDomain, "failureDomain");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
@@ -1,11 +1,18 @@
 package org.oleanderspring.daemon.gateway;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.Consumer;
+import org.oleanderspring.coordination.store.Revision;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
+import org.oleanderspring.core.organisation.query.OrganisationDirectory;
+import org.oleanderspring.core.route.FleetConfiguration;
+import org.oleanderspring.platform.codec.Decoded;
+import org.oleanderspring.platform.hosted.codec.FleetConfigurationCodec;
 
 /** An update from the watch on one key prefix of the key-value service. */
 public sealed interface StoreUpdate {
@@ -40,6 +47,61 @@
         }
     }
 
+    /**
+     * The configuration was written. It is decoded by the thread that reads it, because a large one
+     * would hold up the duties that use it.
+     *
+     * @param prefix the watched prefix
+     * @param revision the revision at which it was written
+     * @param configuration the configuration, or why it cannot be read
+     * @param organisations the organisations of the configuration by their keys; empty if it cannot
+     *     be read
+     */
+    record ConfigurationRead(
+            StoreKey prefix,
+            Revision revision,
+            Decoded<FleetConfiguration> configuration,
+            OrganisationDirectory organisations)
+            implements StoreUpdate {
+        /** Rejects null components. */
+        public ConfigurationRead {
+            Objects.requireNonNull(prefix, "prefix");
+            Objects.requireNonNull(revision, "revision");
+            Objects.requireNonNull(configuration, "configuration");
+            Objects.requireNonNull(organisations, "organisations");
+        }
+
+        /**
+         * Decodes a stored configuration.
+         *
+         * @param value the value
+         * @param problems receives one message for each part of the document that is left out
+         */
+        public static ConfigurationRead of(StoredValue value, Consumer<String> problems) {
+            Decoded<FleetConfiguration> decoded =
+                    FleetConfigurationCodec.decode(value.bytes(), problems);
+            OrganisationDirectory organisations =
+                    decoded instanceof Decoded.Value<FleetConfiguration> configuration
+                            ? new OrganisationDirectory(configuration.value().organisations())
+                            : OrganisationDirectory.EMPTY;
+            return new ConfigurationRead(value.key(), value.revision(), decoded, organisations);
+        }
+    }
+
+    /**
+     * All changes under the prefix up to a time have been reported.
+     *
+     * @param prefix the watched prefix
+     * @param provenAt that time, by the clock of the duty that follows the store
+     */
+    record Confirmed(StoreKey prefix, Instant provenAt) implements StoreUpdate {
+        /** Rejects null components. */
+        public Confirmed {
+            Objects.requireNonNull(prefix, "prefix");
+            Objects.requireNonNull(provenAt, "provenAt");
+        }
+    }
+
     /**
      * The key-value service stopped responding; the values known so far may become outdated.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayRequestHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/GatewayRequestHandler.java
@@ -99,7 +99,7 @@
                         Request.getServerName(request),
                         request.getMethod(),
                         request.getHttpURI().getPathQuery(),
-                        headers,
+                        mHeadReader.withoutSecrets(headers),
                         mHeadReader.read(headers),
                         body,
                         mClock.now(),
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
@@ -17,10 +17,11 @@
 /**
  * Writes refusals whose status code shows whether the request was executed: 503 guarantees that it
  * was not executed and never will be; 502 and 504 leave it open. Status 400 tells a client not to
- * repeat a request whose prompt is quarantined.
+ * repeat a request whose prompt is quarantined, and 401 that its API key is not accepted.
  */
 public final class StatusRefusalWriter implements RefusalWriter {
     private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
     private static final int BAD_GATEWAY = 502;
@@ -83,6 +84,8 @@
         return switch (refusal.message()) {
             case UNKNOWN_PATH, UNKNOWN_TARGET -> NOT_FOUND;
             case BODY_TOO_LARGE -> TOO_LARGE;
+            case KEY_REJECTED ->
+                    refusal.workState() == WorkState.NOT_RUN ? UNAUTHORIZED : BAD_GATEWAY;
             case QUARANTINED ->
                     refusal.workState() == WorkState.NOT_RUN ? BAD_REQUEST : BAD_GATEWAY;
             case DEADLINE_PASSED ->
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -138,6 +138,10 @@
     private final GatewaySettings mSettings;
     private final MetricRegistry mMetrics = new MetricRegistry();
     private final GatewayRings mRings = new GatewayRings();
+
+    /** One clock for proofs of the configuration and their age. */
+    private final SuspendAwareClock mStoreClock = new SuspendAwareClock(Clock.systemUTC());
+
     private final RunnerWatch mRunnerWatch;
     private final SharedHttpClient mClient =
             new SharedHttpClient(
@@ -225,6 +229,7 @@
                                 ports,
                                 new GatewayMeters(mMetrics),
                                 new MonotonicClock(Clock.systemUTC()),
+                                mStoreClock,
                                 mRings.routingSink()));
     }
 
@@ -303,7 +308,10 @@
     private void startStoreWatch() {
         WatchOptions options =
                 new WatchOptions(
-                        mSettings.settleLimit(), STORE_TIMEOUT, mSettings.storeReadsPerSecond());
+                        mSettings.settleLimit(),
+                        STORE_TIMEOUT,
+                        mSettings.storeReadsPerSecond(),
+                        mSettings.revocationLimit());
         EventSink<WatchEvent> ring = mRings.storeWatchSink();
         mRings.storeWatch()
                 .start(
@@ -314,7 +322,7 @@
                                 storeQueries(),
                                 storeListeners(),
                                 new StoreWatchMeters(mMetrics, WATCH_NAMES),
-                                new SuspendAwareClock(Clock.systemUTC()),
+                                mStoreClock,
                                 mRings.timer(),
                                 ring));
         // While the service does not answer, the first prefix is the one that is probed.
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.daemon.gateway.process.command;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -62,6 +63,11 @@
         mListeners.values().forEach(listener -> listener.resumed(outdatedFor));
     }
 
+    @Override
+    public void confirmed(Instant provenAt) {
+        mListeners.values().forEach(listener -> listener.confirmed(provenAt));
+    }
+
     private static boolean isUnder(StoreKey prefix, StoreKey key) {
         return key.path().startsWith(prefix.path());
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -1,6 +1,9 @@
 package org.oleanderspring.daemon.gateway.process.command;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
@@ -14,9 +17,12 @@
 
 /**
  * Offers the updates of one watched key prefix of the key-value service to the routing and
- * placement duties, and those of the daemons' own keys to the quarantine duty as well.
+ * placement duties, and those of the daemons' own keys to the quarantine duty as well. The
+ * configuration is decoded here, once and not on the threads of these duties.
  */
 final class StoreUpdatePublisher implements PrefixListener {
+    private static final Logger LOGGER = System.getLogger(StoreUpdatePublisher.class.getName());
+
     private final StoreKey mPrefix;
     private final GatewayRings mRings;
 
@@ -27,11 +33,17 @@
 
     @Override
     public void listed(List<StoredValue> values) {
+        values.forEach(this::offerConfiguration);
         offer(new StoreUpdate.Listed(mPrefix, values));
     }
 
     @Override
     public void changed(List<StoreChange> changes) {
+        for (StoreChange change : changes) {
+            if (change instanceof StoreChange.Written written) {
+                offerConfiguration(written.value());
+            }
+        }
         offer(new StoreUpdate.Changed(mPrefix, changes));
     }
 
@@ -45,6 +57,26 @@
         offer(new StoreUpdate.Resumed(mPrefix, outdatedFor));
     }
 
+    @Override
+    public void confirmed(Instant provenAt) {
+        if (mPrefix.equals(GatewayKeys.CONFIGURATION)) {
+            mRings.routingSink()
+                    .offer(
+                            new GatewayRoutingInput.StoreChanged(
+                                    new StoreUpdate.Confirmed(mPrefix, provenAt)));
+        }
+    }
+
+    private void offerConfiguration(StoredValue value) {
+        if (value.key().equals(GatewayKeys.CONFIGURATION)) {
+            offer(StoreUpdate.ConfigurationRead.of(value, StoreUpdatePublisher::logProblem));
+        }
+    }
+
+    private static void logProblem(String problem) {
+        LOGGER.log(Level.ERROR, "[gateway] configuration-part-ignored problem=\"" + problem + "\"");
+    }
+
     private void offer(StoreUpdate update) {
         mRings.routingSink().offer(new GatewayRoutingInput.StoreChanged(update));
         mRings.placementSink().offer(new ResidencyInput.StoreChanged(update));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayCallFactory.java
@@ -5,6 +5,9 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
+import org.oleanderspring.core.organisation.AuthenticationResult;
+import org.oleanderspring.core.organisation.CallerIdentity;
+import org.oleanderspring.core.organisation.OrganisationName;
 import org.oleanderspring.core.port.EndpointCall;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.route.Route;
@@ -24,10 +27,15 @@
     /**
      * Returns the call for a request. Its deadline follows from the shorter of the route's timeout
      * and the client's own. The response has to begin by the time at which the caller is expected
-     * to disconnect.
+     * to disconnect. The priority of the caller's organisation takes precedence over that of the
+     * route.
      */
     static GatewayCall newCall(
-            GatewayRequest request, Route route, FleetConfiguration configuration) {
+            GatewayRequest request,
+            Route route,
+            FleetConfiguration configuration,
+            AuthenticationResult.Accepted accepted) {
+        Integer priority = accepted.priority();
         ServiceName service = route.serviceOf(request.head().attemptName().hashCode());
         Duration timeout = route.timeout();
         Duration clientTimeout = request.head().responseTimeout();
@@ -42,7 +50,7 @@
                         target(service, request.head().model(), configuration),
                         null,
                         // Routes with a lower number are more urgent, calls with a higher one.
-                        -route.priority(),
+                        -(priority == null ? route.priority() : priority),
                         deadline,
                         request.head().prefixHash(),
                         repetition(route),
@@ -50,8 +58,13 @@
                         DeadlineScope.FULL_RESPONSE,
                         callerDisconnectsAt.isBefore(deadline) ? callerDisconnectsAt : deadline,
                         request.head().prompt(),
-                        new CallOrigin(null, request.head().tokens()));
-        return new GatewayCall(request, route, call, new CallerResponse(request.stream()));
+                        new CallOrigin(organisation(accepted.caller()), request.head().tokens()));
+        return new GatewayCall(
+                request, route, call, new CallerResponse(request.stream()), accepted.caller());
+    }
+
+    private static @Nullable OrganisationName organisation(CallerIdentity caller) {
+        return caller instanceof CallerIdentity.Member member ? member.organisation() : null;
     }
 
     private static Target target(
@@ -89,6 +102,7 @@
                 call.call().priority(),
                 Duration.between(now, deadline),
                 runner.instance(),
-                call.response().lastEventId());
+                call.response().lastEventId(),
+                call.caller());
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -1,10 +1,12 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.function.LongSupplier;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.PromptPattern;
@@ -32,6 +34,16 @@
         mServed = registry.timer("gateway.requests.served");
     }
 
+    /**
+     * Registers the age of the proof that the configuration in force is the latest one.
+     *
+     * @param millis returns the age, or -1 without a proof; called by any thread
+     */
+    void registerProofAge(LongSupplier millis) {
+        mRegistry.gauge(
+                "gateway.configuration.proof_age_ms", () -> (Gauge<Long>) millis::getAsLong);
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -20,7 +20,6 @@
 import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
 import org.oleanderspring.core.route.FleetConfiguration;
-import org.oleanderspring.core.route.Route;
 import org.oleanderspring.core.route.RouteKind;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -34,7 +33,9 @@
 import org.oleanderspring.daemon.front.Refusal;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
+import org.oleanderspring.daemon.gateway.StoreUpdate;
 import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
@@ -72,6 +73,7 @@
     private final MonotonicClock mClock;
     private final EventSink<GatewayRoutingInput> mOwnRing;
     private final HostedFleet mFleet = new HostedFleet();
+    private final GatewayAdmission mAdmission;
     private final Map<CallId, GatewayCall> mCalls = new HashMap<>();
     private final Map<AttemptId, ActiveAttempt> mActiveAttempts = new HashMap<>();
     private final DemandReporter mDemandReporter;
@@ -94,6 +96,7 @@
      * @param ports the duty's outgoing interfaces
      * @param meters the metrics
      * @param clock gives the time of each event
+     * @param storeClock the clock of the duty that follows the store
      * @param ownRing the ring of this duty, for events from the ports
      */
     public GatewayRoutingDuty(
@@ -102,6 +105,7 @@
             GatewayPorts ports,
             GatewayMeters meters,
             MonotonicClock clock,
+            SuspendAwareClock storeClock,
             EventSink<GatewayRoutingInput> ownRing) {
         mSelf = settings.self();
         mSettings = settings;
@@ -110,6 +114,8 @@
         mAnswerRecorder = new AnswerRecorder(ports.prompts());
         mDemandReporter = new DemandReporter(ports.placement(), mFleet);
         mPermitRequester = new PermitRequester(ports.permits(), mFleet);
+        mAdmission = new GatewayAdmission(mFleet, settings.revocationLimit(), storeClock);
+        meters.registerProofAge(mAdmission::proofAgeMillis);
         mMeters = meters;
         mClock = clock;
         mOwnRing = ownRing;
@@ -128,7 +134,7 @@
         } else if (input instanceof GatewayRoutingInput.Event event) {
             handle(event.event());
         } else if (input instanceof GatewayRoutingInput.StoreChanged changed) {
-            apply(mFleet.apply(changed.update(), mClock.now()));
+            storeChanged(changed.update());
         } else if (input instanceof GatewayRoutingInput.ResidencyReceived received) {
             mFleet.apply(received.residency(), mClock.now()).ifPresent(this::decide);
         } else if (input instanceof GatewayRoutingInput.ReadinessEstimated estimated) {
@@ -208,6 +214,20 @@
         updateAuthority();
     }
 
+    private void storeChanged(StoreUpdate update) {
+        if (update instanceof StoreUpdate.Confirmed confirmed) {
+            mAdmission.confirmed(confirmed);
+            return;
+        }
+        FleetConfiguration before = mFleet.view().configuration();
+        Optional<RoutingEvent> tableChange = mFleet.apply(update, mClock.now());
+        if (mFleet.view().configuration() != before) {
+            // Before the new table, which may start calls that wait.
+            mAdmission.withdrawals(mCalls.values()).forEach(this::decide);
+        }
+        apply(tableChange);
+    }
+
     private void updateAuthority() {
         decide(new RoutingEvent.AuthorityChanged(isReady()));
     }
@@ -240,22 +260,12 @@
             request.stream().abandon();
             return;
         }
-        FleetConfiguration configuration = mFleet.view().configuration();
-        if (configuration == null) {
-            refuse(request, Refusal.notRun(ErrorMessage.NO_AUTHORITY));
-            return;
-        }
-        Optional<Route> route = mFleet.findRoute(request.host(), request.pathWithoutQuery());
-        if (route.isEmpty()) {
-            refuse(request, Refusal.notRun(ErrorMessage.UNKNOWN_PATH, request.pathWithoutQuery()));
-            return;
-        }
-        int limit = configuration.limits().bodyBytes();
-        if (request.body().length > limit) {
-            refuse(request, Refusal.notRun(ErrorMessage.BODY_TOO_LARGE, Integer.toString(limit)));
+        GatewayAdmission.Result result = mAdmission.admit(request);
+        if (!(result instanceof GatewayAdmission.Result.Admitted admitted)) {
+            refuse(request, ((GatewayAdmission.Result.Refused) result).refusal());
             return;
         }
-        GatewayCall call = GatewayCallFactory.newCall(request, route.get(), configuration);
+        GatewayCall call = admitted.call();
         mCalls.put(request.id(), call);
         mDemandReporter.countArrival(call.call().target());
         decide(new RoutingEvent.CallArrived(call.call()));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDuty.java
@@ -92,6 +92,8 @@
             listener(report.prefix()).interrupted(report.reason());
         } else if (decision instanceof WatchDecision.ReportResumption report) {
             listener(report.prefix()).resumed(report.outdatedFor());
+        } else if (decision instanceof WatchDecision.ReportConfirmation report) {
+            listener(report.prefix()).confirmed(report.provenAt());
         }
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/process/SuspendAwareClock.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/process/SuspendAwareClock.java
@@ -5,7 +5,8 @@
 import java.time.Instant;
 
 /**
- * A clock that also advances by the time for which the VM was suspended. Not thread-safe.
+ * A clock that also advances by the time for which the VM was suspended. Thread-safe, because
+ * threads that compare times of this clock must use one instance: two of them may differ.
  *
  * <p>The monotonic clock stops while the VM is suspended, and the wall clock may step in both
  * directions. Between two readings this clock advances by the larger of the two elapsed times. It
@@ -31,7 +32,7 @@
     }
 
     /** Returns the current time, which is never before an earlier result. */
-    public Instant now() {
+    public synchronized Instant now() {
         long nanos = System.nanoTime();
         Instant wall = mWallClock.instant();
         Duration monotonicElapsed = Duration.ofNanos(nanos - mLastNanos);
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -152,6 +152,17 @@
         configure(mStore, version, orderService);
     }
 
+    /**
+     * Writes a configuration with further fields.
+     *
+     * @param fields their JSON, which begins with a comma
+     */
+    void configure(int version, String orderService, String fields) {
+        String configuration = CONFIGURATION.formatted(version, orderService).strip();
+        mStore.put(
+                "op/config", configuration.substring(0, configuration.length() - 1) + fields + "}");
+    }
+
     static void configure(HostedStoreStandin store, int version, String orderService) {
         store.put("op/config", CONFIGURATION.formatted(version, orderService));
     }
@@ -203,6 +214,16 @@
         return send(request(address, "/order/1", id).POST(body("x")).build());
     }
 
+    /** Sends a request with an API key that claims to come from another organisation. */
+    HttpResponse<String> orderWithKey(String id, String key) {
+        return send(
+                request(frontAddress(), "/order/1", id)
+                        .header("Api-Key", key)
+                        .header("Tenant", "claimed")
+                        .POST(body("x"))
+                        .build());
+    }
+
     CompletableFuture<HttpResponse<String>> stream(String id, String model) {
         return mClient.sendAsync(
                 request("/stream/1", id).header("Model", model).POST(body("prompt")).build(),
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.daemon.gateway;
 
 import java.time.Duration;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
 
@@ -16,7 +17,43 @@
      * @param pauseBeforeOrders the least time between orders of two successive holders
      */
     public static GatewaySettings at(Address address, Address store, Duration pauseBeforeOrders) {
-        return at("vm-1", address, address, address, address, 81, store, pauseBeforeOrders);
+        return at(address, store, pauseBeforeOrders, null);
+    }
+
+    /**
+     * Returns the settings of a daemon that uses one address for everything.
+     *
+     * @param address the address of the daemon
+     * @param store the address of the key-value service
+     * @param pauseBeforeOrders the least time between orders of two successive holders
+     * @param revocationLimit how long a key may be accepted after it was taken away, or null
+     */
+    public static GatewaySettings at(
+            Address address,
+            Address store,
+            Duration pauseBeforeOrders,
+            @Nullable Duration revocationLimit) {
+        GatewaySettings settings =
+                at("vm-1", address, address, address, address, 81, store, pauseBeforeOrders);
+        return new GatewaySettings(
+                settings.self(),
+                settings.failureDomain(),
+                settings.readiness(),
+                settings.directory(),
+                settings.metrics(),
+                settings.peerPort(),
+                settings.store(),
+                settings.storeReadsPerSecond(),
+                settings.settleLimit(),
+                settings.drainLimit(),
+                settings.directoryTtl(),
+                settings.retryPercent(),
+                settings.extraRetries(),
+                settings.retryWindow(),
+                settings.stopLimit(),
+                settings.pauseBeforeOrders(),
+                settings.storeLoadsAtOnce(),
+                revocationLimit);
     }
 
     static GatewaySettings at(
@@ -45,6 +82,7 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(5),
                 pauseBeforeOrders,
-                2);
+                2,
+                null);
     }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -160,9 +160,12 @@
     }
 
     private void put(StoreKey prefix, String name, String value) {
+        StoredValue stored = TestStore.value(name, value);
         handle(
                 new ResidencyInput.StoreChanged(
-                        new StoreUpdate.Listed(prefix, List.of(TestStore.value(name, value)))));
+                        prefix.equals(GatewayKeys.CONFIGURATION)
+                                ? StoreUpdate.ConfigurationRead.of(stored, problem -> {})
+                                : new StoreUpdate.Listed(prefix, List.of(stored))));
     }
 
     private static GatewayMember otherDaemon() {
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.Revision;
@@ -19,6 +20,7 @@
 import org.oleanderspring.core.fleet.ModelReference;
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.organisation.ApiKeyDigest;
 import org.oleanderspring.core.organisation.PresentedKey;
 import org.oleanderspring.core.port.EndpointCall;
 import org.oleanderspring.core.port.Header;
@@ -49,6 +51,7 @@
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 import org.oleanderspring.daemon.gateway.routing.query.CallerPresence;
 import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.OfferResult;
 
 /**
@@ -85,17 +88,31 @@
     final List<String> mAnswers = new ArrayList<>();
 
     private final Deque<GatewayRoutingInput> mRing = new ArrayDeque<>();
-    private final GatewayRoutingDuty mDuty = newDuty();
+    private final SuspendAwareClock mStoreClock;
+    private final GatewayRoutingDuty mDuty;
     private long mStatements;
 
     RoutingDutyFixture() {
+        this(Clock.systemUTC(), null);
+    }
+
+    /**
+     * Creates the duty.
+     *
+     * @param wallClock the clock by which the age of proofs is measured
+     * @param revocationLimit how long a key may be accepted after it was taken away, or null
+     */
+    RoutingDutyFixture(Clock wallClock, @Nullable Duration revocationLimit) {
+        mStoreClock = new SuspendAwareClock(wallClock);
+        mDuty = newDuty(revocationLimit);
         handle(new GatewayRoutingInput.QuarantineChanged(Quarantine.NONE));
         put(GatewayKeys.CONFIGURATION, GatewayKeys.CONFIGURATION.path(), CONFIGURATION);
         put(GatewayKeys.RUNNERS, GatewayKeys.RUNNERS.path() + "i-1", ENTRY);
     }
 
-    private GatewayRoutingDuty newDuty() {
-        GatewaySettings settings = SampleSettings.at(ADDRESS, ADDRESS, Duration.ofMillis(50));
+    private GatewayRoutingDuty newDuty(@Nullable Duration revocationLimit) {
+        GatewaySettings settings =
+                SampleSettings.at(ADDRESS, ADDRESS, Duration.ofMillis(50), revocationLimit);
         return new GatewayRoutingDuty(
                 settings,
                 new DefaultRoutingDecider(
@@ -109,6 +126,7 @@
                         new SilentObserver()),
                 new GatewayMeters(new MetricRegistry()),
                 new MonotonicClock(Clock.systemUTC()),
+                mStoreClock,
                 input -> {
                     mRing.add(input);
                     return OfferResult.ACCEPTED;
@@ -124,9 +142,11 @@
         StoredValue stored =
                 new StoredValue(
                         new StoreKey(key), value.getBytes(StandardCharsets.UTF_8), new Revision(1));
-        handle(
-                new GatewayRoutingInput.StoreChanged(
-                        new StoreUpdate.Listed(prefix, List.of(stored))));
+        StoreUpdate update =
+                prefix.equals(GatewayKeys.CONFIGURATION)
+                        ? StoreUpdate.ConfigurationRead.of(stored, problem -> {})
+                        : new StoreUpdate.Listed(prefix, List.of(stored));
+        handle(new GatewayRoutingInput.StoreChanged(update));
     }
 
     void handle(GatewayRoutingInput input) {
@@ -136,8 +156,39 @@
         }
     }
 
+    /**
+     * A configuration was read.
+     *
+     * @param version its version
+     * @param organisations the JSON of its organisations
+     */
+    void configure(int version, String organisations) {
+        put(
+                GatewayKeys.CONFIGURATION,
+                GatewayKeys.CONFIGURATION.path(),
+                CONFIGURATION.replaceFirst(
+                        "\"version\":1", "\"version\":" + version + organisations));
+    }
+
+    /** The configuration was the latest one at a time before now. */
+    void confirm(Duration before) {
+        handle(
+                new GatewayRoutingInput.StoreChanged(
+                        new StoreUpdate.Confirmed(
+                                GatewayKeys.CONFIGURATION, mStoreClock.now().minus(before))));
+    }
+
     /** A request for the model "m1" has been read. */
     void request(long id, CallerPresence caller) {
+        request(id, caller, new PresentedKey.None());
+    }
+
+    /** A request with a key for the model "m1" has been read. */
+    void request(long id, String key) {
+        request(id, () -> false, new PresentedKey.Given(ApiKeyDigest.of(key)));
+    }
+
+    private void request(long id, CallerPresence caller, PresentedKey key) {
         handle(
                 new GatewayRoutingInput.RequestRead(
                         new GatewayRequest(
@@ -153,7 +204,7 @@
                                         0,
                                         Prompt.UNKNOWN,
                                         null,
-                                        new PresentedKey.None()),
+                                        key),
                                 new byte[0],
                                 new MonotonicClock(Clock.systemUTC()).now(),
                                 new RecordingStream(id),
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedRunnerStandin.java
@@ -45,6 +45,7 @@
     private final String mService;
     private final Set<String> mModels = new TreeSet<>();
     private final List<String> mExecutedAttempts = new ArrayList<>();
+    private final List<String> mExecutedCallers = new ArrayList<>();
     private final AtomicInteger mClientClosedStreams = new AtomicInteger();
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(
@@ -188,6 +189,14 @@
         return mDeadlyPart != null && prompt != null && prompt.contains(mDeadlyPart + ":");
     }
 
+    /**
+     * Returns what the executed requests said about their callers, such as {@code org-1 key=null}:
+     * the organisation and the API key.
+     */
+    public synchronized List<String> executedCallers() {
+        return List.copyOf(mExecutedCallers);
+    }
+
     /**
      * Returns the {@code Attempt-Id} of each executed request, in the order of execution; the text
      * {@code null} for a request without one.
@@ -260,6 +269,7 @@
                 return;
             }
             mExecutedAttempts.add(String.valueOf(exchange.header("Attempt-Id")));
+            mExecutedCallers.add(exchange.header("Tenant") + " key=" + exchange.header("Api-Key"));
         }
         exchange.withHeader("Server-Seal", "sealed-by-" + mInstance);
         if (model == null) {
