Keep to the time for which a runner that turned a request away wants no others

Cause: no code read the Retry-After of a runner's 503, so that a daemon sent further requests after the back-off of 250 ms. A waiting call was only refused by an estimate while its target had no capacity: a lone call at a full or failing runner was held until its deadline.

Change: HostedPauseCodec reads the time, EndpointIntake keeps the endpoint closed for it, and a call that cannot outwait the pauses of all replicas is refused with the time left as Retry-After. A call that no replica has taken, with no time known from which on one will, is refused with a third of its time left (NOT_TAKEN). A call that arrives behind others must expect as long a wait as the oldest of them has had.

--- a/core/src/main/java/org/oleanderspring/core/fleet/EndpointStatement.java
+++ b/core/src/main/java/org/oleanderspring/core/fleet/EndpointStatement.java
@@ -7,8 +7,9 @@
  *
  * @param leaving whether it is about to shut down
  * @param limit the rate of calls that it takes
+ * @param pause for how long it wants no calls of the daemon to which it says so
  */
-public record EndpointStatement(boolean leaving, StatedLimit limit) {
+public record EndpointStatement(boolean leaving, StatedLimit limit, StatedPause pause) {
     /** The statement of an endpoint that says nothing. */
     public static final EndpointStatement NONE =
             new EndpointStatement(false, new StatedLimit.Unlimited());
@@ -17,8 +18,19 @@
     public static final EndpointStatement LEAVING =
             new EndpointStatement(true, new StatedLimit.Unlimited());
 
-    /** Rejects a null limit. */
+    /** Rejects null components. */
     public EndpointStatement {
         Objects.requireNonNull(limit, "limit");
+        Objects.requireNonNull(pause, "pause");
+    }
+
+    /**
+     * Creates the statement of an endpoint that names no pause.
+     *
+     * @param leaving whether it is about to shut down
+     * @param limit the rate of calls that it takes
+     */
+    public EndpointStatement(boolean leaving, StatedLimit limit) {
+        this(leaving, limit, new StatedPause.None());
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/IntakeState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/IntakeState.java
@@ -10,6 +10,8 @@
     SLOW,
     /** It failed and gets no calls, or a single trial call. */
     FAILING,
+    /** It turned a call away and wants none of this daemon for a time that it named. */
+    TURNED_AWAY,
     /** It is about to shut down and gets no calls. */
     LEAVING
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -8,6 +8,10 @@
     QUEUE_FULL,
     /** According to the estimate the call cannot be served before its deadline. */
     DEADLINE_TOO_SHORT,
+    /**
+     * The call has waited for most of its time, and it is not known when a replica will take it.
+     */
+    NOT_TAKEN,
     /**
      * All endpoints of the target limit the rate of their calls, and the call cannot be served
      * within these limits before its deadline.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -29,7 +29,8 @@
             refuse(request, refusal, context);
             return;
         }
-        CallState call = new CallState(request, mState.fleet().target(request.target()));
+        CallState call =
+                new CallState(request, mState.fleet().target(request.target()), context.now());
         call.trial(mState.quarantine().dueTrial(request.prompt()));
         call.target().callArrived(request);
         refusal =
@@ -43,17 +44,40 @@
         admit(call, context);
     }
 
+    /**
+     * Refuses the waiting calls that no replica has taken, if the policy lets them wait no longer.
+     * Calls that wait for something whose time is known are left to the estimate.
+     */
+    void refuseUntaken(CallCloser closer, RoutingContext context) {
+        for (TargetState target : mState.waitingTargets()) {
+            if (!target.hasTimetable(context.now())) {
+                refuseUntaken(target, closer, context);
+            }
+        }
+    }
+
+    private void refuseUntaken(TargetState target, CallCloser closer, RoutingContext context) {
+        for (CallState call : target.queue().calls()) {
+            Duration waited = Duration.between(call.arrivedAt(), context.now());
+            Duration remaining = Duration.between(context.now(), call.request().beginBy());
+            if (!call.hasPossiblyRun()
+                    && !mPolicy.shouldWaitOn(call.request(), waited, remaining)) {
+                closer.refuse(call, RefusalReason.NOT_TAKEN, context);
+            }
+        }
+    }
+
     /**
      * Refuses the waiting calls of a target that new information shows to be impossible to serve in
-     * time: an estimate of when a replica is ready, or the times of permits. Does nothing if the
-     * target has a ready replica without a limit.
+     * time: an estimate of when a replica is ready, the times of permits, or the ends of pauses.
+     * Does nothing if the target has a ready replica that takes calls.
      */
     void recheckWaiting(TargetState target, CallCloser closer, RoutingContext context) {
-        if (target.capacity() > 0 && !target.isRateLimited()) {
+        if (target.capacity() > 0 && !target.hasTimetable(context.now())) {
             return;
         }
         for (CallState call : target.queue().calls()) {
-            RefusalReason refusal = refusalByEstimate(call, context.now());
+            RefusalReason refusal = refusalByEstimate(call, Duration.ZERO, context.now());
             if (refusal != null) {
                 closer.refuse(call, refusal, context);
             }
@@ -111,10 +135,11 @@
         if (target.pendingCalls() >= limit) {
             return RefusalReason.QUEUE_FULL;
         }
-        return refusalByEstimate(call, now);
+        return refusalByEstimate(call, target.waitOfOldest(now), now);
     }
 
-    private @Nullable RefusalReason refusalByEstimate(CallState call, Instant now) {
+    private @Nullable RefusalReason refusalByEstimate(
+            CallState call, Duration leastWait, Instant now) {
         TargetState target = call.target();
         int callsBefore = target.queue().countBefore(call) + target.claimingCalls();
         TargetLoad load =
@@ -123,7 +148,7 @@
                         target.pendingCalls(),
                         mState.limits().queueLimit(),
                         target.capacity() > 0,
-                        target.estimatedWait(callsBefore, now));
+                        longer(target.estimatedWait(callsBefore, now), leastWait));
         OverloadAction action = mPolicy.decide(call.request(), load);
         if (!(action instanceof OverloadAction.RefuseNow refuse)) {
             return null;
@@ -132,6 +157,10 @@
         return isTooLate && target.isRateLimited() ? RefusalReason.RATE_LIMITED : refuse.reason();
     }
 
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) >= 0 ? first : second;
+    }
+
     private void admit(CallState call, RoutingContext context) {
         mState.calls().add(call);
         if (call.isTrial()) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.routing.command;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -37,6 +38,15 @@
         return index < 0 ? -index - 1 : index;
     }
 
+    /** Returns when the oldest waiting call arrived, or now if none waits. */
+    Instant oldest(Instant now) {
+        Instant oldest = now;
+        for (CallState call : mCalls) {
+            oldest = call.arrivedAt().isBefore(oldest) ? call.arrivedAt() : oldest;
+        }
+        return oldest;
+    }
+
     /** Returns a copy of the queue, in order. */
     List<CallState> calls() {
         return List.copyOf(mCalls);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -16,6 +16,7 @@
 
     private final CallRequest mRequest;
     private final TargetState mTarget;
+    private final Instant mArrivedAt;
     private CallPhase mPhase;
     private int mAttempts;
     private int mNotSentAttempts;
@@ -26,8 +27,9 @@
     private boolean mPossiblyRun;
     private int mTrial;
 
-    CallState(CallRequest request, TargetState target) {
+    CallState(CallRequest request, TargetState target, Instant arrivedAt) {
         mRequest = request;
+        mArrivedAt = arrivedAt;
         mTarget = target;
         mPhase = request.needsRecord() ? CallPhase.CLAIMING : CallPhase.WAITING;
     }
@@ -40,6 +42,10 @@
         return mTarget;
     }
 
+    Instant arrivedAt() {
+        return mArrivedAt;
+    }
+
     CallPhase phase() {
         return mPhase;
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -126,6 +126,7 @@
         RoutingFleetState fleet = mState.fleet();
         if (event instanceof RoutingEvent.TimerFired) {
             fleet.removeExpiredDraining(context.now());
+            mAdmission.refuseUntaken(mCloser, context);
             mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.TableChanged changed) {
             fleet.apply(changed.table(), context.now());
@@ -136,7 +137,10 @@
             fleet.drain(draining.endpoint(), context.now());
             mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.EndpointStated stated) {
-            fleet.stated(stated.endpoint(), stated.statement(), context.now());
+            for (TargetState target :
+                    fleet.stated(stated.endpoint(), stated.statement(), context.now())) {
+                mAdmission.recheckWaiting(target, mCloser, context);
+            }
             mState.markWaitingForDispatch();
         } else if (event instanceof RoutingEvent.PermitsGranted granted) {
             permitsGranted(granted.grant(), context);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -74,7 +74,7 @@
 
     /** Returns how the endpoint takes new calls. */
     IntakeState intakeState(Instant now) {
-        IntakeState state = mIntake.state();
+        IntakeState state = mIntake.state(now);
         return state == IntakeState.OPEN && isSlow(now) ? IntakeState.SLOW : state;
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/OverloadPolicy.java
@@ -27,4 +27,16 @@
      * @return whether to start the call; if false, it is refused
      */
     boolean shouldStart(CallRequest call, Duration remaining, Duration firstByte);
+
+    /**
+     * Decides whether a call goes on waiting although it is not known when a replica will take it.
+     *
+     * @param call the call; it has not run
+     * @param waited the time since its arrival
+     * @param remaining the time until the latest start of its response
+     * @return whether it waits; if false, it is refused
+     */
+    default boolean shouldWaitOn(CallRequest call, Duration waited, Duration remaining) {
+        return true;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RefuseLateStartPolicy.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RefuseLateStartPolicy.java
@@ -11,6 +11,13 @@
  * before its deadline has waited in vain.
  */
 public final class RefuseLateStartPolicy implements OverloadPolicy {
+    /**
+     * The share of its time that a call has left when it is refused because no replica has taken
+     * it. A caller waits for up to a third of its time before it comes back; with this share left
+     * it can still be served by another daemon, or later by this one.
+     */
+    private static final int REMAINING_SHARE = 3;
+
     /** Creates a policy; it has no state. */
     public RefuseLateStartPolicy() {}
 
@@ -27,4 +34,10 @@
     public boolean shouldStart(CallRequest call, Duration remaining, Duration firstByte) {
         return remaining.compareTo(firstByte) >= 0;
     }
+
+    @Override
+    public boolean shouldWaitOn(CallRequest call, Duration waited, Duration remaining) {
+        Duration total = waited.plus(remaining);
+        return remaining.multipliedBy(REMAINING_SHARE).compareTo(total) > 0;
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
+import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
 import org.oleanderspring.core.permit.PermitGrant;
@@ -128,16 +129,25 @@
         return uses;
     }
 
-    /** Applies what an endpoint said about itself to this daemon. */
-    void stated(EndpointId id, EndpointStatement statement, Instant now) {
+    /**
+     * Applies what an endpoint said about itself to this daemon.
+     *
+     * @return the targets of an endpoint that wants no calls for a time
+     */
+    List<TargetState> stated(EndpointId id, EndpointStatement statement, Instant now) {
         EndpointState known = mEndpoints.get(id);
         if (known != null) {
             known.intake().permits().stated(statement.limit(), now);
+            if (statement.pause() instanceof StatedPause.Paused paused) {
+                known.intake().pause(paused.time(), now);
+            }
         }
         if (statement.leaving()) {
             endpoint(id, now).statedLeaving();
             drain(id, now);
         }
+        boolean isPaused = statement.pause() instanceof StatedPause.Paused;
+        return known == null || !isPaused ? List.of() : List.copyOf(known.targets());
     }
 
     /**
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -124,6 +124,11 @@
         }
     }
 
+    /** Returns a copy of the set of targets with waiting calls. */
+    List<TargetState> waitingTargets() {
+        return List.copyOf(mWaitingTargets);
+    }
+
     /** Marks a target for dispatch, because its waiting calls may be startable now. */
     void markForDispatch(TargetState target) {
         mMarkedForDispatch.add(target);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -239,7 +239,7 @@
         if (concurrency > 0) {
             wait = wait.plus(mTimes.timeUntilEnded(attemptsToEnd, concurrency));
         }
-        return longer(wait, untilPermit(callsBefore, now)).plus(mTimes.firstByte());
+        return longer(wait, untilTaken(callsBefore, now)).plus(mTimes.firstByte());
     }
 
     /** Returns whether the target has replicas that take calls, and all of them limit the rate. */
@@ -256,6 +256,41 @@
         return isLimited;
     }
 
+    /**
+     * Returns whether it is known from when on a replica takes calls: a load is estimated to end,
+     * or the replicas have said what they take.
+     */
+    boolean hasTimetable(Instant now) {
+        boolean isLoading = mCapacity == 0 && !untilReady(now).isZero();
+        return isLoading || isRateLimited() || !untilPauseEnds(now).isZero();
+    }
+
+    /**
+     * Returns how long the oldest waiting call has waited, if it is not known when a replica takes
+     * calls: then a later one must expect as long a wait. The estimate from running calls does not
+     * show that the room of the replicas goes to calls of other daemons and other targets.
+     */
+    Duration waitOfOldest(Instant now) {
+        return hasTimetable(now) ? Duration.ZERO : Duration.between(mQueue.oldest(now), now);
+    }
+
+    /** Returns the time until the end of the first pause, if all replicas want no calls now. */
+    private Duration untilPauseEnds(Instant now) {
+        Instant first = Instant.MAX;
+        for (TrackedReplica tracked : mListed) {
+            if (tracked.isServing()) {
+                Instant end = tracked.endpoint().intake().pausedUntil(now);
+                first = end.isBefore(first) ? end : first;
+            }
+        }
+        return first.equals(Instant.MAX) ? Duration.ZERO : Duration.between(now, first);
+    }
+
+    /** Returns the time until the replicas take a call, by what they have said themselves. */
+    private Duration untilTaken(int callsBefore, Instant now) {
+        return longer(untilPauseEnds(now), untilPermit(callsBefore, now));
+    }
+
     /**
      * Returns the time until a call has a permit; zero if a replica needs none. Counts the calls
      * before it as those of this daemon only, so other daemons may make it longer.
@@ -299,7 +334,7 @@
      */
     @Nullable Duration readyIn(Instant now) {
         Duration wait = mCapacity > 0 ? untilRoom(now) : untilReady(now);
-        Duration longest = longer(wait, untilPermit(mQueue.size(), now));
+        Duration longest = longer(wait, untilTaken(mQueue.size(), now));
         return longest.isZero() ? null : longest;
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/RefusalStatus.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/RefusalStatus.java
@@ -31,6 +31,7 @@
             case ATTEMPTS_EXHAUSTED -> BAD_GATEWAY;
             case DEADLINE_PASSED -> GATEWAY_TIMEOUT;
             case DEADLINE_TOO_SHORT,
+                    NOT_TAKEN,
                     RATE_LIMITED,
                     DRAINING,
                     NO_AUTHORITY,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -6,6 +6,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.StatedLimit;
+import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.routing.command.RoutingDecision;
@@ -152,6 +153,18 @@
         log("runner-limit runner=" + runner + " " + text(limit));
     }
 
+    /**
+     * Logs for how long a runner that turned a request away wants no others. The limit of requests
+     * in that time bounds the number of lines.
+     */
+    static void runnerPauses(EndpointId runner, StatedPause pause) {
+        if (pause instanceof StatedPause.Paused paused) {
+            log("runner-paused runner=" + runner + " ms=" + paused.time().toMillis());
+        } else if (pause instanceof StatedPause.Unreadable unreadable) {
+            log("runner-paused runner=" + runner + " unreadable=\"" + unreadable.text() + "\"");
+        }
+    }
+
     private static String text(StatedLimit limit) {
         if (limit instanceof StatedLimit.Limited limited) {
             return "per-second="
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -96,4 +96,9 @@
     void runnerLeaves() {
         mRegistry.counter("gateway.runners.leaving").inc();
     }
+
+    /** Counts a response in which a runner that turned a request away says for how long. */
+    void runnerPauses() {
+        mRegistry.counter("gateway.runners.pauses").inc();
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -13,6 +13,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
+import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.command.RunningAttempt;
 import org.oleanderspring.core.quarantine.Prompt;
@@ -158,6 +159,10 @@
         if (mFleet.limitStated(runner, statement.limit())) {
             CallLog.runnerLimit(runner, statement.limit());
         }
+        if (!(statement.pause() instanceof StatedPause.None)) {
+            CallLog.runnerPauses(runner, statement.pause());
+            mMeters.runnerPauses();
+        }
         decide(new RoutingEvent.EndpointStated(runner, statement));
     }
 
