--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -54,6 +54,8 @@
     KEY_REJECTED(21, Severity.ERROR, "the API key is missing or unknown"),
     /** The daemon does not know whether the API keys that it has read are still valid. */
     KEYS_UNVERIFIED(22, Severity.ERROR, "this entry address cannot verify API keys at present"),
+    /** The call has waited for most of its time, and no endpoint has taken it. */
+    NOT_TAKEN(25, Severity.ERROR, "the endpoints of {0} have had no room for the call so far"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -17,6 +17,7 @@
 
     private final CallRequest mRequest;
     private final TargetState mTarget;
+    private final Instant mArrivedAt;
     private CallPhase mPhase;
     private int mAttempts;
     private int mNotSentAttempts;
@@ -28,8 +29,9 @@
     private int mTrial;
     private @Nullable RefusalReason mWithdrawal;
 
-    CallState(CallRequest request, TargetState target) {
+    CallState(CallRequest request, TargetState target, Instant arrivedAt) {
         mRequest = request;
+        mArrivedAt = arrivedAt;
         mTarget = target;
         mPhase = request.needsRecord() ? CallPhase.CLAIMING : CallPhase.WAITING;
     }
@@ -42,6 +44,10 @@
         return mTarget;
     }
 
+    Instant arrivedAt() {
+        return mArrivedAt;
+    }
+
     CallPhase phase() {
         return mPhase;
     }
