Report the faults of organisations in the check of a configuration

The codec takes a configuration without the organisations that it cannot read and says so to its caller; the check lists these faults as errors.

--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -75,6 +75,8 @@
     CONFIGURATION_MALFORMED(150, Severity.ERROR, "{0}: the configuration is malformed: {1}"),
     /** The document of a configuration is larger than the key-value service takes. */
     CONFIGURATION_TOO_LARGE(151, Severity.ERROR, "{0}: {1} bytes; allowed: {2}"),
+    /** Daemons take a configuration except for one entry. */
+    CONFIGURATION_FAULT(164, Severity.ERROR, "{0}: {1}"),
     /** Daemons ignore a configuration whose version is not higher than the one in force. */
     VERSION_NOT_HIGHER(152, Severity.ERROR, "{0} is not higher than {1}, which is in force"),
     /** No request can reach a route because another one has the same host and prefix. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/query/ConfigurationCheckCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/query/ConfigurationCheckCommand.java
@@ -101,6 +101,7 @@
         try {
             ConfigurationFile content = ConfigurationFile.read(file);
             if (content instanceof ConfigurationFile.Readable readable) {
+                findings.addAll(readable.faults());
                 return readable.configuration();
             }
             findings.add(((ConfigurationFile.Unusable) content).finding());
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/query/ConfigurationFile.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/query/ConfigurationFile.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.review.Finding;
 import org.oleanderspring.core.route.FleetConfiguration;
@@ -18,8 +21,16 @@
      * A file with a configuration.
      *
      * @param configuration the configuration
+     * @param faults the entries that daemons leave out or read with a reservation
      */
-    record Readable(FleetConfiguration configuration) implements ConfigurationFile {}
+    record Readable(FleetConfiguration configuration, List<Finding> faults)
+            implements ConfigurationFile {
+        /** Copies the list; rejects a null configuration. */
+        public Readable {
+            Objects.requireNonNull(configuration, "configuration");
+            faults = List.copyOf(faults);
+        }
+    }
 
     /**
      * A file that daemons would not take.
@@ -44,10 +55,18 @@
                             Long.toString(size),
                             Long.toString(MAX_BYTES)));
         }
+        List<Finding> faults = new ArrayList<>();
         Decoded<FleetConfiguration> decoded =
-                FleetConfigurationCodec.decode(Files.readAllBytes(file));
+                FleetConfigurationCodec.decode(
+                        Files.readAllBytes(file),
+                        fault ->
+                                faults.add(
+                                        Finding.of(
+                                                ErrorMessage.CONFIGURATION_FAULT,
+                                                file.toString(),
+                                                fault)));
         if (decoded instanceof Decoded.Value<FleetConfiguration> configuration) {
-            return new Readable(configuration.value());
+            return new Readable(configuration.value(), faults);
         }
         // The text may span lines; each finding is one line.
         String problem = Decoded.problem(decoded).replaceAll("\\s+", " ");
