Count requests by organisation, log digests of refused keys, measure look-ups

Cause: operators could not see who sends requests or which key was refused.

Change: counters for the organisations with the largest quotas and one for all others; the log line of a 401 has the digest of the key, or what is wrong with it. The raw configuration is not passed on to the duties any more. "bench keys" measures look-ups and changes.

--- a/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
+++ b/bench/src/main/java/org/oleanderspring/bench/BenchTool.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.bench;
 
 import org.oleanderspring.bench.command.ColdStartSubcommand;
+import org.oleanderspring.bench.command.KeysSubcommand;
 import org.oleanderspring.bench.command.OverloadSubcommand;
 import org.oleanderspring.bench.command.PlacementSubcommand;
 import org.oleanderspring.bench.command.QuarantineSubcommand;
@@ -22,6 +23,7 @@
             ColdStartSubcommand.class,
             PlacementSubcommand.class,
             QuarantineSubcommand.class,
+            KeysSubcommand.class,
             ControlSubcommand.class
         })
 public final class BenchTool {
--- a/core/src/main/java/org/oleanderspring/core/organisation/ApiKeyDigest.java
+++ b/core/src/main/java/org/oleanderspring/core/organisation/ApiKeyDigest.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /**
  * The first 128 bits of the SHA-256 digest of an API key. Only digests are kept and compared, so
@@ -14,6 +15,8 @@
  * @param low the next 64 bits
  */
 public record ApiKeyDigest(long high, long low) {
+    private static final int SHOWN_DIGITS = 12;
+
     /**
      * Returns the digest of a key.
      *
@@ -24,6 +27,12 @@
         return new ApiKeyDigest(digest.getLong(), digest.getLong());
     }
 
+    /** Returns the first 48 bits in hexadecimal, as {@code sha256sum} shows them. */
+    @Override
+    public String toString() {
+        return HexFormat.of().toHexDigits(high).substring(0, SHOWN_DIGITS);
+    }
+
     private static MessageDigest sha256() {
         try {
             return MessageDigest.getInstance("SHA-256");
--- a/core/src/main/java/org/oleanderspring/core/organisation/query/OrganisationDirectory.java
+++ b/core/src/main/java/org/oleanderspring/core/organisation/query/OrganisationDirectory.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.core.organisation.query;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +9,8 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.organisation.ApiKeyDigest;
 import org.oleanderspring.core.organisation.Organisation;
+import org.oleanderspring.core.organisation.OrganisationName;
+import org.oleanderspring.core.organisation.Quota;
 
 /**
  * The organisations of one configuration by the digests of their keys. Immutable, so that it can be
@@ -22,6 +25,9 @@
     private final Map<ApiKeyDigest, Organisation> mByKey;
     private final boolean mEmpty;
 
+    /** The organisations, those with the largest quotas first. */
+    private final List<OrganisationName> mBySize;
+
     /**
      * Creates a directory. A key that several organisations name belongs to none of them.
      *
@@ -40,6 +46,25 @@
         }
         mByKey.keySet().removeAll(shared);
         mEmpty = organisations.isEmpty();
+        mBySize =
+                organisations.stream()
+                        .sorted(Comparator.comparingDouble(OrganisationDirectory::rate).reversed())
+                        .map(Organisation::name)
+                        .toList();
+    }
+
+    private static double rate(Organisation organisation) {
+        Quota quota = organisation.quota();
+        return quota == null ? Double.POSITIVE_INFINITY : quota.ratePerSecond();
+    }
+
+    /**
+     * Returns the organisations with the largest quotas.
+     *
+     * @param count how many at most
+     */
+    public List<OrganisationName> largest(int count) {
+        return mBySize.subList(0, Math.min(count, mBySize.size()));
     }
 
     /** Returns whether there are no organisations, so that callers need no key. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -33,16 +33,22 @@
 
     @Override
     public void listed(List<StoredValue> values) {
-        values.forEach(this::offerConfiguration);
+        if (mPrefix.equals(GatewayKeys.CONFIGURATION)) {
+            values.forEach(this::offerConfiguration);
+            return;
+        }
         offer(new StoreUpdate.Listed(mPrefix, values));
     }
 
     @Override
     public void changed(List<StoreChange> changes) {
-        for (StoreChange change : changes) {
-            if (change instanceof StoreChange.Written written) {
-                offerConfiguration(written.value());
+        if (mPrefix.equals(GatewayKeys.CONFIGURATION)) {
+            for (StoreChange change : changes) {
+                if (change instanceof StoreChange.Written written) {
+                    offerConfiguration(written.value());
+                }
             }
+            return;
         }
         offer(new StoreUpdate.Changed(mPrefix, changes));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/CallLog.java
@@ -6,6 +6,8 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.StatedLimit;
+import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.organisation.PresentedKey;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.route.FleetConfiguration;
 import org.oleanderspring.core.routing.command.RoutingDecision;
@@ -35,7 +37,22 @@
                         + request.pathWithoutQuery()
                         + " reason=\""
                         + refusal.text()
-                        + "\"");
+                        + "\""
+                        + key(request, refusal.message()));
+    }
+
+    /** Returns the digest of a key that was not accepted, or why it is none. */
+    private static String key(GatewayRequest request, ErrorMessage message) {
+        if (message != ErrorMessage.KEY_REJECTED) {
+            return "";
+        }
+        PresentedKey key = request.head().key();
+        if (key instanceof PresentedKey.Given given) {
+            return " key=" + given.digest();
+        }
+        return key instanceof PresentedKey.Malformed malformed
+                ? " key=malformed problem=\"" + malformed.reason() + "\""
+                : " key=none";
     }
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.function.LongSupplier;
 import org.oleanderspring.core.message.ErrorMessage;
+import org.oleanderspring.core.organisation.CallerIdentity;
+import org.oleanderspring.core.organisation.query.OrganisationDirectory;
 import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -20,6 +22,7 @@
     private final Counter mCallersDisconnected;
     private final Counter mLoadRequests;
     private final Timer mServed;
+    private final OrganisationMeters mOrganisations;
 
     /**
      * Registers the metrics.
@@ -32,6 +35,7 @@
         mCallersDisconnected = registry.counter("gateway.callers.left");
         mLoadRequests = registry.counter("gateway.loads.requested");
         mServed = registry.timer("gateway.requests.served");
+        mOrganisations = new OrganisationMeters(registry);
     }
 
     /**
@@ -44,6 +48,16 @@
                 "gateway.configuration.proof_age_ms", () -> (Gauge<Long>) millis::getAsLong);
     }
 
+    /** A configuration came into force. */
+    void configured(OrganisationDirectory organisations) {
+        mOrganisations.configured(organisations);
+    }
+
+    /** A request became a call. */
+    void admitted(CallerIdentity caller) {
+        mOrganisations.admitted(caller);
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -25,7 +25,6 @@
 import org.oleanderspring.core.routing.AttemptOutcome;
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
-import org.oleanderspring.core.routing.RoutingLimits;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.RoutingDecision;
 import org.oleanderspring.core.routing.command.RoutingEvent;
@@ -49,18 +48,6 @@
  * executed are queued and passed to the decider afterwards.
  */
 public final class GatewayRoutingDuty implements EventHandler<GatewayRoutingInput> {
-    /** Deadlines bound how long calls wait; this limit bounds the memory of waiting calls. */
-    private static final int QUEUE_LIMIT = 512;
-
-    /** Each route limits the attempts of a call; this limit applies to routes that allow more. */
-    private static final int ATTEMPT_LIMIT = 8;
-
-    /**
-     * The minimum time between two load requests for the same target. The first one only makes the
-     * load begin sooner, since the periodic report of the demand names all waiting calls too.
-     */
-    private static final Duration ACTIVATION_INTERVAL = Duration.ofSeconds(1);
-
     private static final int OK = 200;
 
     /** A sixteenth of the heap, so that runners that send events without end cannot fill it. */
@@ -222,6 +209,7 @@
         FleetConfiguration before = mFleet.view().configuration();
         Optional<RoutingEvent> tableChange = mFleet.apply(update, mClock.now());
         if (mFleet.view().configuration() != before) {
+            mMeters.configured(mFleet.view().organisations());
             // Before the new table, which may start calls that wait.
             mAdmission.withdrawals(mCalls.values()).forEach(this::decide);
         }
@@ -238,21 +226,10 @@
         updateAuthority();
     }
 
-    /**
-     * Passes the limits to the decider. The extra retries are shared by all daemons. Only half of
-     * them are used, because a restarted daemon no longer knows how many retries it has made.
-     */
     private void updateLimits() {
-        int daemons = Math.max(1, mFleet.view().members().size());
         decide(
                 new RoutingEvent.LimitsChanged(
-                        new RoutingLimits(
-                                QUEUE_LIMIT,
-                                ATTEMPT_LIMIT,
-                                mSettings.retryPercent(),
-                                ACTIVATION_INTERVAL,
-                                mSettings.extraRetries() / (2 * daemons),
-                                mSettings.retryWindow())));
+                        GatewayLimits.of(mSettings, mFleet.view().members().size())));
     }
 
     private void accept(GatewayRequest request) {
@@ -266,6 +243,7 @@
             return;
         }
         GatewayCall call = admitted.call();
+        mMeters.admitted(call.caller());
         mCalls.put(request.id(), call);
         mDemandReporter.countArrival(call.call().target());
         decide(new RoutingEvent.CallArrived(call.call()));
