Order waiting calls by urgency and organisation, and count what a runner holds

Cause: waiting calls were served by deadline alone, so that one organisation with many calls delayed all others. A call was urgent only if its own model had also had less urgent calls, although an engine orders the calls of all its models, and the first call of a queue without room held back urgent ones behind it. The memory of a runner for tokens was not looked at.

Change: OrganisationShares ranks calls by priority and then by start-time fair queueing in tokens, from the first call on that names an organisation. UrgencyLevels compares the calls of a service, and urgent calls pass a first one that finds no room. EndpointMemory, a part of EndpointIntake, counts the tokens of this daemon's calls and estimates those of the other daemons' calls.

The tests in ScarceRoomTest of a hot organisation, of an urgent call behind a less urgent one and of the memory of a runner name these loads.

--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -50,6 +50,9 @@
             "it is being checked whether a part of the prompt for {0} crashes the endpoints"),
     /** The endpoints limit the rate of calls, and there is no room before the deadline. */
     RATE_LIMITED(19, Severity.ERROR, "the endpoints of {0} take no more calls for now"),
+    /** The call has more tokens than fit into the memory of the endpoints. */
+    TOO_MANY_TOKENS(
+            26, Severity.ERROR, "the call is larger than the memory of the endpoints of {0}"),
     /** The call has waited for most of its time, and no endpoint has taken it. */
     NOT_TAKEN(25, Severity.ERROR, "the endpoints of {0} have had no room for the call so far"),
     /**
--- a/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
@@ -141,7 +141,13 @@
             replace(runner.id(), RunnerTargets.NONE, changed);
             return;
         }
-        Replica replica = new Replica(runner.id(), ReplicaState.READY, Math.max(1, runner.slots()));
+        long tokens = service.engine() == null ? 0 : service.engine().tokenCapacity();
+        Replica replica =
+                new Replica(
+                        runner.id(),
+                        ReplicaState.READY,
+                        Math.max(1, runner.slots()),
+                        Math.max(0, tokens));
         List<LoadedModel> models =
                 service.engine() == null ? List.of() : view.routableModels(runner.id(), now);
         RunnerTargets previous = mRunners.getOrDefault(runner.id(), RunnerTargets.NONE);
--- a/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/RefusalReason.java
@@ -8,6 +8,8 @@
     QUEUE_FULL,
     /** According to the estimate the call cannot be served before its deadline. */
     DEADLINE_TOO_SHORT,
+    /** The call has more tokens than fit into the memory of the endpoints. */
+    TOO_MANY_TOKENS,
     /**
      * The call has waited for most of its time, and it is not known when a replica will take it.
      */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -126,12 +126,15 @@
     private @Nullable RefusalReason refusalByLoad(CallState call, Instant now) {
         TargetState target = call.target();
         int limit = mState.limits().queueLimit();
-        if (target.hasFreeCapacity(now, target.isUrgent(call.request()))) {
+        if (target.hasFreeCapacity(now, target.needOf(call.request()))) {
             // Calls that wait for their claim occupy no replica yet. When their claims succeed, as
             // many as the capacity can run and as many as the queue limit can wait.
             boolean full = target.claimingCalls() >= limit + target.capacity();
             return full && call.request().needsRecord() ? RefusalReason.QUEUE_FULL : null;
         }
+        if (target.isTooLarge(call.request())) {
+            return RefusalReason.TOO_MANY_TOKENS;
+        }
         if (target.pendingCalls() >= limit) {
             return RefusalReason.QUEUE_FULL;
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -14,6 +14,8 @@
 
     void start(CallState call, TrackedReplica replica, String reason, RoutingContext context) {
         mState.dequeue(call);
+        mState.shares().started(call.rank());
+        replica.endpoint().intake().memory().add(call.request().origin().tokens());
         boolean trial = replica.endpoint().intake().callStarted(context.now());
         call.target().attemptStarted(replica);
         call.attemptStarted(replica, context.now(), trial);
@@ -126,6 +128,7 @@
     private void detach(CallState call, RunningAttemptState attempt) {
         call.attemptEnded();
         call.target().attemptEnded(attempt.replica());
+        attempt.replica().endpoint().intake().memory().remove(call.request().origin().tokens());
         if (attempt.trial()) {
             attempt.replica().endpoint().intake().backoff().trialEnded();
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallCloser.java
@@ -86,6 +86,9 @@
             call.target().changeClaimingCalls(-1);
         } else {
             mState.dequeue(call);
+            if (call.attempts() == 0) {
+                mState.shares().withdrawn(call.request(), call.rank());
+            }
         }
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallQueue.java
@@ -19,7 +19,7 @@
     }
 
     boolean remove(CallState call) {
-        int index = Collections.binarySearch(mCalls, call, CallState.ORDER);
+        int index = Collections.binarySearch(mCalls, call, CallState.SERVING_ORDER);
         if (index < 0) {
             return false;
         }
@@ -32,9 +32,23 @@
         return mCalls.isEmpty() ? null : mCalls.get(0);
     }
 
+    /** Returns the first call of the highest priority, or null if the queue is empty. */
+    @Nullable CallState mostUrgent() {
+        CallState mostUrgent = first();
+        if (mostUrgent == null) {
+            return null;
+        }
+        for (CallState call : mCalls) {
+            if (call.request().priority() > mostUrgent.request().priority()) {
+                mostUrgent = call;
+            }
+        }
+        return mostUrgent;
+    }
+
     /** Returns the number of waiting calls that are served before a call. */
     int countBefore(CallState call) {
-        int index = Collections.binarySearch(mCalls, call, CallState.ORDER);
+        int index = Collections.binarySearch(mCalls, call, CallState.SERVING_ORDER);
         return index < 0 ? -index - 1 : index;
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/CallState.java
@@ -8,15 +8,23 @@
 
 /** The state of one open call. At most one attempt of a call runs at a time. */
 final class CallState {
-    /** Serving order: earliest deadline first, then highest priority, then arrival. */
+    /** Order of deadlines: earliest deadline first, then highest priority, then arrival. */
     static final Comparator<CallState> ORDER =
             Comparator.comparing((CallState call) -> call.mRequest.deadline())
                     .thenComparing(call -> call.mRequest.priority(), Comparator.reverseOrder())
                     .thenComparing(call -> call.mRequest.id().value());
 
+    /** Serving order: by rank, then by deadline. */
+    static final Comparator<CallState> SERVING_ORDER =
+            Comparator.comparing(
+                            (CallState call) -> call.mRank.urgency(), Comparator.reverseOrder())
+                    .thenComparing(call -> call.mRank.share())
+                    .thenComparing(ORDER);
+
     private final CallRequest mRequest;
     private final TargetState mTarget;
     private final Instant mArrivedAt;
+    private CallRank mRank = CallRank.NONE;
     private CallPhase mPhase;
     private int mAttempts;
     private int mNotSentAttempts;
@@ -42,6 +50,15 @@
         return mTarget;
     }
 
+    /** Sets the rank of the call. It must not wait in a queue. */
+    void rank(CallRank rank) {
+        mRank = rank;
+    }
+
+    CallRank rank() {
+        return mRank;
+    }
+
     Instant arrivedAt() {
         return mArrivedAt;
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -18,6 +18,9 @@
     /** The permits that are asked for at one endpoint at a time; more could not be used soon. */
     private static final int MAX_PERMITS_AHEAD = 2;
 
+    /** That of a call without tokens; the room for others is known when one starts. */
+    private static final CallNeed PLAIN_NEED = new CallNeed(false, null);
+
     private final RoutingState mState;
     private final EndpointSelector mSelector;
     private final OverloadPolicy mPolicy;
@@ -54,6 +57,17 @@
         while (call != null && startOne(call, target, context)) {
             call = target.queue().first();
         }
+        startUrgent(target, context);
+    }
+
+    /** Starts urgent calls for which replicas have room though they have none for the first one. */
+    private void startUrgent(TargetState target, RoutingContext context) {
+        CallState call = target.queue().mostUrgent();
+        while (call != null
+                && target.needOf(call.request()).urgent()
+                && startOne(call, target, context)) {
+            call = target.queue().mostUrgent();
+        }
     }
 
     /**
@@ -80,17 +94,16 @@
             mCloser.refuse(call, RefusalReason.DEADLINE_TOO_SHORT, context);
             return true;
         }
-        boolean urgent = target.isUrgent(call.request());
+        CallNeed need = target.needOf(call.request());
         Optional<EndpointChoice> choice =
                 mSelector.select(
                         call.request(),
-                        new TrackedReplicaCandidates(
-                                target.listedReplicas(), context.now(), urgent));
+                        new TrackedReplicaCandidates(target.listedReplicas(), context.now(), need));
         if (choice.isEmpty()) {
             return false;
         }
         TrackedReplica replica = target.listedReplicas().get(choice.get().index());
-        if (!replica.isAvailable(context.now(), urgent)) {
+        if (!replica.isAvailable(context.now(), need)) {
             return false;
         }
         mAttempts.start(call, replica, choice.get().reason(), context);
@@ -111,7 +124,7 @@
         int missing = calls;
         for (TrackedReplica replica : target.listedReplicas()) {
             CallPermits permits = replica.endpoint().intake().permits();
-            if (permits.isLimited() && replica.isAvailableWithPermit(now, false)) {
+            if (permits.isLimited() && replica.isAvailableWithPermit(now, PLAIN_NEED)) {
                 limited.add(replica);
                 missing -= permits.expected(now);
             }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointIntake.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointIntake.java
@@ -11,6 +11,7 @@
 final class EndpointIntake {
     private final EndpointBackoff mBackoff = new EndpointBackoff();
     private final CallPermits mPermits = new CallPermits();
+    private final EndpointMemory mMemory = new EndpointMemory();
     private boolean mLeaving;
 
     /** Until when the endpoint wants no calls of this daemon. */
@@ -24,6 +25,10 @@
         return mPermits;
     }
 
+    EndpointMemory memory() {
+        return mMemory;
+    }
+
     boolean isLeaving() {
         return mLeaving;
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -9,6 +9,7 @@
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
+import org.oleanderspring.core.organisation.TokenCount;
 import org.oleanderspring.core.routing.IntakeState;
 
 /** The routing state of one endpoint, shared by all targets that it serves. */
@@ -201,6 +202,15 @@
         return calls > mRunning && calls >= CROWDED * concurrency;
     }
 
+    /**
+     * Returns whether the tokens of a call fit into the memory of the endpoint.
+     *
+     * @param tokens the tokens, or null if the call does not name them
+     */
+    boolean hasMemory(@Nullable TokenCount tokens, Instant now) {
+        return mIntake.memory().hasRoom(tokens, callsOfAllDaemons(now));
+    }
+
     /** Returns whether no target lists the endpoint and no attempt of this daemon runs there. */
     boolean isUnused() {
         return mTargets.isEmpty() && mRunning == 0;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingFleetState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
+import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.load.EndpointLoad;
 import org.oleanderspring.core.load.EndpointUse;
@@ -30,6 +31,7 @@
     private final Map<Target, TargetState> mTargets = new HashMap<>();
     private final Map<EndpointId, EndpointState> mEndpoints = new HashMap<>();
     private final Set<EndpointState> mDraining = new LinkedHashSet<>();
+    private final Map<ServiceName, UrgencyLevels> mUrgencyLevels = new HashMap<>();
     private RoutingTable mTable = RoutingTable.EMPTY;
 
     /**
@@ -81,7 +83,20 @@
     }
 
     TargetState target(Target target) {
-        return mTargets.computeIfAbsent(target, TargetState::new);
+        return mTargets.computeIfAbsent(target, key -> new TargetState(key, urgencyLevels(key)));
+    }
+
+    /** The calls of a service compete for its endpoints, whichever model they are for. */
+    private UrgencyLevels urgencyLevels(Target target) {
+        ServiceName service = null;
+        if (target instanceof Target.ServiceModelTarget model) {
+            service = model.service();
+        } else if (target instanceof Target.ServiceTarget plain) {
+            service = plain.service();
+        }
+        return service == null
+                ? new UrgencyLevels()
+                : mUrgencyLevels.computeIfAbsent(service, name -> new UrgencyLevels());
     }
 
     void readinessEstimated(Target target, Instant readyAt, Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingState.java
@@ -17,6 +17,7 @@
     private final RoutingFleetState mFleet = new RoutingFleetState();
     private final UsualTimes mUsualTimes = new UsualTimes();
     private final RetryBudget mRetryBudget;
+    private final OrganisationShares mShares = new OrganisationShares();
     private final RoutingStatistics mStatistics = new RoutingStatistics();
     private final Set<TargetState> mWaitingTargets = new LinkedHashSet<>();
     private final Set<TargetState> mMarkedForDispatch = new LinkedHashSet<>();
@@ -109,8 +110,15 @@
         mDrainStarted = true;
     }
 
+    OrganisationShares shares() {
+        return mShares;
+    }
+
     void enqueue(CallState call) {
         TargetState target = call.target();
+        if (call.attempts() == 0) {
+            call.rank(mShares.rank(call.request()));
+        }
         target.queue().add(call);
         mWaitingTargets.add(target);
         mMarkedForDispatch.add(target);
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -61,11 +61,17 @@
 
     private @Nullable Instant mLastActivation;
 
-    /** The lowest priority of a call for this target so far. */
-    private int mLeastPriority = Integer.MAX_VALUE;
+    private final UrgencyLevels mUrgencyLevels;
 
-    TargetState(Target target) {
+    /**
+     * Creates a target without replicas.
+     *
+     * @param target the target
+     * @param urgencyLevels the priorities of the calls that compete for the same endpoints
+     */
+    TargetState(Target target, UrgencyLevels urgencyLevels) {
         mTarget = target;
+        mUrgencyLevels = urgencyLevels;
     }
 
     Target target() {
@@ -96,12 +102,12 @@
     }
 
     /** Returns whether a call that arrives now can be started immediately. */
-    boolean hasFreeCapacity(Instant now, boolean urgent) {
+    boolean hasFreeCapacity(Instant now, CallNeed need) {
         if (isFull() || !mQueue.isEmpty()) {
             return false;
         }
         for (TrackedReplica tracked : mListed) {
-            if (tracked.isAvailable(now, urgent)) {
+            if (tracked.isAvailable(now, need)) {
                 return true;
             }
         }
@@ -110,15 +116,34 @@
 
     /** Records the priority of a call that arrived. */
     void callArrived(CallRequest request) {
-        mLeastPriority = Math.min(mLeastPriority, request.priority());
+        mUrgencyLevels.callArrived(request);
     }
 
     /**
-     * Returns whether a call is more urgent than others for this target. An engine runs it before
-     * those, so it need not wait here until they have ended.
+     * Returns whether a call is more urgent than others at the same endpoints. An engine runs it
+     * before those, so it need not wait here until they have ended.
      */
-    boolean isUrgent(CallRequest request) {
-        return request.priority() > mLeastPriority;
+    private boolean isUrgent(CallRequest request) {
+        return mUrgencyLevels.isUrgent(request);
+    }
+
+    /** Returns what a call needs of a replica. */
+    CallNeed needOf(CallRequest request) {
+        return new CallNeed(isUrgent(request), request.origin().tokens());
+    }
+
+    /** Returns whether the call is larger than the memory of every replica that takes calls. */
+    boolean isTooLarge(CallRequest request) {
+        boolean isTooLarge = false;
+        for (TrackedReplica tracked : mListed) {
+            if (tracked.isServing()) {
+                if (tracked.endpoint().intake().memory().canHold(request.origin().tokens())) {
+                    return false;
+                }
+                isTooLarge = true;
+            }
+        }
+        return isTooLarge;
     }
 
     /** Returns the number of calls that wait for the claim of their dispatch record. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
@@ -34,6 +34,7 @@
     void list(Replica replica) {
         mReplica = replica;
         mListed = true;
+        mEndpoint.intake().memory().capacity(replica.tokenCapacity());
     }
 
     void unlist() {
@@ -60,23 +61,24 @@
     /**
      * Returns whether a call can be started on the replica now.
      *
-     * @param urgent whether the endpoint begins to run the call before others that wait there
+     * @param need what the call needs
      */
-    boolean isAvailable(Instant now, boolean urgent) {
-        return isAvailableWithPermit(now, urgent) && mEndpoint.intake().permits().allows(now);
+    boolean isAvailable(Instant now, CallNeed need) {
+        return isAvailableWithPermit(now, need) && mEndpoint.intake().permits().allows(now);
     }
 
     /**
      * Returns whether a call that has a permit can be started on the replica now.
      *
-     * @param urgent whether the endpoint begins to run the call before others that wait there
+     * @param need what the call needs
      */
-    boolean isAvailableWithPermit(Instant now, boolean urgent) {
+    boolean isAvailableWithPermit(Instant now, CallNeed need) {
         return mRunning < mReplica.concurrency()
                 && isServing()
                 && !now.isBefore(mNotHeldUntil)
                 && mEndpoint.intake().allowsWithPermit(now)
-                && (urgent || !mEndpoint.isCrowded(mReplica.concurrency(), now));
+                && (need.urgent() || !mEndpoint.isCrowded(mReplica.concurrency(), now))
+                && mEndpoint.hasMemory(need.tokens(), now);
     }
 
     /** Returns whether further calls will soon wait at the endpoint. */
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
@@ -8,12 +8,12 @@
 final class TrackedReplicaCandidates implements ReplicaCandidates {
     private final List<TrackedReplica> mReplicas;
     private final Instant mNow;
-    private final boolean mUrgent;
+    private final CallNeed mNeed;
 
-    TrackedReplicaCandidates(List<TrackedReplica> replicas, Instant now, boolean urgent) {
+    TrackedReplicaCandidates(List<TrackedReplica> replicas, Instant now, CallNeed need) {
         mReplicas = replicas;
         mNow = now;
-        mUrgent = urgent;
+        mNeed = need;
     }
 
     @Override
@@ -28,7 +28,7 @@
 
     @Override
     public boolean isAvailable(int index) {
-        return mReplicas.get(index).isAvailable(mNow, mUrgent);
+        return mReplicas.get(index).isAvailable(mNow, mNeed);
     }
 
     @Override
--- a/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
@@ -21,6 +21,8 @@
 import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.load.EndpointLoad;
+import org.oleanderspring.core.organisation.OrganisationName;
+import org.oleanderspring.core.organisation.TokenCount;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
@@ -171,6 +173,67 @@
         assertThat(starts(arrive(100)).get(0).endpoint(), is(SECOND));
     }
 
+    private void origin(String organisation, long tokens) {
+        mOrigin = new CallOrigin(new OrganisationName(organisation), new TokenCount(tokens, 0));
+    }
+
+    /** Pattern: hot organisation. Guards against its calls before those of all others. */
+    @Test
+    void hotOrganisationDelaysItself() {
+        table(new Replica(FIRST, ReplicaState.READY, 1));
+        origin("hot", 3_000);
+        for (int call = 0; call < 8; call++) {
+            arrive(0);
+        }
+        origin("small", 3_000);
+        arrive(10);
+        mPriority = 1;
+        arrive(10);
+        // Call 9 starts after those of the hot organisation that its own cost outweighs.
+        List<Long> order = new ArrayList<>();
+        long running = 1;
+        for (int end = 1; end < 10; end++) {
+            running =
+                    starts(decide(ended(running, new AttemptOutcome.Completed(true)), 20 + end))
+                            .get(0)
+                            .attempt()
+                            .call()
+                            .value();
+            order.add(running);
+        }
+        assertThat(order, contains(10L, 2L, 9L, 3L, 4L, 5L, 6L, 7L, 8L));
+    }
+
+    /** Guards against an urgent call that waits for a less urgent one with an earlier deadline. */
+    @Test
+    void urgentCallPassesOneThatTheFullRunnerDoesNotTake() {
+        table(replica(FIRST));
+        calls(FIRST, 40, 0);
+        assertWaits(arrive(0));
+        mPriority = 1;
+        mPatience = PATIENCE.multipliedBy(2);
+        assertThat(starts(arrive(10)).size(), is(1));
+    }
+
+    /**
+     * Guards against a runner that crashes because the requests that it holds exceed its memory:
+     * two calls of this daemon and two of others leave no room for a further one.
+     */
+    @Test
+    void callsWaitUntilTheMemoryOfTheRunnerHoldsThem() {
+        table(new Replica(FIRST, ReplicaState.READY, 16, 10_000));
+        origin("a", 2_000);
+        arrive(0);
+        arrive(0);
+        decide(new RoutingEvent.EndpointUseReportDue(), 5);
+        calls(FIRST, 4, 10);
+        assertWaits(arrive(20));
+        List<RoutingDecision> afterEnd = decide(ended(1, new AttemptOutcome.Completed(true)), 30);
+        assertThat(starts(afterEnd).size(), is(1));
+        origin("a", 10_001);
+        assertThat(refusal(arrive(40)).reason(), is(RefusalReason.TOO_MANY_TOKENS));
+    }
+
     /** Guards against calls held until their deadline because all runners turn them away. */
     @Test
     void callThatCannotOutwaitThePauseIsRefusedAtOnce() {
--- a/daemon/src/main/java/org/oleanderspring/daemon/front/RefusalStatus.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/RefusalStatus.java
@@ -27,7 +27,7 @@
             case METHOD_NOT_ALLOWED -> METHOD_NOT_ALLOWED;
             case QUEUE_FULL, OVERLOADED -> TOO_MANY_REQUESTS;
             case DUPLICATE_KEY, SETTINGS_CONFLICT -> CONFLICT;
-            case BODY_TOO_LARGE -> TOO_LARGE;
+            case BODY_TOO_LARGE, TOO_MANY_TOKENS -> TOO_LARGE;
             case ATTEMPTS_EXHAUSTED -> BAD_GATEWAY;
             case DEADLINE_PASSED -> GATEWAY_TIMEOUT;
             case DEADLINE_TOO_SHORT,
