Count refused calls that could have been served

Cause: whether the estimate that refuses calls errs was not visible to operators.

Change: RefusalAudit keeps the latest refusals of each target and counts those for which a later call that is not more urgent starts in time; metric gateway_refused_servable_count. ScarceRoomTest.refusedCallsThatCouldHaveBeenServedAreCounted shows a case.

--- a/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AdmissionControl.java
@@ -89,6 +89,9 @@
         CallRequest request = call.request();
         TargetState target = call.target();
         mState.statistics().refused(reason);
+        if (reason == RefusalReason.DEADLINE_TOO_SHORT || reason == RefusalReason.RATE_LIMITED) {
+            target.refusals().refused(call);
+        }
         context.add(
                 new RoutingDecision.Refuse(
                         request.id(), reason, WorkState.NOT_RUN, target.readyIn(context.now())));
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -21,6 +21,10 @@
         call.attemptStarted(replica, context.now(), trial);
         mState.statistics().attemptStarted(call.attempts());
         if (call.attempts() == 1) {
+            Duration firstByte = call.target().times().firstByte();
+            if (call.target().refusals().started(call, firstByte, context.now())) {
+                mState.statistics().refusedServable();
+            }
             mState.retryBudget()
                     .recordFirstAttempt(call.request().target(), mState.limits(), context.now());
         }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -11,6 +11,7 @@
 import org.oleanderspring.core.routing.CallId;
 import org.oleanderspring.core.routing.RefusalReason;
 import org.oleanderspring.core.routing.RoutingLimits;
+import org.oleanderspring.core.routing.query.RoutingCounters;
 import org.oleanderspring.core.routing.query.RoutingQueries;
 import org.oleanderspring.core.routing.query.RoutingSnapshot;
 
@@ -104,6 +105,11 @@
         return new SnapshotBuilder(mState).build(now);
     }
 
+    @Override
+    public RoutingCounters counters() {
+        return mState.statistics().toCounters();
+    }
+
     /** Handles an event of a single call. Returns false if the event is of another kind. */
     private boolean handleCallEvent(RoutingEvent event, RoutingContext context) {
         if (event instanceof RoutingEvent.CallArrived arrived) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingStatistics.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingStatistics.java
@@ -16,6 +16,7 @@
     private long mRetries;
     private long mFinished;
     private long mDisconnectedCallers;
+    private long mRefusedServable;
     private long mActivationRequests;
     private long mLateEvents;
 
@@ -43,6 +44,11 @@
         mRefused.merge(reason, 1L, Long::sum);
     }
 
+    /** Counts a call that was refused by an estimate although it could have been served. */
+    void refusedServable() {
+        mRefusedServable++;
+    }
+
     /** Counts a request to activate a model, sent while calls for it wait. */
     void activationRequested() {
         mActivationRequests++;
@@ -64,6 +70,7 @@
                 mFinished,
                 mDisconnectedCallers,
                 mRefused,
+                mRefusedServable,
                 mActivationRequests,
                 mLateEvents);
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -35,6 +35,7 @@
     private final Target mTarget;
     private final CallQueue mQueue = new CallQueue();
     private final ServiceTimes mTimes = new ServiceTimes();
+    private final RefusalAudit mRefusals = new RefusalAudit();
 
     /** The replicas in the routing table and those that still run attempts, by endpoint. */
     private final Map<EndpointId, TrackedReplica> mTracked = new LinkedHashMap<>();
@@ -86,6 +87,10 @@
         return mTimes;
     }
 
+    RefusalAudit refusals() {
+        return mRefusals;
+    }
+
     /** Returns the replicas in the current routing table. */
     List<TrackedReplica> listedReplicas() {
         return mListed;
--- a/core/src/main/java/org/oleanderspring/core/routing/query/RoutingCounters.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/query/RoutingCounters.java
@@ -12,6 +12,8 @@
  * @param finished calls whose complete response was passed on
  * @param callersDisconnected calls whose caller disconnected before the end
  * @param refused refused calls by reason
+ * @param refusedServable calls that an estimate refused at their arrival, although a later call
+ *     that was not more urgent started in time for them
  * @param activationRequests requests to activate a model, sent while calls for it wait
  * @param lateEvents events that changed nothing, because they were repeated, or because their call
  *     had ended or their attempt was not running
@@ -23,6 +25,7 @@
         long finished,
         long callersDisconnected,
         Map<RefusalReason, Long> refused,
+        long refusedServable,
         long activationRequests,
         long lateEvents) {
     /** Copies the map. */
--- a/core/src/main/java/org/oleanderspring/core/routing/query/RoutingQueries.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/query/RoutingQueries.java
@@ -10,4 +10,7 @@
      * @param now the current time
      */
     RoutingSnapshot snapshot(Instant now);
+
+    /** Returns a copy of the counters. */
+    RoutingCounters counters();
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
@@ -173,6 +173,22 @@
         assertThat(starts(arrive(100)).get(0).endpoint(), is(SECOND));
     }
 
+    /** Guards against estimates that refuse calls without anyone seeing that they err. */
+    @Test
+    void refusedCallsThatCouldHaveBeenServedAreCounted() {
+        table(replica(FIRST));
+        calls(FIRST, 40, 0);
+        assertWaits(arrive(0));
+        mPatience = Duration.ofSeconds(3);
+        refusal(arrive(4_000));
+        mPatience = PATIENCE;
+        assertWaits(arrive(4_100));
+        calls(FIRST, 0, 4_200);
+        assertThat(mDecider.counters().refusedServable(), is(1L));
+        assertThat(starts(arrive(4_300)).size(), is(1));
+        assertThat(mDecider.counters().refusedServable(), is(1L));
+    }
+
     private void origin(String organisation, long tokens) {
         mOrigin = new CallOrigin(new OrganisationName(organisation), new TokenCount(tokens, 0));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -17,6 +17,7 @@
     private final Counter mAttempts;
     private final Counter mCallersDisconnected;
     private final Counter mLoadRequests;
+    private final Counter mRefusedServable;
     private final Timer mServed;
 
     /**
@@ -29,6 +30,7 @@
         mAttempts = registry.counter("gateway.attempts.started");
         mCallersDisconnected = registry.counter("gateway.callers.left");
         mLoadRequests = registry.counter("gateway.loads.requested");
+        mRefusedServable = registry.counter("gateway.refused.servable");
         mServed = registry.timer("gateway.requests.served");
     }
 
@@ -46,6 +48,11 @@
         mRegistry.counter("gateway.refused." + message.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Sets the number of calls that an estimate refused although they could have been served. */
+    void refusedServable(long total) {
+        mRefusedServable.inc(total - mRefusedServable.getCount());
+    }
+
     void served(Target target, Duration elapsed) {
         mServed.update(elapsed);
         countByModel("served", target);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -148,6 +148,7 @@
             reportAnswers();
             mDemandReporter.reportDemand(mCalls.values(), mActiveAttempts.keySet());
             decide(new RoutingEvent.EndpointUseReportDue());
+            mMeters.refusedServable(mDecider.counters().refusedServable());
         } else {
             handleControlInput(input);
         }
