--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -54,6 +54,9 @@
     KEY_REJECTED(21, Severity.ERROR, "the API key is missing or unknown"),
     /** The daemon does not know whether the API keys that it has read are still valid. */
     KEYS_UNVERIFIED(22, Severity.ERROR, "this entry address cannot verify API keys at present"),
+    /** The call has more tokens than fit into the memory of the endpoints. */
+    TOO_MANY_TOKENS(
+            26, Severity.ERROR, "the call is larger than the memory of the endpoints of {0}"),
     /** The call has waited for most of its time, and no endpoint has taken it. */
     NOT_TAKEN(25, Severity.ERROR, "the endpoints of {0} have had no room for the call so far"),
     /**
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -14,11 +14,17 @@
 
     void start(CallState call, TrackedReplica replica, String reason, RoutingContext context) {
         mState.dequeue(call);
+        mState.shares().started(call.rank());
+        replica.endpoint().intake().memory().add(call.request().origin().tokens());
         boolean trial = replica.endpoint().intake().callStarted(context.now());
         call.target().attemptStarted(replica);
         call.attemptStarted(replica, context.now(), trial);
         mState.statistics().attemptStarted(call.attempts());
         if (call.attempts() == 1) {
+            Duration firstByte = call.target().times().firstByte();
+            if (call.target().refusals().started(call, firstByte, context.now())) {
+                mState.statistics().refusedServable();
+            }
             mState.retryBudget()
                     .recordFirstAttempt(call.request().target(), mState.limits(), context.now());
         }
@@ -126,6 +132,7 @@
     private void detach(CallState call, RunningAttemptState attempt) {
         call.attemptEnded();
         call.target().attemptEnded(attempt.replica());
+        attempt.replica().endpoint().intake().memory().remove(call.request().origin().tokens());
         if (attempt.trial()) {
             attempt.replica().endpoint().intake().backoff().trialEnded();
         }
