Weigh the work at an endpoint by its pace

Cause: an endpoint counted as slow from 1.5 times the usual time to the first byte on, and faster ones never counted; times were not normalised, and a mean of ratios follows outliers. Change: PaceObserver compares times by the size of the prompt and the model in logarithms; EndpointPace weighs calls by the pace without a step. Errors and waits at full endpoints are no samples.

--- a/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
+++ b/core/src/main/java/org/oleanderspring/core/load/command/EndpointLoadTracker.java
@@ -24,7 +24,8 @@
  * each endpoint in use.
  *
  * <p>A slow endpoint gets fewer calls, so fewer samples show whether it has recovered. Its slowness
- * therefore decays towards 1 without samples, and calls return in proportion. Used by one thread.
+ * therefore decays towards 1 without samples, and calls return in proportion. Averages are
+ * geometric, so that one long time weighs as much as one short time. Used by one thread.
  */
 public final class EndpointLoadTracker {
     /** The reports of a daemon that ended or cannot be reached are dropped after this time. */
@@ -33,8 +34,11 @@
     /** The weight of one sample; about the last eight samples determine the average. */
     private static final double SAMPLE_WEIGHT = 0.12;
 
-    /** The time constant with which the slowness of an endpoint without samples decays. */
-    private static final Duration RECOVERY_TIME = Duration.ofSeconds(4);
+    /** The slowness of an endpoint lasts for this time after a sample. */
+    private static final Duration SAMPLE_VALIDITY = Duration.ofMillis(1_500);
+
+    /** The time constant with which it decays afterwards, until the next sample. */
+    private static final Duration RECOVERY_TIME = Duration.ofSeconds(3);
 
     private final Map<EndpointId, Endpoint> mEndpoints = new TreeMap<>();
 
@@ -109,7 +113,7 @@
             }
             double previous = slowness(now);
             double weight = 1 - Math.pow(1 - SAMPLE_WEIGHT, use.answered());
-            mSlowness = previous + weight * (use.slowness() - previous);
+            mSlowness = previous * Math.pow(use.slowness() / previous, weight);
             mSampledAt = now;
         }
 
@@ -125,8 +129,8 @@
             if (mSampledAt.equals(Instant.MIN)) {
                 return 1;
             }
-            double age = seconds(Duration.between(mSampledAt, now));
-            return 1 + (mSlowness - 1) * Math.exp(-age / seconds(RECOVERY_TIME));
+            double age = seconds(Duration.between(mSampledAt.plus(SAMPLE_VALIDITY), now));
+            return Math.pow(mSlowness, Math.exp(-Math.max(0, age) / seconds(RECOVERY_TIME)));
         }
 
         EndpointStatement statement(Instant now) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/AttemptControl.java
@@ -30,7 +30,12 @@
                         trial ? "trial after back-off" : reason));
     }
 
-    void responseBegan(CallState call, RunningAttemptState attempt, Instant now) {
+    /**
+     * Processes the begin of a response.
+     *
+     * @param isError whether the response reports an error, which shows nothing of the pace
+     */
+    void responseBegan(CallState call, RunningAttemptState attempt, boolean isError, Instant now) {
         call.attemptAnswered();
         if (call.hasResponseBegun()) {
             return;
@@ -39,10 +44,27 @@
         mState.calls().responseBegan(call);
         Duration firstByte = Duration.between(attempt.startedAt(), now);
         call.target().times().recordFirstByte(firstByte);
-        attempt.replica().endpoint().addSlowness(mState.usualTimes().compare(call, firstByte));
+        if (!isError) {
+            recordPace(call, attempt.replica(), firstByte, now);
+        }
         recordResponse(attempt);
     }
 
+    /**
+     * Adds a sample of the pace. At an endpoint that runs as many calls as it can, a call waits for
+     * others to end, which is a matter of load.
+     */
+    private void recordPace(
+            CallState call, TrackedReplica replica, Duration firstByte, Instant now) {
+        EndpointState endpoint = replica.endpoint();
+        if (endpoint.callsOfAllDaemons(now) > replica.concurrency()) {
+            return;
+        }
+        mState.usualTimes()
+                .compare(call, firstByte, endpoint.pace(now))
+                .ifPresent(endpoint::addPace);
+    }
+
     private void recordResponse(RunningAttemptState attempt) {
         EndpointState endpoint = attempt.replica().endpoint();
         if (endpoint.responseBegan(attempt.startedAt())) {
@@ -56,7 +78,7 @@
         detach(call, attempt);
         EndpointState endpoint = attempt.replica().endpoint();
         if (outcome instanceof AttemptOutcome.Completed) {
-            responseBegan(call, attempt, now);
+            responseBegan(call, attempt, false, now);
             Duration total = Duration.between(attempt.startedAt(), now);
             call.target().times().recordTotalTime(total);
             mState.usualTimes().recordTotalTime(call, total);
@@ -88,7 +110,7 @@
             Duration elapsed = Duration.between(attempt.startedAt(), context.now());
             mState.usualTimes()
                     .compareUnanswered(call, elapsed)
-                    .ifPresent(attempt.replica().endpoint()::addSlowness);
+                    .ifPresent(attempt.replica().endpoint()::addPace);
         }
         detach(call, attempt);
         call.markPossiblyRun();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/DefaultRoutingDecider.java
@@ -111,7 +111,7 @@
         } else if (event instanceof RoutingEvent.DispatchRecorded recorded) {
             dispatchRecorded(recorded.call(), recorded.result(), context);
         } else if (event instanceof RoutingEvent.ResponseBegan began) {
-            responseBegan(began.attempt(), context);
+            responseBegan(began, context);
         } else if (event instanceof RoutingEvent.AttemptFinished finished) {
             attemptFinished(finished.attempt(), finished.outcome(), context);
         } else if (event instanceof RoutingEvent.CallerDisconnected disconnected) {
@@ -193,14 +193,14 @@
         }
     }
 
-    private void responseBegan(AttemptId id, RoutingContext context) {
-        CallState call = mState.calls().findByRunningAttempt(id);
+    private void responseBegan(RoutingEvent.ResponseBegan began, RoutingContext context) {
+        CallState call = mState.calls().findByRunningAttempt(began.attempt());
         RunningAttemptState attempt = call == null ? null : call.running();
         if (call == null || attempt == null) {
             mState.statistics().lateEvent();
             return;
         }
-        mAttempts.responseBegan(call, attempt, context.now());
+        mAttempts.responseBegan(call, attempt, began.isError(), context.now());
     }
 
     private void attemptFinished(AttemptId id, AttemptOutcome outcome, RoutingContext context) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/EndpointState.java
@@ -32,15 +32,9 @@
      */
     static final double CROWDED = 1.25;
 
-    /** From this slowness on, an endpoint counts as slow; smaller differences have other causes. */
+    /** From this pace on, an endpoint is shown as slow. */
     private static final double SLOW = 1.5;
 
-    /**
-     * The calls that a slow endpoint seems to run in addition, for each multiple of the usual time
-     * to the first byte. Other replicas of the same model then take the calls, up to this number.
-     */
-    private static final int SLOW_ENDPOINT_CALLS = 4;
-
     private final EndpointId mId;
     private final EndpointIntake mIntake = new EndpointIntake();
     private final List<TargetState> mTargets = new ArrayList<>(1);
@@ -53,10 +47,10 @@
     private int mCallsOfOtherDaemons;
     private int mConsecutiveUnanswered;
     private Instant mLoadObservedAt = Instant.MIN;
-    private double mSlowness = 1;
+    private double mPace = 1;
     private int mReportedRunning;
     private int mSamples;
-    private double mSlownessSum;
+    private double mPaceLogarithms;
 
     EndpointState(EndpointId id, Instant now) {
         mId = id;
@@ -75,7 +69,7 @@
     /** Returns how the endpoint takes new calls. */
     IntakeState intakeState(Instant now) {
         IntakeState state = mIntake.state();
-        return state == IntakeState.OPEN && isSlow(now) ? IntakeState.SLOW : state;
+        return state == IntakeState.OPEN && pace(now) >= SLOW ? IntakeState.SLOW : state;
     }
 
     int running() {
@@ -143,32 +137,30 @@
     void loadReported(EndpointLoad load, Instant now) {
         mIntake.permits().reported(load.statement().limit(), now);
         updateLoad(Math.max(0, load.running() - mReportedRunning), now);
-        mSlowness = load.slowness();
+        mPace = load.slowness();
     }
 
-    /**
-     * Returns the number of calls that would load an endpoint of usual speed as much as this one is
-     * loaded; see {@link #SLOW_ENDPOINT_CALLS}.
-     */
-    int equivalentCalls(Instant now) {
-        int calls = callsOfAllDaemons(now);
-        return isSlow(now)
-                ? calls + (int) Math.round((mSlowness - 1) * SLOW_ENDPOINT_CALLS)
-                : calls;
+    /** Returns the work at the endpoint; see {@link EndpointPace#equivalentCalls}. */
+    double equivalentCalls(Instant now) {
+        return EndpointPace.equivalentCalls(callsOfAllDaemons(now), pace(now));
     }
 
-    private boolean isSlow(Instant now) {
-        return mSlowness >= SLOW && !mLoadObservedAt.plus(LOAD_VALIDITY).isBefore(now);
+    /**
+     * Returns the pace that all daemons measured together, or 1 if the report is older than {@link
+     * #LOAD_VALIDITY}.
+     */
+    double pace(Instant now) {
+        return mLoadObservedAt.plus(LOAD_VALIDITY).isBefore(now) ? 1 : mPace;
     }
 
     /**
-     * Adds a sample of the time to the first byte, relative to the usual one.
+     * Adds a sample of the pace.
      *
-     * @param slowness the time divided by the usual time
+     * @param pace the time to the first byte divided by the usual time
      */
-    void addSlowness(double slowness) {
+    void addPace(double pace) {
         mSamples++;
-        mSlownessSum += slowness;
+        mPaceLogarithms += Math.log(pace);
     }
 
     /** Returns the use since the last call, or null if there is nothing to report. */
@@ -182,11 +174,11 @@
                 && statement.equals(EndpointStatement.NONE)) {
             return null;
         }
-        double slowness = mSamples == 0 ? 1 : mSlownessSum / mSamples;
+        double slowness = mSamples == 0 ? 1 : Math.exp(mPaceLogarithms / mSamples);
         EndpointUse use = new EndpointUse(mId, mRunning, mSamples, slowness, statement);
         mReportedRunning = mRunning;
         mSamples = 0;
-        mSlownessSum = 0;
+        mPaceLogarithms = 0;
         return use;
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/LeastLoadedSelector.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/LeastLoadedSelector.java
@@ -4,8 +4,8 @@
 import org.oleanderspring.core.routing.CallRequest;
 
 /**
- * Chooses the available replica whose endpoint runs the fewest calls. Ties are broken by a hash of
- * the call and the endpoint, so that idle replicas share the calls evenly.
+ * Chooses the available replica whose endpoint has the least work. Ties are broken by a hash of the
+ * call and the endpoint, so that idle replicas share the calls evenly.
  */
 public final class LeastLoadedSelector implements EndpointSelector {
     private final long mSalt;
@@ -24,7 +24,7 @@
     public Optional<EndpointChoice> select(CallRequest call, ReplicaCandidates candidates) {
         long seed = mSalt ^ call.id().value();
         int best = -1;
-        int bestLoad = Integer.MAX_VALUE;
+        double bestLoad = Double.POSITIVE_INFINITY;
         long bestHash = 0;
         for (int i = 0; i < candidates.size(); i++) {
             if (!candidates.isAvailable(i) || candidates.load(i) > bestLoad) {
--- a/core/src/main/java/org/oleanderspring/core/routing/command/PrefixAffinitySelector.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/PrefixAffinitySelector.java
@@ -9,9 +9,9 @@
  * replicas within the load bound. A popular prefix therefore spreads to a second replica before it
  * overloads the first, and adding or removing a replica moves only the prefixes of that replica.
  *
- * <p>At least one available replica is always within the bound. The total load including the new
- * call, divided by the number of available replicas, is greater than the smallest load; so {@link
- * #LOAD_BOUND} times this average, rounded up, is at least the smallest load plus one.
+ * <p>The work at an endpoint is weighed by its pace, so the bound is the expected time that a kept
+ * prefix may cost. At least one available replica is within the bound, because it is never below
+ * the least work plus one call.
  */
 public final class PrefixAffinitySelector implements EndpointSelector {
     /**
@@ -65,14 +65,19 @@
     }
 
     private static double loadBound(ReplicaCandidates candidates) {
-        long load = 0;
+        double load = 0;
+        double least = Double.POSITIVE_INFINITY;
         int available = 0;
         for (int i = 0; i < candidates.size(); i++) {
             if (candidates.isAvailable(i)) {
                 load += candidates.load(i);
+                least = Math.min(least, candidates.load(i));
                 available++;
             }
         }
-        return available == 0 ? 0 : Math.ceil(LOAD_BOUND * (load + 1) / available);
+        if (available == 0) {
+            return 0;
+        }
+        return Math.max(Math.ceil(LOAD_BOUND * (load + 1) / available), least + 1);
     }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
@@ -22,12 +22,12 @@
     boolean isAvailable(int index);
 
     /**
-     * Returns the number of calls running on the endpoint of a replica, as far as this daemon
-     * knows; more for a slow endpoint.
+     * Returns the work at the endpoint of a replica: the number of calls running there, as far as
+     * this daemon knows; more if the endpoint is slow, and fewer, also below 0, if it is fast.
      *
      * @param index from 0 to {@link #size()} - 1
      */
-    int load(int index);
+    double load(int index);
 
     /**
      * Returns the number of calls that the endpoint of a replica runs at a time; further ones wait
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RoutingEvent.java
@@ -39,8 +39,19 @@
      * The first byte of a response arrived.
      *
      * @param attempt the attempt
-     */
-    record ResponseBegan(AttemptId attempt) implements RoutingEvent {}
+     * @param isError whether the response reports an error; such a response may come much sooner
+     *     than a useful one
+     */
+    record ResponseBegan(AttemptId attempt, boolean isError) implements RoutingEvent {
+        /**
+         * Creates the event for a response that reports no error.
+         *
+         * @param attempt the attempt
+         */
+        public ResponseBegan(AttemptId attempt) {
+            this(attempt, false);
+        }
+    }
 
     /**
      * An attempt ended.
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
@@ -32,7 +32,7 @@
     }
 
     @Override
-    public int load(int index) {
+    public double load(int index) {
         return mReplicas.get(index).endpoint().equivalentCalls(mNow);
     }
 
--- a/core/src/main/java/org/oleanderspring/core/routing/command/UsualTimes.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/UsualTimes.java
@@ -8,41 +8,35 @@
 import org.oleanderspring.core.fleet.ServiceName;
 import org.oleanderspring.core.routing.Target;
 
-/**
- * The usual time to the first byte of each service, with which the time at one endpoint is
- * compared.
- *
- * <p>The average is that of the service and not of the model, because a daemon has few samples of
- * most models, and because a model with a single replica could only be compared with itself. Models
- * differ in speed by less than a slow endpoint does.
- */
+/** The usual times of each service, with which those at one endpoint are compared. */
 final class UsualTimes {
-    /** Times below this are dominated by the network and not by the endpoint. */
-    private static final Duration LEAST_TIME = Duration.ofMillis(20);
-
+    private final PaceObserver mPaces = new PaceObserver();
     private final Map<ServiceName, ServiceTimes> mTimes = new HashMap<>();
 
-    /** Adds a time to the first byte and returns it as a multiple of the usual one. */
-    double compare(CallState call, Duration firstByte) {
+    /**
+     * Adds a time to the first byte of a response.
+     *
+     * @param knownPace the pace of the endpoint as far as it is known; 1 if it is not
+     * @return the pace that it shows, or empty while too few times are known
+     */
+    OptionalDouble compare(CallState call, Duration firstByte, double knownPace) {
         ServiceName service = serviceOf(call.request().target());
-        if (service == null) {
-            return 1;
-        }
-        ServiceTimes times = mTimes.computeIfAbsent(service, name -> new ServiceTimes());
-        double slowness = ratio(firstByte, times.firstByte());
-        times.recordFirstByte(firstByte);
-        return slowness;
+        return service == null
+                ? OptionalDouble.empty()
+                : mPaces.add(service, call.request(), firstByte, knownPace);
     }
 
     /**
-     * Returns the time of an attempt that was cancelled without a response as a multiple of the
-     * usual one, or empty if it is not longer than usual.
+     * Returns the pace that an attempt shows that was cancelled without a response, or empty if it
+     * did not last longer than usual.
      */
     OptionalDouble compareUnanswered(CallState call, Duration elapsed) {
         ServiceName service = serviceOf(call.request().target());
-        ServiceTimes times = service == null ? null : mTimes.get(service);
-        double slowness = times == null ? 1 : ratio(elapsed, times.firstByte());
-        return slowness > 1 ? OptionalDouble.of(slowness) : OptionalDouble.empty();
+        if (service == null) {
+            return OptionalDouble.empty();
+        }
+        OptionalDouble pace = mPaces.compare(service, call.request(), elapsed);
+        return pace.orElse(1) > 1 ? pace : OptionalDouble.empty();
     }
 
     /** Adds the time from the start of an attempt to its end. */
@@ -61,13 +55,6 @@
         return times == null ? ofTarget : longer(ofTarget, times.total());
     }
 
-    private static double ratio(Duration time, Duration usual) {
-        if (usual.isZero()) {
-            return 1;
-        }
-        return (double) longer(time, LEAST_TIME).toNanos() / longer(usual, LEAST_TIME).toNanos();
-    }
-
     private static Duration longer(Duration first, Duration second) {
         return first.compareTo(second) >= 0 ? first : second;
     }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadSimulation.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadSimulation.java
@@ -41,7 +41,7 @@
     private static final int DAEMONS = 38;
 
     /** Two replicas are then in use to 60 %, so that a single queue for both would hardly grow. */
-    private static final double CALLS_PER_SECOND = 7;
+    private double mCallsPerSecond = 7;
 
     private static final Duration FIRST_EVENT = Duration.ofMillis(60);
     private static final Duration CALL = Duration.ofMillis(2_000);
@@ -88,11 +88,13 @@
         }
     }
 
-    /** Runs for some time. */
+    /** Runs for some time, after any earlier run. */
     void run(Duration time) {
-        at(mNow, this::callArrives);
-        if (mShares) {
-            at(mNow, this::report);
+        if (mEvents.isEmpty()) {
+            at(mNow, this::callArrives);
+            if (mShares) {
+                at(mNow, this::report);
+            }
         }
         Instant end = mNow.plus(time);
         while (!mEvents.isEmpty() && mEvents.peek().at().isBefore(end)) {
@@ -100,6 +102,22 @@
             mNow = event.at();
             event.action().run();
         }
+        mNow = end;
+    }
+
+    /** Changes the rate of arrivals from the next one on. */
+    void callsPerSecond(double rate) {
+        mCallsPerSecond = rate;
+    }
+
+    /** Changes the slowness of a replica from now on. */
+    void slowness(int replica, double slowness) {
+        mEndpoints.get(new EndpointId("r" + replica)).mSlowness = slowness;
+    }
+
+    /** Returns the number of calls that a replica received. */
+    int calls(int replica) {
+        return mEndpoints.get(new EndpointId("r" + replica)).mCalls;
     }
 
     /** Returns the share of all calls that a replica received. */
@@ -137,7 +155,7 @@
                                 deadline,
                                 Prompt.UNKNOWN,
                                 CallOrigin.UNKNOWN)));
-        double pause = -Math.log(1 - mRandom.nextDouble()) / CALLS_PER_SECOND;
+        double pause = -Math.log(1 - mRandom.nextDouble()) / mCallsPerSecond;
         at(mNow.plusNanos((long) (pause * 1e9)), this::callArrives);
     }
 
@@ -175,7 +193,7 @@
 
     /** A replica that runs some calls at a time; the others wait for a slot. */
     private final class SimulatedEndpoint {
-        private final double mSlowness;
+        private double mSlowness;
         private final List<Waiting> mWaiting = new ArrayList<>();
         private int mRunning;
         private int mCalls;
--- a/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/SharedLoadTest.java
@@ -48,4 +48,49 @@
             assertThat("seed " + seed, simulation.share(1), lessThan(0.18));
         }
     }
+
+    /**
+     * Pattern: uneven runners that have room. Of two that differ in speed by nearly two, the fast
+     * one should get more than its share by speed, 0.64, and the slow one a part as well.
+     */
+    @Test
+    void fastReplicaGetsMoreCallsWhileBothHaveRoom() {
+        for (long seed = 1; seed <= 5; seed++) {
+            SharedLoadSimulation simulation = new SharedLoadSimulation(seed, true, 0.8, 1.4);
+            simulation.callsPerSecond(3);
+            // Each of the 38 daemons needs a few calls to know what is usual.
+            simulation.run(TIME.multipliedBy(8));
+            assertThat("seed " + seed, simulation.share(0), greaterThan(0.66));
+            assertThat("seed " + seed, simulation.share(1), greaterThan(0.05));
+        }
+    }
+
+    /**
+     * Pattern: slow steps for a while. A replica that becomes three times as slow should get a
+     * third of its calls from 2 s later on, and about its former share 2 s after it is fast again.
+     */
+    @Test
+    void replicaThatTurnsSlowIsRelievedWithinTwoSeconds() {
+        double before = 0;
+        double during = 0;
+        double after = 0;
+        for (long seed = 1; seed <= 20; seed++) {
+            SharedLoadSimulation simulation = new SharedLoadSimulation(seed, true, 1, 1, 1);
+            simulation.run(Duration.ofSeconds(20));
+            before += simulation.calls(1);
+            simulation.slowness(1, 3);
+            simulation.run(Duration.ofSeconds(2));
+            int slowed = simulation.calls(1);
+            simulation.run(Duration.ofSeconds(10));
+            during += simulation.calls(1) - slowed;
+            simulation.slowness(1, 1);
+            simulation.run(Duration.ofSeconds(2));
+            int recovered = simulation.calls(1);
+            simulation.run(Duration.ofSeconds(10));
+            after += simulation.calls(1) - recovered;
+        }
+        before /= 2;
+        assertThat(during / before, lessThan(1.0 / 3));
+        assertThat(after / before, greaterThan(0.75));
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -62,6 +62,9 @@
 
     private static final int OK = 200;
 
+    /** The lowest status that reports an error. */
+    private static final int FIRST_ERROR = 400;
+
     /** A sixteenth of the heap, so that runners that send events without end cannot fill it. */
     private static final long MAX_INCOMPLETE_EVENT_BYTES = Runtime.getRuntime().maxMemory() / 16;
 
@@ -282,7 +285,7 @@
             fail(began.attempt(), active, "status " + began.status());
             return;
         }
-        decide(new RoutingEvent.ResponseBegan(began.attempt()));
+        decide(new RoutingEvent.ResponseBegan(began.attempt(), began.status() >= FIRST_ERROR));
         if (!mActiveAttempts.containsKey(began.attempt())) {
             began.relay().stop();
             return;
