Tell callers of daemons by their capacity and failure domain

Cause: /resolve gave all daemons to all callers, so a VM of 0.27 cores got the share of one of 1.5. Change: daemons name their capacity in their membership id; AddressSelection leaves small ones and those of other failure domains out of most answers, always out of the same ones. Without settings, or with capacities that differ by less than two, all are given as before. Result: AddressSelectionTest; with 60 daemons of 0.27 to 1.5 cores the small ones get less than 0.4 of the share of the large ones, and fewer than 5% of the addresses change for the remaining daemons while a third is away.

--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.core.directory.DaemonCapacity;
 import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.daemon.gateway.GatewayMember;
@@ -179,6 +180,27 @@
             description = "Concurrent loads that the weight store serves at full speed.")
     private int mStoreLoadsAtOnce;
 
+    @Option(
+            names = "--cores",
+            paramLabel = "COUNT",
+            defaultValue = "0",
+            description = "Speed of this VM's processor in cores; 0 if unknown.")
+    private double mCores;
+
+    @Option(
+            names = "--cpu-share",
+            paramLabel = "RATIO",
+            defaultValue = "1",
+            description = "Share of the processor that the daemon may use.")
+    private double mCpuShare;
+
+    @Option(
+            names = "--link-mbps",
+            paramLabel = "MBPS",
+            defaultValue = "0",
+            description = "Bandwidth of this VM's link in megabits a second; 0 if unknown.")
+    private double mLinkMbps;
+
     /** Created by picocli, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
     public GatewayCommand() {}
@@ -255,9 +277,12 @@
         if (mRetryRatio < 0 || mRetryRatio > 1) {
             throw invalid("--retry-ratio", Double.toString(mRetryRatio), "0 to 1");
         }
+        checkBound("--cores", mCores, 0, 1_000);
+        checkBound("--cpu-share", mCpuShare, 0, 1_000);
+        checkBound("--link-mbps", mLinkMbps, 0, (int) DaemonCapacity.MAX);
         Address front = address("--front", mFront);
         return new GatewaySettings(
-                GatewayMember.of(mNode, front),
+                self(front),
                 new FailureDomain(mFailureDomain),
                 address("--readiness", mReadiness),
                 address("--directory", mDirectory),
@@ -276,6 +301,18 @@
                 mStoreLoadsAtOnce);
     }
 
+    /** Returns this daemon, with the capacity of its VM if that is known. */
+    private GatewayMember self(Address front) {
+        double cores = mCores * mCpuShare;
+        return cores > 0 && mLinkMbps > 0
+                ? GatewayMember.of(
+                        mNode,
+                        front,
+                        new FailureDomain(mFailureDomain),
+                        new DaemonCapacity(cores, mLinkMbps))
+                : GatewayMember.of(mNode, front);
+    }
+
     private Address address(String flag, String text) {
         int colon = text.lastIndexOf(':');
         try {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/query/ResolveHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/query/ResolveHandler.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.oleanderspring.core.directory.DirectoryCaller;
+import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.daemon.front.Refusal;
 import org.oleanderspring.daemon.front.query.JsonResponse;
@@ -21,21 +23,22 @@
 public final class ResolveHandler extends Handler.Abstract.NonBlocking {
     private static final String PATH = "/resolve";
 
-    /** The maximum number of addresses in a response; only the first ones are sent. */
-    private static final int ADDRESS_LIMIT = 64;
+    /** The parameter that names the failure domain of the client. */
+    private static final String ZONE = "zone";
 
-    private final Supplier<CompletableFuture<List<String>>> mAddresses;
+    private final Function<DirectoryCaller, CompletableFuture<List<String>>> mAddresses;
     private final Duration mTimeToLive;
 
     /**
      * Creates the handler.
      *
-     * @param addresses asks the routing duty for the addresses; the result is empty if no address
-     *     is known or if the ring of the duty is full
+     * @param addresses asks the routing duty for the addresses for a client; the result is empty if
+     *     no address is known or if the ring of the duty is full
      * @param timeToLive how long a client may cache the response
      */
     public ResolveHandler(
-            Supplier<CompletableFuture<List<String>>> addresses, Duration timeToLive) {
+            Function<DirectoryCaller, CompletableFuture<List<String>>> addresses,
+            Duration timeToLive) {
         mAddresses = addresses;
         mTimeToLive = timeToLive;
     }
@@ -46,11 +49,18 @@
             return false;
         }
         mAddresses
-                .get()
+                .apply(callerOf(request))
                 .thenAccept(addresses -> respond(JsonResponse.of(response, callback), addresses));
         return true;
     }
 
+    private static DirectoryCaller callerOf(Request request) {
+        String zone = Request.extractQueryParameters(request).getValue(ZONE);
+        return new DirectoryCaller(
+                Request.getRemoteAddr(request),
+                zone == null || zone.isEmpty() ? null : new FailureDomain(zone));
+    }
+
     private void respond(JsonResponse jsonResponse, List<String> addresses) {
         if (addresses.isEmpty()) {
             // Either no address is known, or the ring of the routing duty is full.
@@ -58,7 +68,7 @@
             return;
         }
         ObjectNode body = JsonNodeFactory.instance.objectNode();
-        addresses.stream().limit(ADDRESS_LIMIT).forEach(body.putArray("addresses")::add);
+        addresses.forEach(body.putArray("addresses")::add);
         body.put("ttlS", mTimeToLive.toSeconds());
         jsonResponse.send(body);
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.oleanderspring.coordination.watch.command.WatchEvent;
+import org.oleanderspring.core.directory.DirectoryCaller;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
@@ -188,10 +189,10 @@
         return reply;
     }
 
-    /** Returns the addresses to which clients may connect; empty if the routing ring is full. */
-    CompletableFuture<List<String>> addresses() {
+    /** Returns the addresses to which a client may connect; empty if the routing ring is full. */
+    CompletableFuture<List<String>> addresses(DirectoryCaller caller) {
         CompletableFuture<List<String>> reply = new CompletableFuture<>();
-        if (mRouting.offer(new GatewayRoutingInput.AddressesRequested(reply))
+        if (mRouting.offer(new GatewayRoutingInput.AddressesRequested(caller, reply))
                 != OfferResult.ACCEPTED) {
             reply.complete(List.of());
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.directory.DirectoryCaller;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.message.ErrorMessage;
@@ -182,7 +183,7 @@
         if (input instanceof GatewayRoutingInput.ReadinessRequested query) {
             query.reply().complete(isReady() && !mShuttingDown);
         } else if (input instanceof GatewayRoutingInput.AddressesRequested query) {
-            query.reply().complete(addresses());
+            query.reply().complete(addresses(query.caller()));
         } else if (input instanceof GatewayRoutingInput.IdleAwaited query) {
             mIdleWaiters.add(query.reply());
         } else if (input instanceof GatewayRoutingInput.ShutdownBegan began) {
@@ -198,8 +199,8 @@
         return mFleet.isKnown() && mQuarantine != null;
     }
 
-    private List<String> addresses() {
-        return mFleet.addresses(mSelf, !mShuttingDown && isReady());
+    private List<String> addresses(DirectoryCaller caller) {
+        return mFleet.addresses(mSelf, !mShuttingDown && isReady(), caller);
     }
 
     private void apply(Optional<RoutingEvent> tableChange) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.oleanderspring.core.directory.DirectoryCaller;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointLoad;
@@ -143,9 +144,10 @@
     /**
      * A query for the addresses to which clients may connect.
      *
+     * @param caller the client
      * @param reply completed with the addresses
      */
-    record AddressesRequested(CompletableFuture<List<String>> reply)
+    record AddressesRequested(DirectoryCaller caller, CompletableFuture<List<String>> reply)
             implements GatewayRoutingInput {}
 
     /**
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/HostedFleet.java
@@ -8,6 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.directory.DaemonListing;
+import org.oleanderspring.core.directory.DirectoryCaller;
+import org.oleanderspring.core.directory.query.AddressSelection;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.StatedLimit;
 import org.oleanderspring.core.residency.Residency;
@@ -108,26 +111,23 @@
     }
 
     /**
-     * Returns the addresses at which clients may connect.
+     * Returns the addresses at which a client may connect.
      *
      * @param self this daemon
      * @param includesSelf whether clients may connect to it
+     * @param caller the client
      */
-    List<String> addresses(GatewayMember self, boolean includesSelf) {
-        List<String> addresses = new ArrayList<>();
+    List<String> addresses(GatewayMember self, boolean includesSelf, DirectoryCaller caller) {
+        List<DaemonListing> daemons = new ArrayList<>();
         for (GatewayMember member : mView.members()) {
             if (!member.equals(self)) {
-                addresses.add(format(member));
+                daemons.add(member.listing());
             }
         }
         if (includesSelf) {
-            addresses.add(format(self));
+            daemons.add(self.listing());
         }
-        return addresses;
-    }
-
-    private static String format(GatewayMember member) {
-        return member.frontAddress().ip() + ":" + member.frontAddress().port();
+        return AddressSelection.select(daemons, caller);
     }
 
     /** Applies an update from the key-value service. Returns the change of the table, if any. */
