--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.directory.DirectoryCaller;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.fleet.StatedPause;
@@ -51,6 +52,9 @@
 public final class GatewayRoutingDuty implements EventHandler<GatewayRoutingInput> {
     private static final int OK = 200;
 
+    /** The lowest status that reports an error. */
+    private static final int FIRST_ERROR = 400;
+
     /** A sixteenth of the heap, so that runners that send events without end cannot fill it. */
     private static final long MAX_INCOMPLETE_EVENT_BYTES = Runtime.getRuntime().maxMemory() / 16;
 
@@ -178,7 +182,7 @@
         if (input instanceof GatewayRoutingInput.ReadinessRequested query) {
             query.reply().complete(isReady() && !mShuttingDown);
         } else if (input instanceof GatewayRoutingInput.AddressesRequested query) {
-            query.reply().complete(addresses());
+            query.reply().complete(addresses(query.caller()));
         } else if (input instanceof GatewayRoutingInput.IdleAwaited query) {
             mIdleWaiters.add(query.reply());
         } else if (input instanceof GatewayRoutingInput.ShutdownBegan began) {
@@ -194,8 +198,8 @@
         return mFleet.isKnown() && mQuarantine != null;
     }
 
-    private List<String> addresses() {
-        return mFleet.addresses(mSelf, !mShuttingDown && isReady());
+    private List<String> addresses(DirectoryCaller caller) {
+        return mFleet.addresses(mSelf, !mShuttingDown && isReady(), caller);
     }
 
     private void apply(Optional<RoutingEvent> tableChange) {
@@ -276,7 +280,7 @@
             fail(began.attempt(), active, "status " + began.status());
             return;
         }
-        decide(new RoutingEvent.ResponseBegan(began.attempt()));
+        decide(new RoutingEvent.ResponseBegan(began.attempt(), began.status() >= FIRST_ERROR));
         if (!mActiveAttempts.containsKey(began.attempt())) {
             began.relay().stop();
             return;
