--- /dev/null
+++ b/core/src/main/java/org/oleanderspring/core/share/query/package-info.java
@@ -0,0 +1,5 @@
+/** Which daemons issue a shared rate. */
+@NullMarked
+package org.oleanderspring.core.share.query;
+
+import org.jspecify.annotations.NullMarked;
