--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/FencingToken.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/FencingToken.java
@@ -1,5 +1,7 @@
 package org.oleanderspring.coordination.lease;
 
+import org.oleanderspring.coordination.store.Revision;
+
 /**
  * A number that identifies one period of ownership; each later owner has a higher number.
  *
@@ -16,6 +18,16 @@
         }
     }
 
+    /**
+     * Returns the token of the owner that wrote its key at a revision. It is higher than all tokens
+     * of an earlier era of the key-value service.
+     *
+     * @param revision the revision
+     */
+    public static FencingToken of(Revision revision) {
+        return new FencingToken(revision.ordinal());
+    }
+
     /** Returns the token of the next owner. */
     public FencingToken next() {
         return new FencingToken(value + 1);
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/DefaultLeaseDecider.java
@@ -24,10 +24,13 @@
 import org.oleanderspring.coordination.lease.query.LeaseStatus;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
+import org.oleanderspring.coordination.store.command.ObservedEra;
+import org.oleanderspring.coordination.store.command.StoreLeaseResult;
 import org.oleanderspring.coordination.store.command.WriteResult;
 import org.oleanderspring.coordination.store.query.ReadResult;
 
@@ -46,6 +49,13 @@
  * LeaseValue#isReleased}), because the key-value port has no operation that removes a single key.
  * This write also makes a create that is still in flight fail, since the key then exists. All
  * leases together are released by revoking the service lease.
+ *
+ * <p>When the key-value service comes back from a copy, an acknowledged lease proves nothing any
+ * more: the service may have lost it, or may have granted its identity and the revision of its key
+ * to another daemon. All leases are then lost at once, and every key is read again before it is
+ * written. Answers of an earlier era count as lost. A holder that has not seen the new era stops
+ * when its lease ends by its own clock; see {@code docs/design/store-recovery.md} for how long the
+ * next holder waits for it.
  */
 public final class DefaultLeaseDecider implements LeaseDecider, LeaseQueries {
     /** A key of another writer is read again after 0.75 to 1.25 times the poll interval. */
@@ -53,11 +63,15 @@
 
     private static final double MAX_POLL_FACTOR = 1.25;
 
+    private static final String OTHER_ERA = "an answer of an earlier era of the key-value service";
+
     private final MemberId mSelf;
     private final LeaseKeyLayout mKeys;
     private final LeaseOptions mOptions;
     private final RandomGenerator mJitter;
     private final ServiceLease mServiceLease;
+    private final ObservedEra mEra = new ObservedEra();
+    private Instant mEarlierHoldersUntil = Instant.MIN;
     private final TreeMap<LeaseName, TrackedLease> mLeases = new TreeMap<>();
     private final Map<StoreOperationId, TrackedLease> mOperations = new HashMap<>();
     private List<LeaseDecision> mDecisions = new ArrayList<>();
@@ -107,9 +121,12 @@
     @Override
     public FencingToken token(LeaseName name) {
         TrackedLease lease = mLeases.get(name);
-        return lease == null || !lease.mHeld
-                ? FencingToken.NONE
-                : new FencingToken(lease.mRevision.value());
+        return lease == null || !lease.mHeld ? FencingToken.NONE : FencingToken.of(lease.mRevision);
+    }
+
+    @Override
+    public Instant earlierHoldersUntil() {
+        return mEarlierHoldersUntil;
     }
 
     @Override
@@ -127,15 +144,21 @@
         if (event instanceof LeaseEvent.CandidaciesChanged changed) {
             setCandidacies(changed.candidacies(), now);
         } else if (event instanceof LeaseEvent.ServiceLeaseReplied replied) {
-            if (mServiceLease.replied(replied.operation(), replied.result(), now)) {
-                loseAll(LeaseLossReason.LAPSED, now);
-            }
+            serviceLeaseReplied(replied, now);
         } else if (event instanceof LeaseEvent.KeyWriteReplied replied) {
-            writeReplied(replied.operation(), replied.result(), now);
+            boolean valid = isCurrent(replied.result().answeredIn(), now);
+            WriteResult lost = new WriteResult.Unknown(OTHER_ERA);
+            writeReplied(replied.operation(), valid ? replied.result() : lost, now);
         } else if (event instanceof LeaseEvent.KeyReadReplied replied) {
-            readReplied(replied.operation(), replied.result(), now);
+            boolean valid = isCurrent(replied.result().answeredIn(), now);
+            ReadResult lost = new ReadResult.Unavailable(OTHER_ERA);
+            readReplied(replied.operation(), valid ? replied.result() : lost, now);
         } else if (event instanceof LeaseEvent.KeyReleased released) {
             keyReleased(released, now);
+        } else if (event instanceof LeaseEvent.KeyObserved observed) {
+            keyObserved(observed, now);
+        } else if (event instanceof LeaseEvent.EraObserved observed) {
+            isCurrent(observed.era(), now);
         } else if (event instanceof LeaseEvent.HandoverRequested requested) {
             handOver(requested);
         } else if (event instanceof LeaseEvent.StopRequested) {
@@ -143,6 +166,60 @@
         }
     }
 
+    private void serviceLeaseReplied(LeaseEvent.ServiceLeaseReplied replied, Instant now) {
+        boolean valid = isCurrent(replied.result().answeredIn(), now);
+        StoreLeaseResult lost = new StoreLeaseResult.Unavailable(OTHER_ERA);
+        if (mServiceLease.replied(replied.operation(), valid ? replied.result() : lost, now)) {
+            loseAll(LeaseLossReason.LAPSED, now);
+        }
+    }
+
+    /**
+     * Records the era of an answer, and gives everything up that an earlier era acknowledged.
+     *
+     * @param era the era, or null if there was no answer
+     * @return whether the answer is not of an earlier era
+     */
+    private boolean isCurrent(@Nullable StoreEra era, Instant now) {
+        ObservedEra.Observation observation =
+                era == null ? ObservedEra.Observation.CURRENT : mEra.observe(era);
+        if (observation == ObservedEra.Observation.RISEN) {
+            mEarlierHoldersUntil = now.plus(mOptions.timeToLive()).minus(mOptions.safetyMargin());
+            loseAll(LeaseLossReason.RESTORED, now);
+            mServiceLease.restored(now);
+            mLeases.values().forEach(lease -> restored(lease, now));
+        }
+        return observation != ObservedEra.Observation.STALE;
+    }
+
+    /** Makes a lease's key be read again; the replies to operations in flight are ignored. */
+    private void restored(TrackedLease lease, Instant now) {
+        Pending pending = lease.mPending;
+        if (pending != null) {
+            mOperations.remove(pending.operation());
+            lease.mPending = null;
+            lease.mUnsettled |= pending.value() != null;
+        }
+        lease.mRevision = Revision.ABSENT;
+        lease.mPreviousHandover = null;
+        lease.mCanWrite = false;
+        lease.mNextStep = now;
+    }
+
+    /** Gives a held lease up whose key another daemon has written since. */
+    private void keyObserved(LeaseEvent.KeyObserved observed, Instant now) {
+        if (!isCurrent(observed.revision().era(), now)) {
+            return;
+        }
+        TrackedLease lease = mLeases.get(observed.name());
+        if (lease != null
+                && lease.mHeld
+                && !observed.value().writer().equals(mSelf)
+                && observed.revision().compareTo(lease.mRevision) > 0) {
+            lose(lease, LeaseLossReason.SUPERSEDED, now);
+        }
+    }
+
     private void setCandidacies(List<LeaseCandidacy> candidacies, Instant now) {
         if (mStopping) {
             return;
@@ -176,6 +253,10 @@
     }
 
     private void keyReleased(LeaseEvent.KeyReleased released, Instant now) {
+        boolean isAbsent = released.revision().equals(Revision.ABSENT);
+        if (!isAbsent && !isCurrent(released.revision().era(), now)) {
+            return;
+        }
         TrackedLease lease = mLeases.get(released.name());
         if (lease == null || lease.mHeld || lease.mUnsettled || lease.mPending != null) {
             return;
@@ -253,7 +334,11 @@
         boolean isRelease = serviceLease.equals(StoreLeaseId.NONE);
         LeaseValue leaseValue =
                 new LeaseValue(
-                        mSelf, serviceLease, mNextWrite++, isRelease ? lease.mHandover : null);
+                        mSelf,
+                        serviceLease,
+                        mNextWrite++,
+                        isRelease ? lease.mHandover : null,
+                        mEra.era());
         if (leaseValue.isReleased()) {
             lease.mReleaseExpectedRevision = lease.mRevision;
         }
@@ -263,7 +348,8 @@
                         lease.mKey,
                         lease.mRevision,
                         LeaseValueCodec.encode(leaseValue),
-                        serviceLease);
+                        serviceLease,
+                        mEra.era());
         mDecisions.add(new LeaseDecision.WriteKey(operation, write));
     }
 
@@ -318,7 +404,8 @@
         Optional<LeaseValue> leaseValue =
                 value == null ? Optional.empty() : LeaseValueCodec.decode(value.bytes());
         boolean free = value == null || leaseValue.map(LeaseValue::isReleased).orElse(false);
-        lease.mPreviousHandover = leaseValue.map(LeaseValue::handover).orElse(null);
+        lease.mPreviousHandover =
+                leaseValue.map(known -> known.handoverIn(mEra.era())).orElse(null);
         if (free) {
             lease.mCanWrite = true;
             lease.mNextStep = now.plus(lease.mWanted ? rankDelay(lease.mRank) : Duration.ZERO);
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/LeaseEvent.java
@@ -4,7 +4,9 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
 import org.oleanderspring.coordination.lease.LeaseName;
+import org.oleanderspring.coordination.lease.LeaseValue;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.command.StoreLeaseResult;
 import org.oleanderspring.coordination.store.command.WriteResult;
@@ -62,6 +64,22 @@
     record KeyReleased(LeaseName name, Revision revision, @Nullable String handover)
             implements LeaseEvent {}
 
+    /**
+     * The key of a lease was observed with the value of a holder.
+     *
+     * @param name the lease
+     * @param value the value
+     * @param revision its revision
+     */
+    record KeyObserved(LeaseName name, LeaseValue value, Revision revision) implements LeaseEvent {}
+
+    /**
+     * An answer of the key-value service to another part of the daemon named its era.
+     *
+     * @param era the era
+     */
+    record EraObserved(StoreEra era) implements LeaseEvent {}
+
     /**
      * Requests that a lease is released and no longer competed for.
      *
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/command/ServiceLease.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/command/ServiceLease.java
@@ -101,6 +101,17 @@
         decisions.add(new LeaseDecision.RenewServiceLease(nextOperation, lease));
     }
 
+    /**
+     * Forgets the lease, which the key-value service may not have any more after it came back from
+     * a copy, or may have granted to another daemon. The reply to a pending grant is still awaited.
+     */
+    void restored(Instant now) {
+        clear(now);
+        if (mPending != null && mPending.kind() != Kind.GRANT) {
+            mPending = null;
+        }
+    }
+
     /** Handles a reply; returns whether the lease has lapsed at the key-value service. */
     boolean replied(StoreOperationId operation, StoreLeaseResult result, Instant now) {
         Pending pending = mPending;
--- a/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseQueries.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/lease/query/LeaseQueries.java
@@ -7,6 +7,15 @@
 
 /** Read access to the leases of one daemon; must be called on the thread that owns the decider. */
 public interface LeaseQueries {
+    /**
+     * Returns the time until which a holder that has not seen the present era may act. Its lease
+     * was acknowledged before the key-value service came back, and ends by its own clock one time
+     * to live, less the safety margin, after that at the latest.
+     *
+     * @return the time, or {@link Instant#MIN} if the service names no era
+     */
+    Instant earlierHoldersUntil();
+
     /**
      * Returns whether a lease is held now. An expired lease is not held, even if no event has been
      * handled since it expired.
--- a/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/command/PrefixMirror.java
@@ -23,6 +23,11 @@
  * removed during an outage or within the grace period after it is therefore kept until that period
  * ends. At any other time a removal takes effect at once.
  *
+ * <p>A service that comes back from a copy lists values as they were some seconds before, until
+ * their writers have written them again. Within the grace period after that, a {@link
+ * RestoredValuePolicy} decides which listed values take effect at once. The others are held back
+ * until the period ends, unless their keys are written before.
+ *
  * <p>Not thread-safe; a single thread owns it.
  *
  * @param <V> the type of the decoded values
@@ -31,9 +36,12 @@
     private final Duration mGrace;
     private final Function<StoredValue, Optional<V>> mDecoder;
     private final Map<StoreKey, Entry<V>> mEntries = new LinkedHashMap<>();
+    private final RestoredValuePolicy<V> mRestoredValues;
+    private final Map<StoreKey, V> mHeldBack = new LinkedHashMap<>();
     private boolean mListed;
     private boolean mInterrupted;
     private Instant mGraceUntil = Instant.MIN;
+    private Instant mRestoredUntil = Instant.MIN;
 
     /**
      * Creates an empty mirror.
@@ -43,8 +51,25 @@
      *     the earlier value of the key
      */
     public PrefixMirror(Duration grace, Function<StoredValue, Optional<V>> decoder) {
+        this(grace, decoder, (known, restored) -> true);
+    }
+
+    /**
+     * Creates an empty mirror.
+     *
+     * @param grace how long after an outage of the key-value service removed values are kept
+     * @param decoder decodes a value; returns empty if the value cannot be decoded, which removes
+     *     the earlier value of the key
+     * @param restoredValues which values of a service that came back from a copy take effect at
+     *     once
+     */
+    public PrefixMirror(
+            Duration grace,
+            Function<StoredValue, Optional<V>> decoder,
+            RestoredValuePolicy<V> restoredValues) {
         mGrace = grace;
         mDecoder = decoder;
+        mRestoredValues = restoredValues;
     }
 
     /**
@@ -61,7 +86,9 @@
         Set<StoreKey> present = new HashSet<>();
         for (StoredValue value : values) {
             present.add(value.key());
-            differs |= applyWrite(value);
+            if (!holdsBack(value, now)) {
+                differs |= applyWrite(value);
+            }
         }
         for (StoreKey key : List.copyOf(mEntries.keySet())) {
             if (!present.contains(key)) {
@@ -106,22 +133,44 @@
         mGraceUntil = now.plus(mGrace);
     }
 
+    /**
+     * Records that the key-value service has come back from a copy, which starts the grace period.
+     * Values that the copy lacks are kept until their writers have written them again. Without an
+     * earlier list there is nothing to compare the copy with, and it is applied as it is.
+     *
+     * @param now the current time
+     */
+    public void restored(Instant now) {
+        if (!mListed) {
+            return;
+        }
+        mGraceUntil = now.plus(mGrace);
+        mRestoredUntil = mGraceUntil;
+        mHeldBack.clear();
+    }
+
     /** Returns whether a complete list was received at least once. */
     public boolean isListed() {
         return mListed;
     }
 
     /**
-     * Drops removed values once the grace period is over.
+     * Drops removed values, and applies those held back, once the grace period is over.
      *
      * @param now the current time
-     * @return whether any value was dropped
+     * @return whether any value was dropped or applied
      */
     public boolean expire(Instant now) {
         if (mInterrupted || now.isBefore(mGraceUntil)) {
             return false;
         }
-        return mEntries.values().removeIf(Entry::isRemoved);
+        boolean differs = mEntries.values().removeIf(Entry::isRemoved);
+        for (Map.Entry<StoreKey, V> held : mHeldBack.entrySet()) {
+            @Nullable Entry<V> before = mEntries.put(held.getKey(), new Entry<>(held.getValue()));
+            differs |= before == null || !before.mValue.equals(held.getValue());
+        }
+        mHeldBack.clear();
+        return differs;
     }
 
     /** Returns the decoded values, in the order in which their keys were first seen. */
@@ -143,7 +192,23 @@
         return entry == null ? Optional.empty() : Optional.of(entry.mValue);
     }
 
+    private boolean holdsBack(StoredValue value, Instant now) {
+        if (!now.isBefore(mRestoredUntil)) {
+            return false;
+        }
+        @Nullable Entry<V> known = mEntries.get(value.key());
+        Optional<V> decoded = mDecoder.apply(value);
+        if (decoded.isEmpty()
+                || mRestoredValues.takesEffect(
+                        known == null ? null : known.mValue, decoded.get())) {
+            return false;
+        }
+        mHeldBack.put(value.key(), decoded.get());
+        return true;
+    }
+
     private boolean applyWrite(StoredValue value) {
+        mHeldBack.remove(value.key());
         Optional<V> decoded = mDecoder.apply(value);
         if (decoded.isEmpty()) {
             return mEntries.remove(value.key()) != null;
@@ -153,6 +218,7 @@
     }
 
     private boolean applyRemoval(StoreKey key, Instant now) {
+        mHeldBack.remove(key);
         if (!mInterrupted && !now.isBefore(mGraceUntil)) {
             return mEntries.remove(key) != null;
         }
--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/PageResult.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/PageResult.java
@@ -2,11 +2,18 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoredValue;
 
 /** The result of reading one page of the values under a prefix. */
 public sealed interface PageResult {
+    /** Returns the era that the answer names, or null if there was no answer. */
+    default @Nullable StoreEra answeredIn() {
+        return null;
+    }
+
     /**
      * One page.
      *
@@ -21,6 +28,11 @@
             values = List.copyOf(values);
             Objects.requireNonNull(revision, "revision");
         }
+
+        @Override
+        public StoreEra answeredIn() {
+            return revision.era();
+        }
     }
 
     /**
--- a/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/store/query/PrefixListener.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoredValue;
 
 /**
@@ -23,6 +24,14 @@
      */
     void changed(List<StoreChange> changes);
 
+    /**
+     * Called when the key-value service has come back from a copy. Its values are listed again; the
+     * copy may lack some of them, and may have removed values again.
+     *
+     * @param era the era of the service from now on
+     */
+    void restored(StoreEra era);
+
     /**
      * Called when the key-value service stops responding; the values reported so far may become
      * outdated.
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/DefaultWatchDecider.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/DefaultWatchDecider.java
@@ -10,8 +10,10 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoreOperationId;
+import org.oleanderspring.coordination.store.command.ObservedEra;
 import org.oleanderspring.coordination.store.query.ChangesResult;
 import org.oleanderspring.coordination.store.query.PageResult;
 import org.oleanderspring.coordination.watch.WatchOptions;
@@ -33,6 +35,10 @@
  *       sent again.
  * </ul>
  *
+ * <p>When the key-value service comes back from a copy, a poll after a revision of the earlier era
+ * is meaningless even if it is answered, because the service gives its revisions out again. All
+ * prefixes are then listed again. An answer of an earlier era counts as a failed call.
+ *
  * <p>The limit of a poll covers what none of these shows, such as a single silent connection. See
  * {@link WatchOptions} for the bound that follows.
  */
@@ -40,9 +46,13 @@
     /** The pause after a batch of changes until another one is set; collects quick changes. */
     public static final Duration DEFAULT_PAUSE = Duration.ofMillis(60);
 
+    private static final String EARLIER_ERA =
+            "an answer of an earlier era of the key-value service";
+
     private final WatchOptions mOptions;
     private final RandomGenerator mRandom;
     private final StoreContact mContact = new StoreContact();
+    private final ObservedEra mEra = new ObservedEra();
     private final Map<StoreKey, FollowedPrefix> mWatches = new LinkedHashMap<>();
 
     /** The pauses of prefixes, whether they are followed yet or not. */
@@ -82,8 +92,10 @@
             pageReceived(received, now, decisions);
         } else if (event instanceof WatchEvent.ChangesReceived received) {
             changesReceived(received, now, decisions);
-        } else if (event instanceof WatchEvent.StoreAnswered) {
-            answered(null, now, decisions);
+        } else if (event instanceof WatchEvent.StoreAnswered other) {
+            if (isCurrent(other.era(), null, now, decisions)) {
+                answered(null, now, decisions);
+            }
         } else if (event instanceof WatchEvent.StoreFailed) {
             mContact.otherCallFailed();
         } else if (event instanceof WatchEvent.PauseChanged changed) {
@@ -117,7 +129,16 @@
             failed(watch, unavailable.reason(), now, decisions);
             return;
         }
+        boolean isFirstPage = watch.awaitsFirstPage();
+        StoreEra before = mEra.era();
+        if (!isCurrent(received.result().answeredIn(), watch, now, decisions)) {
+            failed(watch, EARLIER_ERA, now, decisions);
+            return;
+        }
         answered(watch, now, decisions);
+        if (!isFirstPage && !mEra.era().equals(before)) {
+            return;
+        }
         if (received.result() instanceof PageResult.Page page) {
             watch.received(page, now, decisions);
         } else if (received.result() instanceof PageResult.Unreadable unreadable) {
@@ -135,7 +156,15 @@
             failed(watch, unavailable.reason(), now, decisions);
             return;
         }
+        StoreEra before = mEra.era();
+        if (!isCurrent(received.result().answeredIn(), watch, now, decisions)) {
+            failed(watch, EARLIER_ERA, now, decisions);
+            return;
+        }
         answered(watch, now, decisions);
+        if (!mEra.era().equals(before)) {
+            return;
+        }
         if (received.result() instanceof ChangesResult.Changes changes) {
             watch.received(changes, now, decisions);
         } else if (received.result() instanceof ChangesResult.HistoryLost) {
@@ -145,6 +174,32 @@
         }
     }
 
+    /**
+     * Records the era of an answer, and lists all prefixes again if it has risen. The lists are
+     * spread over the time in which all daemons list again.
+     *
+     * @param era the era, or null if the answer names none
+     * @param source the watch that was answered, or null; it calls again at once
+     * @return whether the answer is not of an earlier era
+     */
+    private boolean isCurrent(
+            @Nullable StoreEra era,
+            @Nullable FollowedPrefix source,
+            Instant now,
+            List<WatchDecision> decisions) {
+        ObservedEra.Observation observation =
+                era == null ? ObservedEra.Observation.CURRENT : mEra.observe(era);
+        if (observation == ObservedEra.Observation.RISEN) {
+            Duration spread = mOptions.returnSpread(mDaemons, mWatches.size());
+            for (FollowedPrefix watch : mWatches.values()) {
+                long delay = (long) (spread.toNanos() * mRandom.nextDouble());
+                watch.restored(watch == source ? now : now.plusNanos(delay));
+                decisions.add(new WatchDecision.ReportRestoration(watch.prefix(), mEra.era()));
+            }
+        }
+        return observation != ObservedEra.Observation.STALE;
+    }
+
     private @Nullable FollowedPrefix watchOf(StoreOperationId call) {
         for (FollowedPrefix watch : mWatches.values()) {
             if (watch.isPending(call)) {
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/FollowedPrefix.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/FollowedPrefix.java
@@ -145,6 +145,25 @@
         mFirstPageRevision = null;
     }
 
+    /** Returns whether the next page, if one is received, is the first one of a list. */
+    boolean awaitsFirstPage() {
+        return mRevision == null && mPages.isEmpty();
+    }
+
+    /**
+     * Lists the values again, because the key-value service has come back from a copy. A pending
+     * call for the first page stays pending.
+     *
+     * @param callAt when to call
+     */
+    void restored(Instant callAt) {
+        if (awaitsFirstPage()) {
+            return;
+        }
+        callAgain(callAt);
+        mRevision = null;
+    }
+
     /** Returns whether a call is due. */
     boolean isDue(Instant now) {
         return mPending == null && !now.isBefore(mNextCallAt);
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchDecision.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchDecision.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.StoredValue;
@@ -77,6 +78,14 @@
      */
     record ReportInterruption(StoreKey prefix, String reason) implements WatchDecision {}
 
+    /**
+     * Report that the key-value service has come back from a copy; its values come next.
+     *
+     * @param prefix the prefix
+     * @param era the era of the service from now on
+     */
+    record ReportRestoration(StoreKey prefix, StoreEra era) implements WatchDecision {}
+
     /**
      * Report that the values are followed again; the changes meanwhile come next.
      *
--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchEvent.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/command/WatchEvent.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.query.ChangesResult;
@@ -50,8 +51,22 @@
         }
     }
 
-    /** The key-value service answered a call of another part of the daemon. */
-    record StoreAnswered() implements WatchEvent {}
+    /**
+     * The key-value service answered a call of another part of the daemon.
+     *
+     * @param era the era of the answer
+     */
+    record StoreAnswered(StoreEra era) implements WatchEvent {
+        /** Rejects a null era. */
+        public StoreAnswered {
+            Objects.requireNonNull(era, "era");
+        }
+
+        /** Creates the report of an answer of a service that names no era. */
+        public StoreAnswered() {
+            this(StoreEra.UNKNOWN);
+        }
+    }
 
     /**
      * The key-value service did not answer a call of another part of the daemon, or turned it away.
--- a/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/LeaseFuzz.java
@@ -1,12 +1,7 @@
 package org.oleanderspring.coordination.lease;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.Supplier;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -15,61 +10,18 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.Tuple;
-import org.oleanderspring.coordination.fake.FakeKeyValueService;
-import org.oleanderspring.coordination.fake.FaultyLink;
-import org.oleanderspring.coordination.fake.PausableInbox;
-import org.oleanderspring.coordination.fake.VirtualTime;
-import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
-import org.oleanderspring.coordination.lease.command.LeaseDecision;
-import org.oleanderspring.coordination.lease.command.LeaseEvent;
-import org.oleanderspring.coordination.membership.MemberId;
-import org.oleanderspring.coordination.store.StoreKey;
-import org.oleanderspring.coordination.store.StoreOperationId;
-import org.oleanderspring.coordination.store.command.StoreLeaseResult;
-import org.oleanderspring.coordination.store.command.WriteResult;
-import org.oleanderspring.coordination.store.query.ReadResult;
 
 /**
  * Property tests in which several daemons compete for leases at a key-value service with faults.
  */
 class LeaseFuzz {
-    enum StepKind {
-        ADVANCE,
-        PAUSE,
-        RESUME,
-        CRASH,
-        STOP,
-        WITHDRAW,
-        COMPETE,
-        FAULTS,
-        OUTAGE,
-        END_FAULTS
-    }
-
-    record Step(StepKind kind, int first, int second) {}
-
-    private static final int DAEMONS = 3;
-    private static final List<LeaseName> NAMES = List.of(new LeaseName("a"), new LeaseName("b"));
-    private static final LeaseOptions OPTIONS = LeaseOptions.DEFAULT;
-    private static final Duration TICK = Duration.ofMillis(50);
-
-    /**
-     * The longest time until a lease is held after the faults have ended: one time to live until
-     * the keys of crashed daemons are removed, the longest time between two reads (1.25 times the
-     * time to live), all rank delays, and three operations that time out.
-     */
-    private static final Duration TAKEOVER_BOUND =
-            OPTIONS.timeToLive()
-                    .plus(OPTIONS.timeToLive().multipliedBy(5).dividedBy(4))
-                    .plus(OPTIONS.rankDelay().multipliedBy(DAEMONS))
-                    .plus(OPTIONS.operationTimeout().multipliedBy(3));
-
     /**
      * Guards against two holders at the same time and against a lease that no daemon takes over.
      */
     @Property(seed = "8320", tries = 400, shrinking = ShrinkingMode.BOUNDED)
-    void atMostOneHolderAndOneAfterTheFaults(@ForAll("steps") List<Step> steps, @ForAll long seed) {
-        Simulation simulation = new Simulation(seed);
+    void atMostOneHolderAndOneAfterTheFaults(
+            @ForAll("steps") List<SimulatedLeases.Step> steps, @ForAll long seed) {
+        SimulatedLeases simulation = new SimulatedLeases(seed, false);
         steps.forEach(simulation::run);
         simulation.endFaultsAndCheck();
     }
@@ -79,207 +31,74 @@
      * competing for the lease; try 975 of this seed produces this case.
      */
     @Property(seed = "99003", tries = 1_000, shrinking = ShrinkingMode.BOUNDED)
-    void lateCreateDoesNotBlockTheLease(@ForAll("steps") List<Step> steps, @ForAll long seed) {
+    void lateCreateDoesNotBlockTheLease(
+            @ForAll("steps") List<SimulatedLeases.Step> steps, @ForAll long seed) {
         atMostOneHolderAndOneAfterTheFaults(steps, seed);
     }
 
+    /**
+     * Guards against holders of two eras that act at the same time, against a token that falls, and
+     * against a write of an earlier era that replaces a value at a revision given out again, when
+     * the service comes back from copies.
+     */
+    @Property(seed = "4403", tries = 600, shrinking = ShrinkingMode.BOUNDED)
+    void restoredServiceKeepsHoldersApart(
+            @ForAll("stepsWithRestorations") List<SimulatedLeases.Step> steps, @ForAll long seed) {
+        SimulatedLeases simulation = new SimulatedLeases(seed, true);
+        steps.forEach(simulation::run);
+        simulation.endFaultsAndCheck();
+    }
+
     @Provide
-    Arbitrary<List<Step>> steps() {
-        Arbitrary<StepKind> kind =
-                Arbitraries.frequency(
-                        Tuple.of(30, StepKind.ADVANCE),
-                        Tuple.of(6, StepKind.PAUSE),
-                        Tuple.of(6, StepKind.RESUME),
-                        Tuple.of(2, StepKind.CRASH),
-                        Tuple.of(2, StepKind.STOP),
-                        Tuple.of(8, StepKind.WITHDRAW),
-                        Tuple.of(10, StepKind.COMPETE),
-                        Tuple.of(4, StepKind.FAULTS),
-                        Tuple.of(5, StepKind.OUTAGE),
-                        Tuple.of(4, StepKind.END_FAULTS));
+    Arbitrary<List<SimulatedLeases.Step>> stepsWithRestorations() {
         Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
-        return Combinators.combine(kind, number, number)
-                .as(Step::new)
-                .list()
-                .ofMinSize(10)
-                .ofMaxSize(120);
+        Arbitrary<SimulatedLeases.Step> restoration =
+                number.map(
+                        age -> new SimulatedLeases.Step(SimulatedLeases.StepKind.RESTORE, age, 0));
+        return steps().flatMap(
+                        steps ->
+                                Combinators.combine(
+                                                restoration,
+                                                Arbitraries.integers().between(0, steps.size()))
+                                        .as(LeaseFuzz::atPosition)
+                                        .list()
+                                        .ofMinSize(1)
+                                        .ofMaxSize(3)
+                                        .map(restorations -> insert(steps, restorations)));
     }
 
-    private static final class Simulation {
-        private final VirtualTime mTime = new VirtualTime();
-        private final FakeKeyValueService mService = new FakeKeyValueService(mTime);
-        private final long mSeed;
-        private final List<Daemon> mDaemons = new ArrayList<>();
-        private int mNextDaemon;
-
-        Simulation(long seed) {
-            mSeed = seed;
-            for (int index = 0; index < DAEMONS; index++) {
-                mDaemons.add(new Daemon(index));
-            }
-            mTime.every(TICK, this::tick);
-        }
+    private record Placed(SimulatedLeases.Step step, int position) {}
 
-        private void run(Step step) {
-            int index = step.first() % DAEMONS;
-            Daemon daemon = mDaemons.get(index);
-            LeaseName name = NAMES.get(step.second() % NAMES.size());
-            switch (step.kind()) {
-                case ADVANCE -> mTime.advance(advance(step.second()));
-                case PAUSE -> daemon.mInbox.pause();
-                case RESUME -> daemon.mInbox.resume();
-                case CRASH -> {
-                    daemon.mInbox.crash();
-                    mDaemons.set(index, new Daemon(index));
-                }
-                case STOP -> {
-                    daemon.mInbox.offer(new LeaseEvent.StopRequested());
-                    mDaemons.set(index, new Daemon(index));
-                }
-                case WITHDRAW -> daemon.compete(name, false);
-                case COMPETE -> daemon.compete(name, true);
-                case FAULTS -> mDaemons.forEach(each -> each.mLink.setFaulty(true));
-                case OUTAGE -> daemon.mLink.setDown(true);
-                case END_FAULTS -> endFaults();
-                default -> throw new IllegalStateException("unknown step " + step);
-            }
-        }
-
-        /**
-         * Returns mostly times within which an operation is in flight, and some that exceed the
-         * time to live.
-         */
-        private static Duration advance(int number) {
-            return Duration.ofMillis(number < 600 ? number : number * 7L);
-        }
-
-        private void endFaults() {
-            for (Daemon daemon : mDaemons) {
-                daemon.mLink.setDown(false);
-                daemon.mLink.setFaulty(false);
-            }
-        }
-
-        /**
-         * Ends all faults and checks that each lease gets a holder. With an odd seed each lease
-         * then has a single candidate, which a key left behind by another daemon would block.
-         */
-        private void endFaultsAndCheck() {
-            endFaults();
-            for (int index = 0; index < DAEMONS; index++) {
-                Daemon daemon = mDaemons.get(index);
-                daemon.mInbox.resume();
-                for (int number = 0; number < NAMES.size(); number++) {
-                    daemon.compete(NAMES.get(number), mSeed % 2 == 0 || number == index);
-                }
-            }
-            mTime.advance(TAKEOVER_BOUND);
-            for (LeaseName name : NAMES) {
-                check(
-                        holders(name) == 1,
-                        "lease " + name + " does not have one holder after the faults ended");
-            }
-        }
-
-        private void tick() {
-            mDaemons.forEach(daemon -> daemon.mInbox.offer(new LeaseEvent.TimerFired()));
-            for (LeaseName name : NAMES) {
-                check(holders(name) <= 1, "several daemons hold lease " + name);
-            }
-        }
-
-        /** Counts the running daemons that last reported that they hold the lease. */
-        private long holders(LeaseName name) {
-            return mDaemons.stream()
-                    .filter(daemon -> daemon.mInbox.isRunning() && daemon.mHeld.contains(name))
-                    .count();
-        }
-
-        private static void check(boolean holds, String message) {
-            if (!holds) {
-                throw new AssertionError(message);
-            }
-        }
-
-        /** One daemon run. */
-        private final class Daemon {
-            private final int mRank;
-            private final FaultyLink mLink;
-            private final DefaultLeaseDecider mDecider;
-            private final PausableInbox<LeaseEvent> mInbox = new PausableInbox<>(this::handle);
-            private final Set<LeaseName> mWanted = new TreeSet<>();
-            private final Set<LeaseName> mHeld = new TreeSet<>();
-
-            Daemon(int rank) {
-                mRank = rank;
-                int number = mNextDaemon++;
-                mLink = new FaultyLink(mTime, mSeed + number);
-                mDecider =
-                        new DefaultLeaseDecider(
-                                new MemberId("d" + number),
-                                name -> new StoreKey("/cells/" + name + "/lease"),
-                                OPTIONS,
-                                new Random(mSeed + number));
-            }
-
-            private void compete(LeaseName name, boolean wanted) {
-                if (wanted ? mWanted.add(name) : mWanted.remove(name)) {
-                    mInbox.offer(
-                            new LeaseEvent.CandidaciesChanged(
-                                    mWanted.stream()
-                                            .map(each -> new LeaseCandidacy(each, mRank))
-                                            .toList()));
-                }
-            }
-
-            private void handle(LeaseEvent event) {
-                mDecider.decide(event, mTime.now()).forEach(this::execute);
-            }
+    private static Placed atPosition(SimulatedLeases.Step step, int position) {
+        return new Placed(step, position);
+    }
 
-            private void execute(LeaseDecision decision) {
-                if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
-                    check(
-                            mHeld.add(acquired.name()),
-                            "lease acquired while held: " + acquired.name());
-                } else if (decision instanceof LeaseDecision.LeaseLost lost) {
-                    check(mHeld.remove(lost.name()), "lease lost while not held: " + lost.name());
-                } else if (decision instanceof LeaseDecision.WriteKey write) {
-                    mLink.<WriteResult>send(
-                            () -> mService.write(write.command()),
-                            new WriteResult.Unavailable("down"),
-                            new WriteResult.Unknown("no reply"),
-                            result ->
-                                    mInbox.offer(
-                                            new LeaseEvent.KeyWriteReplied(
-                                                    write.operation(), result)));
-                } else if (decision instanceof LeaseDecision.ReadKey read) {
-                    mLink.<ReadResult>send(
-                            () -> mService.read(read.key()),
-                            new ReadResult.Unavailable("down"),
-                            new ReadResult.Unavailable("no reply"),
-                            result ->
-                                    mInbox.offer(
-                                            new LeaseEvent.KeyReadReplied(
-                                                    read.operation(), result)));
-                } else if (decision instanceof LeaseDecision.GrantServiceLease grant) {
-                    send(grant.operation(), () -> mService.grant(grant.timeToLive()));
-                } else if (decision instanceof LeaseDecision.RenewServiceLease renew) {
-                    send(renew.operation(), () -> mService.renew(renew.lease()));
-                } else if (decision instanceof LeaseDecision.RevokeServiceLease revoke) {
-                    send(revoke.operation(), () -> mService.revoke(revoke.lease()));
-                }
-            }
+    private static List<SimulatedLeases.Step> insert(
+            List<SimulatedLeases.Step> steps, List<Placed> placed) {
+        List<SimulatedLeases.Step> all = new ArrayList<>(steps);
+        placed.forEach(each -> all.add(each.position(), each.step()));
+        return all;
+    }
 
-            private void send(StoreOperationId operation, Supplier<StoreLeaseResult> effect) {
-                StoreLeaseResult unavailable = new StoreLeaseResult.Unavailable("no reply");
-                mLink.send(
-                        effect,
-                        unavailable,
-                        unavailable,
-                        result ->
-                                mInbox.offer(
-                                        new LeaseEvent.ServiceLeaseReplied(operation, result)));
-            }
-        }
+    @Provide
+    Arbitrary<List<SimulatedLeases.Step>> steps() {
+        Arbitrary<SimulatedLeases.StepKind> kind =
+                Arbitraries.frequency(
+                        Tuple.of(30, SimulatedLeases.StepKind.ADVANCE),
+                        Tuple.of(6, SimulatedLeases.StepKind.PAUSE),
+                        Tuple.of(6, SimulatedLeases.StepKind.RESUME),
+                        Tuple.of(2, SimulatedLeases.StepKind.CRASH),
+                        Tuple.of(2, SimulatedLeases.StepKind.STOP),
+                        Tuple.of(8, SimulatedLeases.StepKind.WITHDRAW),
+                        Tuple.of(10, SimulatedLeases.StepKind.COMPETE),
+                        Tuple.of(4, SimulatedLeases.StepKind.FAULTS),
+                        Tuple.of(5, SimulatedLeases.StepKind.OUTAGE),
+                        Tuple.of(4, SimulatedLeases.StepKind.END_FAULTS));
+        Arbitrary<Integer> number = Arbitraries.integers().between(0, 999);
+        return Combinators.combine(kind, number, number)
+                .as(SimulatedLeases.Step::new)
+                .list()
+                .ofMinSize(10)
+                .ofMaxSize(120);
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -37,7 +37,7 @@
 
     private final String mLogPrefix;
     private final PrefixMirror<RunnerRegistration> mRunners =
-            new PrefixMirror<>(ENTRY_GRACE, this::decodeRunner);
+            new PrefixMirror<>(ENTRY_GRACE, this::decodeRunner, FleetView::isNoReturn);
     private final PrefixMirror<LeaseHolder> mLeases =
             new PrefixMirror<>(ENTRY_GRACE, FleetView::decodeHolder);
     private @Nullable FleetConfiguration mCurrentConfiguration;
@@ -101,6 +101,17 @@
                             + "\"");
             return false;
         }
+        if (update instanceof StoreUpdate.Restored restored) {
+            mirror.restored(now);
+            LOGGER.log(
+                    Level.WARNING,
+                    mLogPrefix
+                            + " store-restored prefix="
+                            + update.prefix()
+                            + " era="
+                            + restored.era());
+            return false;
+        }
         if (update instanceof StoreUpdate.Resumed resumed) {
             mirror.resumed(now);
             LOGGER.log(
@@ -195,6 +206,17 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns whether a runner's entry in a copy of the key-value service may be used at once. A
+     * runner that was seen to leave, or whose entry was removed, must get no calls because an older
+     * entry shows it as ready; its writer repeats the newer one within the grace period.
+     */
+    private static boolean isNoReturn(
+            @Nullable RunnerRegistration known, RunnerRegistration restored) {
+        return restored.draining()
+                || (known != null && !(known.draining() && known.id().equals(restored.id())));
+    }
+
     private static Optional<LeaseHolder> decodeHolder(StoredValue value) {
         if (!value.key().path().startsWith(GatewayKeys.LEASES.path())) {
             return Optional.empty();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
@@ -54,6 +55,21 @@
         }
     }
 
+    /**
+     * The key-value service has come back from a copy that may lack recent changes; its values
+     * follow.
+     *
+     * @param prefix the watched prefix
+     * @param era the era of the service from now on
+     */
+    record Restored(StoreKey prefix, StoreEra era) implements StoreUpdate {
+        /** Rejects null components. */
+        public Restored {
+            Objects.requireNonNull(prefix, "prefix");
+            Objects.requireNonNull(era, "era");
+        }
+    }
+
     /**
      * The key-value service responds again; the changes during the interruption follow.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -146,7 +146,7 @@
         } else if (input instanceof ResidencyInput.Lease lease) {
             decide(lease.event());
         } else if (input instanceof ResidencyInput.StoreChanged changed) {
-            detectReleaseOfPlacementLease(changed.update());
+            observePlacementLease(changed.update());
             apply(mFleet.apply(changed.update(), mClock.now()));
         } else if (input instanceof ResidencyInput.EndpointUseReported reported) {
             mEndpointLoads.report(reported, mClock.now());
@@ -176,9 +176,23 @@
     }
 
     /**
-     * Lets this daemon compete for the placement lease as soon as its key is removed or released.
+     * Lets this daemon compete for the placement lease as soon as its key is removed or released,
+     * and give it up if another daemon holds it or the key-value service came back from a copy.
      */
-    private void detectReleaseOfPlacementLease(StoreUpdate update) {
+    private void observePlacementLease(StoreUpdate update) {
+        if (update instanceof StoreUpdate.Restored restored) {
+            mPlacementKeyRemovedAt = null;
+            decide(new LeaseEvent.EraObserved(restored.era()));
+            return;
+        }
+        if (update instanceof StoreUpdate.Listed listed) {
+            for (StoredValue value : listed.values()) {
+                if (value.key().equals(GatewayKeys.leaseKey(GatewayKeys.PLACEMENT))) {
+                    reportWrittenKey(value);
+                }
+            }
+            return;
+        }
         if (!(update instanceof StoreUpdate.Changed changed)) {
             return;
         }
@@ -189,21 +203,21 @@
                 decide(new LeaseEvent.KeyReleased(GatewayKeys.PLACEMENT, Revision.ABSENT, null));
             } else if (change instanceof StoreChange.Written written
                     && written.value().key().equals(key)) {
-                reportReleasedKey(written.value());
+                reportWrittenKey(written.value());
             }
         }
     }
 
-    private void reportReleasedKey(StoredValue value) {
+    private void reportWrittenKey(StoredValue value) {
         LeaseValueCodec.decode(value.bytes())
-                .filter(LeaseValue::isReleased)
-                .ifPresent(
-                        leaseValue ->
-                                decide(
-                                        new LeaseEvent.KeyReleased(
-                                                GatewayKeys.PLACEMENT,
-                                                value.revision(),
-                                                leaseValue.handover())));
+                .ifPresent(leaseValue -> decide(observation(leaseValue, value.revision())));
+    }
+
+    private static LeaseEvent observation(LeaseValue value, Revision revision) {
+        return value.isReleased()
+                ? new LeaseEvent.KeyReleased(
+                        GatewayKeys.PLACEMENT, revision, value.handoverIn(revision.era()))
+                : new LeaseEvent.KeyObserved(GatewayKeys.PLACEMENT, value, revision);
     }
 
     private void recordReply(ResidencyEvent event) {
@@ -319,13 +333,16 @@
     }
 
     /**
-     * Returns the latest time at which the previous holder may have sent an order: a safety margin
-     * before its key was removed, or the current time if the removal was not observed.
+     * Returns the latest time at which a previous holder may send an order: a safety margin before
+     * its key was removed, or the current time if the removal was not observed. A holder that has
+     * not seen that the key-value service came back from a copy may order for some time after it.
      */
     private Instant latestOrderOfPreviousHolder(Instant now) {
         Instant removedAt = mPlacementKeyRemovedAt;
         mPlacementKeyRemovedAt = null;
-        return removedAt == null ? now : removedAt.minus(mSafetyMargin);
+        Instant latest = removedAt == null ? now : removedAt.minus(mSafetyMargin);
+        Instant earlierHolders = mLeases.earlierHoldersUntil();
+        return earlierHolders.isAfter(latest) ? earlierHolders : latest;
     }
 
     private void decide(ResidencyEvent event) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/DaemonCounter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/DaemonCounter.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -52,6 +53,9 @@
         mWatches.offer(new WatchEvent.DaemonsCounted(Math.max(1, mMemberships.size())));
     }
 
+    @Override
+    public void restored(StoreEra era) {}
+
     @Override
     public void interrupted(String reason) {}
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitter.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -62,6 +63,11 @@
         mListeners.values().forEach(listener -> listener.resumed(outdatedFor));
     }
 
+    @Override
+    public void restored(StoreEra era) {
+        mListeners.values().forEach(listener -> listener.restored(era));
+    }
+
     private static boolean isUnder(StoreKey prefix, StoreKey key) {
         return key.path().startsWith(prefix.path());
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -45,6 +46,11 @@
         offer(new StoreUpdate.Resumed(mPrefix, outdatedFor));
     }
 
+    @Override
+    public void restored(StoreEra era) {
+        offer(new StoreUpdate.Restored(mPrefix, era));
+    }
+
     private void offer(StoreUpdate update) {
         mRings.routingSink().offer(new GatewayRoutingInput.StoreChanged(update));
         mRings.placementSink().offer(new ResidencyInput.StoreChanged(update));
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/quarantine/command/QuarantineDuty.java
@@ -9,6 +9,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
@@ -52,6 +53,7 @@
     private @Nullable RunnerRegistration mBrokenRunner;
 
     private Set<MemberId> mMembers = Set.of();
+    private StoreEra mEra = StoreEra.UNKNOWN;
 
     /**
      * Creates the duty.
@@ -107,6 +109,12 @@
             mFleet.expire(mClock.now());
             updateMembers();
         }
+        if (event instanceof QuarantineEvent.EntriesWritten written
+                && written.revision().era().compareTo(mEra) < 0) {
+            // The key-value service came back from a copy that may lack this write.
+            decide(new QuarantineEvent.StoreFailed());
+            return;
+        }
         decide(event);
     }
 
@@ -114,7 +122,9 @@
         if (mFleet.apply(update, mClock.now()) == FleetView.Change.DAEMONS) {
             updateMembers();
         }
-        if (update instanceof StoreUpdate.Listed listed) {
+        if (update instanceof StoreUpdate.Restored restored) {
+            mEra = restored.era();
+        } else if (update instanceof StoreUpdate.Listed listed) {
             entriesStored(find(listed.values()));
         } else if (update instanceof StoreUpdate.Changed changed) {
             changed.changes().forEach(this::apply);
@@ -231,10 +241,16 @@
 
     private void store(QuarantineDecision.StoreEntries store) {
         byte[] bytes = QuarantineEntryCodec.encode(store.entries());
+        boolean isCreation = store.expected().equals(Revision.ABSENT);
+        StoreEra era = isCreation ? mEra : store.expected().era();
         mPorts.store()
                 .compareAndSwap(
                         new CompareAndSwap(
-                                GatewayKeys.QUARANTINE, store.expected(), bytes, StoreLeaseId.NONE))
+                                GatewayKeys.QUARANTINE,
+                                store.expected(),
+                                bytes,
+                                StoreLeaseId.NONE,
+                                era))
                 .thenAccept(result -> offer(event(result, store.entries())));
     }
 
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/ObservedKeyValueCommands.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/ObservedKeyValueCommands.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.command.CompareAndSwap;
 import org.oleanderspring.coordination.store.command.KeyValueCommands;
@@ -37,7 +39,7 @@
         } else if (result instanceof WriteResult.Unknown unknown) {
             mWatches.offer(new WatchEvent.StoreFailed(unknown.reason()));
         } else {
-            mWatches.offer(new WatchEvent.StoreAnswered());
+            mWatches.offer(answered(result.answeredIn()));
         }
         return result;
     }
@@ -57,11 +59,15 @@
         return mCommands.revokeLease(lease).thenApply(this::report);
     }
 
+    static WatchEvent answered(@Nullable StoreEra era) {
+        return new WatchEvent.StoreAnswered(era == null ? StoreEra.UNKNOWN : era);
+    }
+
     private StoreLeaseResult report(StoreLeaseResult result) {
         mWatches.offer(
                 result instanceof StoreLeaseResult.Unavailable unavailable
                         ? new WatchEvent.StoreFailed(unavailable.reason())
-                        : new WatchEvent.StoreAnswered());
+                        : answered(result.answeredIn()));
         return result;
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/ObservedValueQueries.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/ObservedValueQueries.java
@@ -32,7 +32,7 @@
         mWatches.offer(
                 result instanceof ReadResult.Unavailable unavailable
                         ? new WatchEvent.StoreFailed(unavailable.reason())
-                        : new WatchEvent.StoreAnswered());
+                        : ObservedKeyValueCommands.answered(result.answeredIn()));
         return result;
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDuty.java
@@ -90,6 +90,9 @@
             listener(publish.prefix()).changed(publish.changes());
         } else if (decision instanceof WatchDecision.ReportInterruption report) {
             listener(report.prefix()).interrupted(report.reason());
+        } else if (decision instanceof WatchDecision.ReportRestoration report) {
+            mMeters.era(report.era());
+            listener(report.prefix()).restored(report.era());
         } else if (decision instanceof WatchDecision.ReportResumption report) {
             listener(report.prefix()).resumed(report.outdatedFor());
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchMeters.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.watch.query.WatchStatus;
 
 /** Metrics of the watches: the time since the last answer to each of them. */
 public final class StoreWatchMeters {
     private final Map<StoreKey, Long> mAnsweredAtNanos = new ConcurrentHashMap<>();
+    private volatile long mEra;
 
     /**
      * Registers the gauges of the watches.
@@ -20,6 +22,7 @@
      * @param names the name of each followed prefix in the metrics
      */
     public StoreWatchMeters(MetricRegistry registry, Map<StoreKey, String> names) {
+        registry.registerGauge("store.era", (Gauge<Long>) () -> mEra);
         names.forEach(
                 (prefix, name) ->
                         registry.registerGauge(
@@ -27,6 +30,11 @@
                                 (Gauge<Long>) () -> age(prefix).toMillis()));
     }
 
+    /** Records the era of the key-value service. */
+    void era(StoreEra era) {
+        mEra = era.value();
+    }
+
     /** Records the state of the watches; called on the thread that owns them. */
     void update(List<WatchStatus> watches) {
         long now = System.nanoTime();
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitterTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/process/command/PrefixSplitterTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -76,6 +77,9 @@
             mCalls.add(mName + " changed " + changes.size());
         }
 
+        @Override
+        public void restored(StoreEra era) {}
+
         @Override
         public void interrupted(String reason) {
             mCalls.add(mName + " interrupted");
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDutyTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.coordination.membership.Address;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -63,6 +64,9 @@
             mListenerCalls.add("changed " + changes.size());
         }
 
+        @Override
+        public void restored(StoreEra era) {}
+
         @Override
         public void interrupted(String reason) {
             mListenerCalls.add("interrupted " + reason);
