--- a/coordination/src/test/java/org/oleanderspring/coordination/lease/SimulatedLeases.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/lease/SimulatedLeases.java
@@ -65,6 +65,7 @@
     private final long mSeed;
     private final boolean mNamesEras;
     private final Map<LeaseName, FencingToken> mHighestTokens = new TreeMap<>();
+    private final Map<LeaseName, Daemon> mOwners = new TreeMap<>();
     private final List<Daemon> mDaemons = new ArrayList<>();
     private int mNextDaemon;
 
@@ -165,6 +166,10 @@
             FencingToken token = daemon.mDecider.token(name);
             FencingToken highest = mHighestTokens.getOrDefault(name, FencingToken.NONE);
             check(token.compareTo(highest) >= 0, "the token fell from " + highest + " to " + token);
+            Daemon owner = mOwners.put(name, daemon);
+            check(
+                    token.compareTo(highest) > 0 || owner == daemon,
+                    "two daemons act with the token " + token);
             mHighestTokens.put(name, token);
         }
     }
@@ -191,6 +196,9 @@
         private final Set<LeaseName> mWanted = new TreeSet<>();
         private final Set<LeaseName> mHeld = new TreeSet<>();
 
+        /** The leases that were lost because the service came back from a copy. */
+        private final Set<LeaseName> mRestored = new TreeSet<>();
+
         Daemon(int rank) {
             mRank = rank;
             int number = mNextDaemon++;
@@ -227,8 +235,17 @@
         private void execute(LeaseDecision decision) {
             if (decision instanceof LeaseDecision.LeaseAcquired acquired) {
                 check(mHeld.add(acquired.name()), "lease acquired while held: " + acquired.name());
+                FencingToken acted =
+                        mHighestTokens.getOrDefault(acquired.name(), FencingToken.NONE);
+                check(
+                        !mRestored.remove(acquired.name())
+                                || mDecider.token(acquired.name()).compareTo(acted) > 0,
+                        "the token of an earlier era is used again: " + acted);
             } else if (decision instanceof LeaseDecision.LeaseLost lost) {
                 check(mHeld.remove(lost.name()), "lease lost while not held: " + lost.name());
+                if (lost.reason() == LeaseLossReason.RESTORED) {
+                    mRestored.add(lost.name());
+                }
             } else if (decision instanceof LeaseDecision.WriteKey write) {
                 mLink.<WriteResult>send(
                         () -> mService.write(write.command()),
--- a/coordination/src/test/java/org/oleanderspring/coordination/store/PrefixMirrorTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/store/PrefixMirrorTest.java
@@ -97,4 +97,51 @@
     private boolean written(String text) {
         return mMirror.changed(List.of(new StoreChange.Written(value(KEY, text))), START);
     }
+
+    /**
+     * Guards against requests to a runner that was seen to leave, because a copy of the key-value
+     * service shows it as ready until it has written its entry again.
+     */
+    @Test
+    void restoredValueIsHeldBackIfThePolicySaysSo() {
+        PrefixMirror<String> mirror = leavingMirror();
+        mirror.listed(List.of(value(KEY, "draining")), START);
+        mirror.restored(START);
+        mirror.listed(List.of(value(KEY, "ready")), START);
+        assertThat(mirror.values(), is(List.of("draining")));
+        assertThat(mirror.expire(START.plusSeconds(1)), is(false));
+        assertThat(mirror.expire(START.plusSeconds(2)), is(true));
+        assertThat(mirror.values(), is(List.of("ready")));
+    }
+
+    /** Guards against a value from the copy that replaces what its writer wrote since. */
+    @Test
+    void valueWrittenAfterTheRestorationEndsTheHolding() {
+        PrefixMirror<String> mirror = leavingMirror();
+        mirror.listed(List.of(), START);
+        mirror.restored(START);
+        mirror.listed(List.of(value(KEY, "ready")), START);
+        assertThat(mirror.values(), is(List.of()));
+        mirror.changed(List.of(new StoreChange.Written(value(KEY, "new"))), START.plusSeconds(1));
+        assertThat(mirror.expire(START.plusSeconds(2)), is(false));
+        assertThat(mirror.values(), is(List.of("new")));
+    }
+
+    /** Guards against a fleet without runners because the copy lacks those that came since. */
+    @Test
+    void valueThatTheCopyLacksIsKeptForTheGracePeriod() {
+        mMirror.listed(List.of(value(KEY, "one")), START);
+        mMirror.restored(START);
+        mMirror.listed(List.of(), START);
+        assertThat(mMirror.values(), is(List.of("one")));
+        assertThat(mMirror.expire(START.plusSeconds(2)), is(true));
+        assertThat(mMirror.values(), is(List.of()));
+    }
+
+    private static PrefixMirror<String> leavingMirror() {
+        return new PrefixMirror<>(
+                Duration.ofSeconds(2),
+                PrefixMirrorTest::decode,
+                (known, restored) -> known != null && !known.equals("draining"));
+    }
 }
--- a/coordination/src/test/java/org/oleanderspring/coordination/watch/command/DefaultWatchDeciderTest.java
+++ b/coordination/src/test/java/org/oleanderspring/coordination/watch/command/DefaultWatchDeciderTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
@@ -16,6 +17,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoreOperationId;
 import org.oleanderspring.coordination.store.StoredValue;
@@ -214,4 +216,51 @@
         StoreOperationId second = follow(SECOND).call();
         assertThat(first.equals(second), is(false));
     }
+
+    /**
+     * Guards against changes that are missed because a poll goes on after a revision of an earlier
+     * era, which the service gives out again.
+     */
+    @Test
+    void risenEraListsAllPrefixesAgain() {
+        WatchDecision.Poll poll = follow(FIRST);
+        follow(SECOND);
+        Revision risen = new Revision(new StoreEra(2), 20);
+        List<WatchDecision> decisions =
+                new ArrayList<>(
+                        decide(
+                                new WatchEvent.ChangesReceived(
+                                        poll.call(),
+                                        new ChangesResult.Changes(List.of(CHANGE), risen))));
+        assertThat(
+                decisions.subList(0, 2),
+                contains(
+                        new WatchDecision.ReportRestoration(FIRST, new StoreEra(2)),
+                        new WatchDecision.ReportRestoration(SECOND, new StoreEra(2))));
+        pass(10);
+        decisions.addAll(decide(new WatchEvent.TimerFired()));
+        assertThat(
+                decisions.stream()
+                        .filter(decision -> decision instanceof WatchDecision.ReadPage)
+                        .map(decision -> ((WatchDecision.ReadPage) decision).prefix())
+                        .toList(),
+                containsInAnyOrder(FIRST, SECOND));
+    }
+
+    /** Guards against values of an earlier era that replace those of the present one. */
+    @Test
+    void answerOfAnEarlierEraCountsAsAFailedCall() {
+        WatchDecision.Poll poll = follow(FIRST);
+        decide(new WatchEvent.StoreAnswered(new StoreEra(2)));
+        pass(10);
+        List<WatchDecision> list = decide(new WatchEvent.TimerFired());
+        assertThat(decide(answer(poll, CHANGE)), is(empty()));
+        WatchDecision.ReadPage read = (WatchDecision.ReadPage) list.get(0);
+        List<WatchDecision> decisions =
+                decide(
+                        new WatchEvent.PageReceived(
+                                read.call(),
+                                new PageResult.Page(List.of(), false, new Revision(10))));
+        assertThat(decisions.get(0), instanceOf(WatchDecision.ReportInterruption.class));
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/OrderHistory.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/OrderHistory.java
@@ -113,7 +113,12 @@
         }
     }
 
-    /** Returns the handover to the next holder; empty while an order may still arrive. */
+    /**
+     * Returns the handover to the next holder; empty while an order may still arrive.
+     *
+     * @param now the current time; may be before the time of an order, if the time of day was set
+     *     forward before it. Its age is then zero
+     */
     Optional<String> handover(Instant now) {
         if (!mUnansweredOrders.isEmpty() || now.isBefore(mNoHandoverUntil)) {
             return Optional.empty();
@@ -123,13 +128,17 @@
                 (runner, lastOrder) -> {
                     Duration age = Duration.between(lastOrder, now);
                     if (age.compareTo(mPause) < 0) {
-                        ages.put(runner, age);
+                        ages.put(runner, age.isNegative() ? Duration.ZERO : age);
                     }
                 });
         Duration unlistedAge =
                 mEarliestOrder.isAfter(now)
-                        ? mPause.minus(Duration.between(now, mEarliestOrder))
+                        ? longer(Duration.ZERO, mPause.minus(Duration.between(now, mEarliestOrder)))
                         : mPause;
         return Optional.of(new OrderAges(unlistedAge, ages).encode());
     }
+
+    private static Duration longer(Duration first, Duration second) {
+        return first.compareTo(second) >= 0 ? first : second;
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -12,16 +12,11 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
-import org.oleanderspring.coordination.lease.LeaseValue;
-import org.oleanderspring.coordination.lease.LeaseValueCodec;
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.lease.command.LeaseDecision;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
-import org.oleanderspring.coordination.store.StoreKey;
-import org.oleanderspring.coordination.store.StoredValue;
-import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointUse;
@@ -87,6 +82,12 @@
     private FencingToken mLastToken = FencingToken.NONE;
 
     private @Nullable Instant mPlacementKeyRemovedAt;
+
+    /** The excess of the clock when the pause of the last tenure began. */
+    private Duration mExcessAtPause = Duration.ZERO;
+
+    private Instant mOrdersFrom = Instant.MIN;
+    private Map<EndpointId, Instant> mDeferredRunners = Map.of();
     private @Nullable CompletableFuture<Boolean> mLeasesReleased;
 
     /**
@@ -180,46 +181,19 @@
      * and give it up if another daemon holds it or the key-value service came back from a copy.
      */
     private void observePlacementLease(StoreUpdate update) {
-        if (update instanceof StoreUpdate.Restored restored) {
-            mPlacementKeyRemovedAt = null;
-            decide(new LeaseEvent.EraObserved(restored.era()));
-            return;
-        }
-        if (update instanceof StoreUpdate.Listed listed) {
-            for (StoredValue value : listed.values()) {
-                if (value.key().equals(GatewayKeys.leaseKey(GatewayKeys.PLACEMENT))) {
-                    reportWrittenKey(value);
-                }
-            }
-            return;
-        }
-        if (!(update instanceof StoreUpdate.Changed changed)) {
-            return;
-        }
-        StoreKey key = GatewayKeys.leaseKey(GatewayKeys.PLACEMENT);
-        for (StoreChange change : changed.changes()) {
-            if (change instanceof StoreChange.Removed removed && removed.key().equals(key)) {
+        for (LeaseEvent event : PlacementKeyEvents.of(update)) {
+            if (event instanceof LeaseEvent.EraObserved) {
+                mPlacementKeyRemovedAt = null;
+                mExcessAtPause = mClock.excess();
+            } else if (event instanceof LeaseEvent.KeyReleased released
+                    && released.revision().equals(Revision.ABSENT)) {
                 mPlacementKeyRemovedAt = mClock.now();
-                decide(new LeaseEvent.KeyReleased(GatewayKeys.PLACEMENT, Revision.ABSENT, null));
-            } else if (change instanceof StoreChange.Written written
-                    && written.value().key().equals(key)) {
-                reportWrittenKey(written.value());
+                mExcessAtPause = mClock.excess();
             }
+            decide(event);
         }
     }
 
-    private void reportWrittenKey(StoredValue value) {
-        LeaseValueCodec.decode(value.bytes())
-                .ifPresent(leaseValue -> decide(observation(leaseValue, value.revision())));
-    }
-
-    private static LeaseEvent observation(LeaseValue value, Revision revision) {
-        return value.isReleased()
-                ? new LeaseEvent.KeyReleased(
-                        GatewayKeys.PLACEMENT, revision, value.handoverIn(revision.era()))
-                : new LeaseEvent.KeyObserved(GatewayKeys.PLACEMENT, value, revision);
-    }
-
     private void recordReply(ResidencyEvent event) {
         if (event instanceof ResidencyEvent.OrderReplied replied) {
             mOrderHistory.orderReplied(replied, mClock.now());
@@ -241,7 +215,7 @@
             return;
         }
         mOrderHistory
-                .handover(mClock.now())
+                .handover(steadyTime())
                 .ifPresent(
                         handover -> {
                             LOGGER.log(
@@ -312,11 +286,16 @@
         boolean isResumed = token.equals(mLastToken);
         mLastToken = token;
         if (!isResumed) {
+            if (mPlacementKeyRemovedAt == null && !mLeases.earlierHoldersUntil().isAfter(now)) {
+                mExcessAtPause = mClock.excess();
+            }
             mOrderHistory.begin(handover, latestOrderOfPreviousHolder(now), now);
         }
         mPorts.runnerWatch().useShortPause();
         Instant ordersFrom = mOrderHistory.ordersFrom(now);
         Map<EndpointId, Instant> deferredRunners = mOrderHistory.deferredRunners(now);
+        mOrdersFrom = ordersFrom;
+        mDeferredRunners = deferredRunners;
         LOGGER.log(
                 Level.INFO,
                 "[placement] tenure-began token="
@@ -371,12 +350,28 @@
         }
     }
 
+    /**
+     * Returns whether the pause since the orders of other daemons is over also if the time of day
+     * was set forward since it began.
+     */
+    private boolean isPauseOver(EndpointId runner) {
+        Instant time = steadyTime();
+        return !time.isBefore(mOrdersFrom)
+                && !time.isBefore(mDeferredRunners.getOrDefault(runner, Instant.MIN));
+    }
+
+    /** Returns the time as counted by the monotonic clock since the pause of the tenure began. */
+    private Instant steadyTime() {
+        return mClock.now().minus(mClock.excess().minus(mExcessAtPause));
+    }
+
     private void send(ResidencyDecision.SendOrder send) {
         ResidencyOrder order = send.order();
         RunnerRegistration runner = mRunners.get(order.runner());
         boolean mayOrder =
                 mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())
-                        && mLeases.token(GatewayKeys.PLACEMENT).equals(order.token());
+                        && mLeases.token(GatewayKeys.PLACEMENT).equals(order.token())
+                        && isPauseOver(order.runner());
         LOGGER.log(
                 Level.INFO,
                 "[placement] order order="
--- a/daemon/src/test/java/org/oleanderspring/daemon/LayoutTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/LayoutTest.java
@@ -6,6 +6,11 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.util.Date;
+import org.oleanderspring.daemon.gateway.process.command.Gateway;
 
 /**
  * Guards the layout: queries do not depend on commands, and duties do not depend on a transport.
@@ -45,4 +50,35 @@
                     .dependOnClassesThat()
                     .resideInAnyPackage(
                             "org.eclipse.jetty..", "io.netty..", "com.google.protobuf..");
+
+    /**
+     * Guards against decisions that a jump of the time of day falsifies. Only the two clocks of the
+     * process read it; the command line, whose processes end at once, may do so for its output.
+     */
+    @ArchTest
+    static final ArchRule DECISIONS_DO_NOT_READ_THE_TIME_OF_DAY =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackage("..daemon.cli..")
+                    .should()
+                    .callMethod(Instant.class, "now")
+                    .orShould()
+                    .callMethod(LocalDateTime.class, "now")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .callConstructor(Date.class);
+
+    /** The system clock is read only where it is wrapped by a clock of the process. */
+    @ArchTest
+    static final ArchRule SYSTEM_CLOCK_IS_WRAPPED =
+            noClasses()
+                    .that()
+                    .doNotHaveFullyQualifiedName(Gateway.class.getName())
+                    .and()
+                    .doNotHaveSimpleName("PeerMessenger")
+                    .and()
+                    .resideOutsideOfPackage("..daemon.cli..")
+                    .should()
+                    .callMethod(Clock.class, "systemUTC");
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDutyTest.java
@@ -29,6 +29,7 @@
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoreLeaseId;
 import org.oleanderspring.coordination.store.StoredValue;
@@ -131,7 +132,7 @@
                 LEASE_OPTIONS.safetyMargin(),
                 new DefaultResidencyDecider(2),
                 ports,
-                new SuspendAwareClock(mWall),
+                new SuspendAwareClock(mWall, mWall::nanos),
                 mTimer,
                 event -> {
                     mRing.add(event);
@@ -228,6 +229,42 @@
         assertThat("orders after the pause", mOrders, hasSize(1));
     }
 
+    /**
+     * Guards against orders of two daemons to one runner within the pause, because the time of day
+     * was set forward by seconds and back during it.
+     */
+    @Test
+    void timeOfDayThatJumpsDoesNotShortenThePause() {
+        beginTenure();
+        mStore.endLease();
+        tickUntil(Duration.ofSeconds(2));
+        mWall.step(Duration.ofSeconds(2));
+        tickUntil(Duration.ofSeconds(1));
+        requestLoad();
+        mWall.step(Duration.ofSeconds(-2));
+        tickUntil(Duration.ofMillis(200));
+        assertThat("orders during the pause", mOrders, is(empty()));
+        tickUntil(Duration.ofSeconds(6));
+        requestLoad();
+        tickAfter(Duration.ofMillis(100));
+        assertThat("orders after the pause", mOrders, hasSize(1));
+    }
+
+    /**
+     * Guards against orders of a holder that knows that the key-value service came back from a
+     * copy, which may lack its lease.
+     */
+    @Test
+    void holderStopsOrderingWhenTheStoreIsRestored() {
+        beginTenure();
+        handle(
+                new ResidencyInput.StoreChanged(
+                        new StoreUpdate.Restored(GatewayKeys.DAEMONS, new StoreEra(2))));
+        requestLoad();
+        tickAfter(Duration.ofMillis(100));
+        assertThat(mOrders, is(empty()));
+    }
+
     /**
      * Guards against calls that wait at a stopping daemon until it ends: it has released its leases
      * and must still learn which runner holds the model.
@@ -241,12 +278,24 @@
         assertThat(mNotified, hasItem(otherDaemon()));
     }
 
-    /** A wall clock that the test advances. */
+    /** A wall clock and a monotonic clock that the test advances. */
     private static final class TestClock extends Clock {
         private Instant mNow = Instant.EPOCH.plusSeconds(1_000);
 
+        private long mNanos;
+
         void advance(Duration elapsed) {
             mNow = mNow.plus(elapsed);
+            mNanos += elapsed.toNanos();
+        }
+
+        /** Sets the time of day forward; the monotonic clock doesn't notice. */
+        void step(Duration step) {
+            mNow = mNow.plus(step);
+        }
+
+        long nanos() {
+            return mNanos;
         }
 
         @Override
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDutyTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/store/command/StoreWatchDutyTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -65,7 +66,9 @@
         }
 
         @Override
-        public void restored(StoreEra era) {}
+        public void restored(StoreEra era) {
+            mListenerCalls.add("restored " + era);
+        }
 
         @Override
         public void interrupted(String reason) {
@@ -153,4 +156,31 @@
         assertThat(next(), equalTo("changed 2"));
         assertThat(mListenerCalls.poll(NO_CHANGE_MILLIS, TimeUnit.MILLISECONDS), nullValue());
     }
+
+    /**
+     * Guards against a watch that goes on after a revision that the service gives out again, when
+     * the service has come back from a copy.
+     */
+    @Test
+    void restoredServiceIsListedAgain() throws InterruptedException {
+        mStore.nameEras();
+        setPause(Duration.ofMillis(10));
+        mStore.put("servers/b", "1");
+        awaitCalls("restored 1", "listed 2");
+        mStore.restore(Duration.ofHours(1), 1);
+        awaitCalls("restored 2", "listed 2");
+        mStore.put("servers/c", "1");
+        awaitCalls("changed 1");
+    }
+
+    /** Waits for calls in this order; others may come between them. */
+    private void awaitCalls(String... calls) throws InterruptedException {
+        for (String call : calls) {
+            String next = next();
+            while (!call.equals(next)) {
+                assertThat("awaited: " + call, next, notNullValue());
+                next = next();
+            }
+        }
+    }
 }
--- a/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
+++ b/standin/src/main/java/org/oleanderspring/standin/hosted/HostedStoreStandin.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -31,8 +32,12 @@
  * the requested revision; a watch from before the compacted revision gets status 410 and has to
  * list the keys again. A watch without changes to report is held until there is one or its waiting
  * time ends.
+ *
+ * <p>The service can come back from a copy that it makes periodically once it names eras; see
+ * {@link #nameEras} and {@link #restore}.
  */
 public final class HostedStoreStandin implements AutoCloseable {
+    private static final String ERA_HEADER = "Store-Era";
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -59,6 +64,9 @@
     private boolean mDown;
     private boolean mSilent;
     private boolean mRecordsCalls;
+    private final StoreCopies mCopies = new StoreCopies();
+    private long mEra;
+    private long mUnansweredInEra;
 
     private record Lease(long timeToLiveMillis, long expiresAtMillis) {}
 
@@ -122,7 +130,9 @@
     public synchronized void put(String key, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         mRevision++;
-        write(key, Base64.getEncoder().encodeToString(bytes), 0);
+        String value = Base64.getEncoder().encodeToString(bytes);
+        write(key, value, 0);
+        mCopies.outsideWrite(key, value);
         completeWatches();
     }
 
@@ -146,6 +156,7 @@
     public synchronized void remove(String key) {
         mRevision++;
         delete(key);
+        mCopies.outsideWrite(key, null);
         completeWatches();
     }
 
@@ -195,6 +206,59 @@
         mWatches.clear();
     }
 
+    /** Names the era in all answers from now on, beginning with era 1, and makes copies. */
+    public synchronized void nameEras() {
+        mEra = 1;
+        copy();
+    }
+
+    /**
+     * Comes back from a copy of some time ago and raises the era. Keys and leases that came since
+     * are lost, and revisions and lease identities are given out again. What operators and runners
+     * wrote without a lease by {@link #put} and {@link #remove} is written again. Open watches get
+     * no answer from the earlier state.
+     *
+     * @param lost the time whose changes are lost, at most some seconds
+     * @param unanswered the number of calls that get status 503 before the new era serves, so that
+     *     some callers see it before others
+     */
+    public synchronized void restore(Duration lost, long unanswered) {
+        StoreCopies.Copy copy = mCopies.before(System.nanoTime() - lost.toNanos());
+        mItems.clear();
+        mItems.putAll(copy.items());
+        long now = System.currentTimeMillis();
+        mLeases.clear();
+        copy.leases()
+                .forEach(
+                        (id, timeToLive) ->
+                                mLeases.put(id, new Lease(timeToLive, now + timeToLive)));
+        mHistory.clear();
+        mCompactedRevision = copy.revision();
+        mRevision = copy.revision();
+        mNextLease = copy.nextLease();
+        mEra++;
+        mUnansweredInEra = unanswered;
+        mWatches.forEach(watch -> replyUnavailable(watch.exchange()));
+        mWatches.clear();
+        for (StoreCopies.OutsideWrite write : mCopies.outsideWritesSince(copy)) {
+            mRevision++;
+            if (write.value() == null) {
+                delete(write.key());
+            } else {
+                write(write.key(), write.value(), 0);
+            }
+        }
+        copy();
+    }
+
+    private void copy() {
+        Map<Long, Long> leases = new HashMap<>();
+        mLeases.forEach((id, lease) -> leases.put(id, lease.timeToLiveMillis()));
+        mCopies.add(
+                new StoreCopies.Copy(
+                        System.nanoTime(), new TreeMap<>(mItems), leases, mRevision, mNextLease));
+    }
+
     private interface Handler {
         void handle(Exchange exchange);
     }
@@ -206,6 +270,14 @@
         if (mSilent) {
             return;
         }
+        if (mEra > 0) {
+            exchange.withHeader(ERA_HEADER, Long.toString(mEra));
+        }
+        if (mUnansweredInEra > 0) {
+            mUnansweredInEra--;
+            replyUnavailable(exchange);
+            return;
+        }
         if (mDown) {
             replyUnavailable(exchange);
             return;
@@ -240,7 +312,7 @@
 
     private void handleWatch(Exchange exchange) {
         long after = exchange.queryLong("after", 0);
-        if (after < mCompactedRevision) {
+        if (after < mCompactedRevision || after > mRevision) {
             exchange.reply(GONE, Json.object());
             return;
         }
@@ -357,6 +429,9 @@
                         .map(Map.Entry::getKey)
                         .toList();
         expired.forEach(this::removeLease);
+        if (mEra > 0) {
+            copy();
+        }
         completeWatches();
     }
 
