--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/StoreUpdate.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import org.oleanderspring.coordination.store.Revision;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.StoreChange;
@@ -116,6 +117,21 @@
         }
     }
 
+    /**
+     * The key-value service has come back from a copy that may lack recent changes; its values
+     * follow.
+     *
+     * @param prefix the watched prefix
+     * @param era the era of the service from now on
+     */
+    record Restored(StoreKey prefix, StoreEra era) implements StoreUpdate {
+        /** Rejects null components. */
+        public Restored {
+            Objects.requireNonNull(prefix, "prefix");
+            Objects.requireNonNull(era, "era");
+        }
+    }
+
     /**
      * The key-value service responds again; the changes during the interruption follow.
      *
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/placement/command/ResidencyDuty.java
@@ -12,16 +12,11 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.lease.FencingToken;
 import org.oleanderspring.coordination.lease.LeaseCandidacy;
-import org.oleanderspring.coordination.lease.LeaseValue;
-import org.oleanderspring.coordination.lease.LeaseValueCodec;
 import org.oleanderspring.coordination.lease.command.DefaultLeaseDecider;
 import org.oleanderspring.coordination.lease.command.LeaseDecision;
 import org.oleanderspring.coordination.lease.command.LeaseEvent;
 import org.oleanderspring.coordination.membership.MemberId;
 import org.oleanderspring.coordination.store.Revision;
-import org.oleanderspring.coordination.store.StoreKey;
-import org.oleanderspring.coordination.store.StoredValue;
-import org.oleanderspring.coordination.store.query.StoreChange;
 import org.oleanderspring.core.fleet.EndpointId;
 import org.oleanderspring.core.fleet.EndpointStatement;
 import org.oleanderspring.core.load.EndpointUse;
@@ -87,6 +82,12 @@
     private FencingToken mLastToken = FencingToken.NONE;
 
     private @Nullable Instant mPlacementKeyRemovedAt;
+
+    /** The excess of the clock when the pause of the last tenure began. */
+    private Duration mExcessAtPause = Duration.ZERO;
+
+    private Instant mOrdersFrom = Instant.MIN;
+    private Map<EndpointId, Instant> mDeferredRunners = Map.of();
     private @Nullable CompletableFuture<Boolean> mLeasesReleased;
 
     /**
@@ -146,7 +147,7 @@
         } else if (input instanceof ResidencyInput.Lease lease) {
             decide(lease.event());
         } else if (input instanceof ResidencyInput.StoreChanged changed) {
-            detectReleaseOfPlacementLease(changed.update());
+            observePlacementLease(changed.update());
             apply(mFleet.apply(changed.update(), mClock.now()));
         } else if (input instanceof ResidencyInput.EndpointUseReported reported) {
             mEndpointLoads.report(reported, mClock.now());
@@ -176,36 +177,23 @@
     }
 
     /**
-     * Lets this daemon compete for the placement lease as soon as its key is removed or released.
+     * Lets this daemon compete for the placement lease as soon as its key is removed or released,
+     * and give it up if another daemon holds it or the key-value service came back from a copy.
      */
-    private void detectReleaseOfPlacementLease(StoreUpdate update) {
-        if (!(update instanceof StoreUpdate.Changed changed)) {
-            return;
-        }
-        StoreKey key = GatewayKeys.leaseKey(GatewayKeys.PLACEMENT);
-        for (StoreChange change : changed.changes()) {
-            if (change instanceof StoreChange.Removed removed && removed.key().equals(key)) {
+    private void observePlacementLease(StoreUpdate update) {
+        for (LeaseEvent event : PlacementKeyEvents.of(update)) {
+            if (event instanceof LeaseEvent.EraObserved) {
+                mPlacementKeyRemovedAt = null;
+                mExcessAtPause = mClock.excess();
+            } else if (event instanceof LeaseEvent.KeyReleased released
+                    && released.revision().equals(Revision.ABSENT)) {
                 mPlacementKeyRemovedAt = mClock.now();
-                decide(new LeaseEvent.KeyReleased(GatewayKeys.PLACEMENT, Revision.ABSENT, null));
-            } else if (change instanceof StoreChange.Written written
-                    && written.value().key().equals(key)) {
-                reportReleasedKey(written.value());
+                mExcessAtPause = mClock.excess();
             }
+            decide(event);
         }
     }
 
-    private void reportReleasedKey(StoredValue value) {
-        LeaseValueCodec.decode(value.bytes())
-                .filter(LeaseValue::isReleased)
-                .ifPresent(
-                        leaseValue ->
-                                decide(
-                                        new LeaseEvent.KeyReleased(
-                                                GatewayKeys.PLACEMENT,
-                                                value.revision(),
-                                                leaseValue.handover())));
-    }
-
     private void recordReply(ResidencyEvent event) {
         if (event instanceof ResidencyEvent.OrderReplied replied) {
             mOrderHistory.orderReplied(replied, mClock.now());
@@ -227,7 +215,7 @@
             return;
         }
         mOrderHistory
-                .handover(mClock.now())
+                .handover(steadyTime())
                 .ifPresent(
                         handover -> {
                             LOGGER.log(
@@ -298,11 +286,16 @@
         boolean isResumed = token.equals(mLastToken);
         mLastToken = token;
         if (!isResumed) {
+            if (mPlacementKeyRemovedAt == null && !mLeases.earlierHoldersUntil().isAfter(now)) {
+                mExcessAtPause = mClock.excess();
+            }
             mOrderHistory.begin(handover, latestOrderOfPreviousHolder(now), now);
         }
         mPorts.runnerWatch().useShortPause();
         Instant ordersFrom = mOrderHistory.ordersFrom(now);
         Map<EndpointId, Instant> deferredRunners = mOrderHistory.deferredRunners(now);
+        mOrdersFrom = ordersFrom;
+        mDeferredRunners = deferredRunners;
         LOGGER.log(
                 Level.INFO,
                 "[placement] tenure-began token="
@@ -319,13 +312,16 @@
     }
 
     /**
-     * Returns the latest time at which the previous holder may have sent an order: a safety margin
-     * before its key was removed, or the current time if the removal was not observed.
+     * Returns the latest time at which a previous holder may send an order: a safety margin before
+     * its key was removed, or the current time if the removal was not observed. A holder that has
+     * not seen that the key-value service came back from a copy may order for some time after it.
      */
     private Instant latestOrderOfPreviousHolder(Instant now) {
         Instant removedAt = mPlacementKeyRemovedAt;
         mPlacementKeyRemovedAt = null;
-        return removedAt == null ? now : removedAt.minus(mSafetyMargin);
+        Instant latest = removedAt == null ? now : removedAt.minus(mSafetyMargin);
+        Instant earlierHolders = mLeases.earlierHoldersUntil();
+        return earlierHolders.isAfter(latest) ? earlierHolders : latest;
     }
 
     private void decide(ResidencyEvent event) {
@@ -354,12 +350,28 @@
         }
     }
 
+    /**
+     * Returns whether the pause since the orders of other daemons is over also if the time of day
+     * was set forward since it began.
+     */
+    private boolean isPauseOver(EndpointId runner) {
+        Instant time = steadyTime();
+        return !time.isBefore(mOrdersFrom)
+                && !time.isBefore(mDeferredRunners.getOrDefault(runner, Instant.MIN));
+    }
+
+    /** Returns the time as counted by the monotonic clock since the pause of the tenure began. */
+    private Instant steadyTime() {
+        return mClock.now().minus(mClock.excess().minus(mExcessAtPause));
+    }
+
     private void send(ResidencyDecision.SendOrder send) {
         ResidencyOrder order = send.order();
         RunnerRegistration runner = mRunners.get(order.runner());
         boolean mayOrder =
                 mLeases.holds(GatewayKeys.PLACEMENT, mClock.now())
-                        && mLeases.token(GatewayKeys.PLACEMENT).equals(order.token());
+                        && mLeases.token(GatewayKeys.PLACEMENT).equals(order.token())
+                        && isPauseOver(order.runner());
         LOGGER.log(
                 Level.INFO,
                 "[placement] order order="
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.oleanderspring.coordination.store.StoreEra;
 import org.oleanderspring.coordination.store.StoreKey;
 import org.oleanderspring.coordination.store.StoredValue;
 import org.oleanderspring.coordination.store.query.PrefixListener;
@@ -73,6 +74,11 @@
         }
     }
 
+    @Override
+    public void restored(StoreEra era) {
+        offer(new StoreUpdate.Restored(mPrefix, era));
+    }
+
     private void offerConfiguration(StoredValue value) {
         if (value.key().equals(GatewayKeys.CONFIGURATION)) {
             offer(StoreUpdate.ConfigurationRead.of(value, StoreUpdatePublisher::logProblem));
