Wait for the polls of a slow store when proofs are needed

Cause: with shorter waits, a poll was still given up 0.1 of the settle limit after its wait. With a store that takes 600 ms for a call and its answer, proofs then came too late at times, and requests with keys were turned away.

Change: with a limit for the age of proofs, a poll has the time of other calls (0.8 s) for its answer, bounded by the settle limit as before.

--- a/coordination/src/main/java/org/oleanderspring/coordination/watch/WatchOptions.java
+++ b/coordination/src/main/java/org/oleanderspring/coordination/watch/WatchOptions.java
@@ -82,9 +82,20 @@
         return proofWait.compareTo(wait) < 0 ? proofWait : wait;
     }
 
-    /** Returns the time after which a poll without an answer is given up. */
+    /**
+     * Returns the time after which a poll without an answer is given up. If proofs are needed, the
+     * wait is shorter than the settle limit asks for, and a slow service gets the time of other
+     * calls: a poll that is given up proves nothing.
+     */
     public Duration pollLimit() {
-        return pollWait().plus(share(settleLimit, DELAYED_ANSWER_SHARE));
+        Duration least = pollWait().plus(share(settleLimit, DELAYED_ANSWER_SHARE));
+        if (proofLimit == null) {
+            return least;
+        }
+        Duration most = share(settleLimit, WAIT_SHARE + DELAYED_ANSWER_SHARE);
+        Duration withAnswer = pollWait().plus(answerLimit);
+        Duration limit = withAnswer.compareTo(most) < 0 ? withAnswer : most;
+        return limit.compareTo(least) > 0 ? limit : least;
     }
 
     /** Returns the longest time between two calls while the service does not answer. */
--- a/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationSimulation.java
+++ b/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationSimulation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -47,6 +48,7 @@
     private final boolean[] mCut = new boolean[END + 1];
     private final long mRevokedAt;
     private long mNow;
+    private long mSlowMillis;
     private long mTaskCount;
     private long mRevision = 1;
     private long mConfigurationRevision = 1;
@@ -61,7 +63,6 @@
     int mAccepted;
     int mUnverified;
     long mOldestProof;
-    int mPolls;
 
     /**
      * @param seed decides about everything that is random
@@ -80,6 +81,15 @@
         mRevokedAt = 5_000 + mRandom.nextInt(40_000);
     }
 
+    /**
+     * Makes each message take longer.
+     *
+     * @param millis the additional time
+     */
+    void slow(long millis) {
+        mSlowMillis = millis;
+    }
+
     void run() {
         at(mRevokedAt, () -> mConfigurationRevision = ++mRevision);
         for (int at = 0; at < END; at += 1 + mRandom.nextInt(2_500)) {
@@ -122,7 +132,7 @@
     /** Returns the time on a link: some milliseconds, at times seconds. */
     private long delay(double lateShare) {
         boolean isLate = mDisturbed && mRandom.nextDouble() < lateShare;
-        return 1 + mRandom.nextInt(isLate ? 4_000 : 4);
+        return mSlowMillis + 1 + mRandom.nextInt(isLate ? 4_000 : 4);
     }
 
     /** Runs an action of the daemon, after its freeze if it is frozen. */
@@ -177,7 +187,7 @@
 
     private void execute(WatchDecision decision) {
         if (decision instanceof WatchDecision.ReadPage read) {
-            arrive(
+            transmit(
                     () ->
                             answer(
                                     new WatchEvent.PageReceived(
@@ -187,8 +197,7 @@
                                                     false,
                                                     new Revision(mRevision)))));
         } else if (decision instanceof WatchDecision.Poll poll) {
-            mPolls++;
-            arrive(() -> poll(poll, mNow + poll.longestWait().toMillis()));
+            transmit(() -> poll(poll, mNow + poll.longestWait().toMillis()));
         } else if (decision instanceof WatchDecision.PublishValues publish) {
             publish.values().forEach(this::apply);
         } else if (decision instanceof WatchDecision.PublishChanges publish) {
@@ -204,10 +213,6 @@
         }
     }
 
-    private void arrive(Runnable atStore) {
-        transmit(atStore);
-    }
-
     private void answer(WatchEvent event) {
         transmit(() -> deliver(() -> handle(event)));
     }
@@ -231,7 +236,7 @@
             at(mNow + 1, () -> poll(poll, until));
             return;
         }
-        List<StoreChange> changes = new java.util.ArrayList<>();
+        List<StoreChange> changes = new ArrayList<>();
         if (mConfigurationRevision > after) {
             changes.add(new StoreChange.Written(configuration()));
         }
--- a/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationTest.java
+++ b/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationTest.java
@@ -37,6 +37,18 @@
         assertThat(tooLate, greaterThan(0));
     }
 
+    /** Guards against a slow store whose polls are given up, so that proofs come too late. */
+    @Test
+    void slowStoreDoesNotTurnRequestsAway() {
+        for (int seed = 0; seed < SEEDS / 10; seed++) {
+            RevocationSimulation run =
+                    new RevocationSimulation(seed, false, RevocationSimulation.REVOCATION_LIMIT);
+            run.slow(300);
+            run.run();
+            assertThat("seed " + seed, run.mUnverified, lessThan(60));
+        }
+    }
+
     /** Guards against a bound that refuses requests while the store answers. */
     @Test
     void proofsStayYoungWhileTheStoreAnswers() {
