--- a/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationTest.java
+++ b/core/src/test/java/org/oleanderspring/core/organisation/query/RevocationTest.java
@@ -37,7 +37,7 @@
         assertThat(tooLate, greaterThan(0));
     }
 
-    /** Guards against a store that answers slowly and gives no proofs; polls are given up then. */
+    /** Guards against a slow store whose polls are given up, so that proofs come too late. */
     @Test
     void slowStoreDoesNotTurnRequestsAway() {
         for (int seed = 0; seed < SEEDS / 10; seed++) {
