Keep calls in their failure domain until leaving pays

Cause: no routing decision knew the failure domains of runners. Change: NearDomainSelector compares the average work of domains with a price; the share of calls that leaves grows with the gain, so that late reports move no herd. Off at the default price of 0.

--- a/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
@@ -141,7 +141,12 @@
             replace(runner.id(), RunnerTargets.NONE, changed);
             return;
         }
-        Replica replica = new Replica(runner.id(), ReplicaState.READY, Math.max(1, runner.slots()));
+        Replica replica =
+                new Replica(
+                        runner.id(),
+                        ReplicaState.READY,
+                        Math.max(1, runner.slots()),
+                        runner.failureDomain());
         List<LoadedModel> models =
                 service.engine() == null ? List.of() : view.routableModels(runner.id(), now);
         RunnerTargets previous = mRunners.getOrDefault(runner.id(), RunnerTargets.NONE);
--- a/core/src/main/java/org/oleanderspring/core/routing/Replica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/Replica.java
@@ -1,7 +1,9 @@
 package org.oleanderspring.core.routing;
 
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
 
 /**
  * An endpoint that can serve a target.
@@ -10,8 +12,13 @@
  * @param state whether the replica accepts calls
  * @param concurrency the maximum number of calls of the target that this daemon may run there at a
  *     time; calls of other targets at the same endpoint do not count
+ * @param failureDomain the failure domain of the endpoint, or null if it is not known
  */
-public record Replica(EndpointId endpoint, ReplicaState state, int concurrency) {
+public record Replica(
+        EndpointId endpoint,
+        ReplicaState state,
+        int concurrency,
+        @Nullable FailureDomain failureDomain) {
     /** Rejects a concurrency below 1. */
     public Replica {
         Objects.requireNonNull(endpoint, "endpoint");
@@ -20,4 +27,15 @@
             throw new IllegalArgumentException("concurrency is not positive: " + concurrency);
         }
     }
+
+    /**
+     * Creates a replica in an unknown failure domain.
+     *
+     * @param endpoint the endpoint
+     * @param state whether the replica accepts calls
+     * @param concurrency the maximum number of calls
+     */
+    public Replica(EndpointId endpoint, ReplicaState state, int concurrency) {
+        this(endpoint, state, concurrency, null);
+    }
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/RendezvousHash.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/RendezvousHash.java
@@ -10,6 +10,11 @@
     private static final long FIRST_FACTOR = 0xBF58476D1CE4E5B9L;
     private static final long SECOND_FACTOR = 0x94D049BB133111EBL;
 
+    /** A double holds the upper 53 bits of a hash. */
+    private static final int FRACTION_SHIFT = 11;
+
+    private static final double FRACTION_UNIT = 0x1.0p-53;
+
     private RendezvousHash() {}
 
     /**
@@ -19,6 +24,11 @@
         return mix(key + endpoint.value().hashCode() * GOLDEN_RATIO);
     }
 
+    /** Returns a number from 0 to 1, excluding 1, that depends on a key only. */
+    static double fraction(long key) {
+        return (mix(key * GOLDEN_RATIO) >>> FRACTION_SHIFT) * FRACTION_UNIT;
+    }
+
     /** The finalizer of SplitMix64. */
     private static long mix(long value) {
         long mixed = (value ^ (value >>> 30)) * FIRST_FACTOR;
--- a/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/ReplicaCandidates.java
@@ -1,6 +1,8 @@
 package org.oleanderspring.core.routing.command;
 
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
 
 /** The replicas of one target as seen by an {@link EndpointSelector}. */
 public interface ReplicaCandidates {
@@ -36,4 +38,11 @@
      * @param index from 0 to {@link #size()} - 1
      */
     int concurrency(int index);
+
+    /**
+     * Returns the failure domain of the endpoint of a replica, or null if it is not known.
+     *
+     * @param index from 0 to {@link #size()} - 1
+     */
+    @Nullable FailureDomain failureDomain(int index);
 }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplica.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.routing.Replica;
 import org.oleanderspring.core.routing.ReplicaState;
 
@@ -48,6 +50,10 @@
         return mRunning;
     }
 
+    @Nullable FailureDomain failureDomain() {
+        return mReplica.failureDomain();
+    }
+
     int concurrency() {
         return mReplica.concurrency();
     }
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TrackedReplicaCandidates.java
@@ -2,7 +2,9 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
 
 /** The replicas of a target, evaluated at a fixed time for a call of a given urgency. */
 final class TrackedReplicaCandidates implements ReplicaCandidates {
@@ -40,4 +42,9 @@
     public int concurrency(int index) {
         return mReplicas.get(index).concurrency();
     }
+
+    @Override
+    public @Nullable FailureDomain failureDomain(int index) {
+        return mReplicas.get(index).failureDomain();
+    }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -201,6 +201,15 @@
             description = "Bandwidth of this VM's link in megabits a second; 0 if unknown.")
     private double mLinkMbps;
 
+    @Option(
+            names = "--domain-price",
+            paramLabel = "CALLS",
+            defaultValue = "0",
+            description =
+                    "Work that a request to a runner in another failure domain has to save, in"
+                            + " requests at a runner; 0 for no difference between domains.")
+    private double mDomainPrice;
+
     /** Created by picocli, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
     public GatewayCommand() {}
@@ -280,6 +289,7 @@
         checkBound("--cores", mCores, 0, 1_000);
         checkBound("--cpu-share", mCpuShare, 0, 1_000);
         checkBound("--link-mbps", mLinkMbps, 0, (int) DaemonCapacity.MAX);
+        checkBound("--domain-price", mDomainPrice, 0, 1_000);
         Address front = address("--front", mFront);
         return new GatewaySettings(
                 self(front),
@@ -298,7 +308,8 @@
                 milliseconds(mRetryWindowSeconds * MILLIS_PER_SECOND),
                 milliseconds(mStopLimitSeconds * MILLIS_PER_SECOND),
                 milliseconds(mHolderPauseMillis + mWakeSlackMillis),
-                mStoreLoadsAtOnce);
+                mStoreLoadsAtOnce,
+                mDomainPrice);
     }
 
     /** Returns this daemon, with the capacity of its VM if that is known. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -27,6 +27,8 @@
  * @param pauseBeforeOrders the least time between orders to one runner from two successive holders
  *     of the placement lease: the holder pause plus the slack for suspended daemons
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at full speed
+ * @param domainPrice the work that leaving the failure domain has to save, in calls at an endpoint;
+ *     0 if calls go to all domains alike
  */
 public record GatewaySettings(
         GatewayMember self,
@@ -45,7 +47,8 @@
         Duration retryWindow,
         Duration stopLimit,
         Duration pauseBeforeOrders,
-        int storeLoadsAtOnce) {
+        int storeLoadsAtOnce,
+        double domainPrice) {
     /** Rejects null components; the ranges of numbers and durations are not checked here. */
     public GatewaySettings {
         Objects.requireNonNull(self, "self");
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -28,6 +28,7 @@
 import org.oleanderspring.core.residency.command.DefaultResidencyDecider;
 import org.oleanderspring.core.routing.command.DefaultRoutingDecider;
 import org.oleanderspring.core.routing.command.LeastLoadedSelector;
+import org.oleanderspring.core.routing.command.NearDomainSelector;
 import org.oleanderspring.core.routing.command.PrefixAffinitySelector;
 import org.oleanderspring.core.routing.command.RefuseLateStartPolicy;
 import org.oleanderspring.core.routing.command.ResumingRetryPolicy;
@@ -206,8 +207,11 @@
     private void startRouting(PeerMessenger messenger) {
         DefaultRoutingDecider decider =
                 new DefaultRoutingDecider(
-                        new PrefixAffinitySelector(
-                                new LeastLoadedSelector(mSettings.self().id().hashCode())),
+                        new NearDomainSelector(
+                                mSettings.failureDomain(),
+                                mSettings.domainPrice(),
+                                new PrefixAffinitySelector(
+                                        new LeastLoadedSelector(mSettings.self().id().hashCode()))),
                         new RefuseLateStartPolicy(),
                         new ResumingRetryPolicy(new SafeRetryPolicy()),
                         new SlidingWindowRetryBudget());
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.Timer;
 import java.time.Duration;
 import java.util.Locale;
+import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.permit.PermitGrant;
 import org.oleanderspring.core.quarantine.PromptPattern;
@@ -32,6 +33,11 @@
         mServed = registry.timer("gateway.requests.served");
     }
 
+    /** Counts an attempt by the failure domains of this daemon and of the runner. */
+    void attemptBetween(FailureDomain own, FailureDomain other) {
+        mRegistry.counter("gateway.domains." + own + "." + other).inc();
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -399,6 +399,9 @@
         Duration waited = Duration.between(call.request().arrivedAt(), now);
         CallLog.attemptStarted(call, start, waited, mFleet.view().configuration());
         mMeters.attemptStarted();
+        if (mSettings.domainPrice() > 0) {
+            mMeters.attemptBetween(mSettings.failureDomain(), runner.failureDomain());
+        }
         boolean stream = call.route().kind() == RouteKind.STREAMING;
         GatewayResponseRelay relay =
                 new GatewayResponseRelay(
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
@@ -45,6 +45,7 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(5),
                 pauseBeforeOrders,
-                2);
+                2,
+                0);
     }
 }
