--- a/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
+++ b/core/src/main/java/org/oleanderspring/core/residency/query/HostedRoutingTableBuilder.java
@@ -147,7 +147,8 @@
                         runner.id(),
                         ReplicaState.READY,
                         Math.max(1, runner.slots()),
-                        Math.max(0, tokens));
+                        Math.max(0, tokens),
+                        runner.failureDomain());
         List<LoadedModel> models =
                 service.engine() == null ? List.of() : view.routableModels(runner.id(), now);
         RunnerTargets previous = mRunners.getOrDefault(runner.id(), RunnerTargets.NONE);
--- a/core/src/main/java/org/oleanderspring/core/routing/Replica.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/Replica.java
@@ -1,7 +1,9 @@
 package org.oleanderspring.core.routing;
 
 import java.util.Objects;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.fleet.EndpointId;
+import org.oleanderspring.core.fleet.FailureDomain;
 
 /**
  * An endpoint that can serve a target.
@@ -12,9 +14,14 @@
  *     time; calls of other targets at the same endpoint do not count
  * @param tokenCapacity the number of tokens of all calls together that fit into the memory of the
  *     endpoint; 0 if it is not known
+ * @param failureDomain the failure domain of the endpoint, or null if it is not known
  */
 public record Replica(
-        EndpointId endpoint, ReplicaState state, int concurrency, long tokenCapacity) {
+        EndpointId endpoint,
+        ReplicaState state,
+        int concurrency,
+        long tokenCapacity,
+        @Nullable FailureDomain failureDomain) {
     /** Rejects a concurrency below 1 and a negative token capacity. */
     public Replica {
         Objects.requireNonNull(endpoint, "endpoint");
@@ -28,13 +35,13 @@
     }
 
     /**
-     * Creates a replica whose memory is not known.
+     * Creates a replica whose memory and failure domain are not known.
      *
      * @param endpoint the endpoint
      * @param state whether the replica accepts calls
      * @param concurrency the maximum number of calls that this daemon may run there at a time
      */
     public Replica(EndpointId endpoint, ReplicaState state, int concurrency) {
-        this(endpoint, state, concurrency, 0);
+        this(endpoint, state, concurrency, 0, null);
     }
 }
--- a/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
@@ -237,7 +237,7 @@
      */
     @Test
     void callsWaitUntilTheMemoryOfTheRunnerHoldsThem() {
-        table(new Replica(FIRST, ReplicaState.READY, 16, 10_000));
+        table(new Replica(FIRST, ReplicaState.READY, 16, 10_000, null));
         origin("a", 2_000);
         arrive(0);
         arrive(0);
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -28,6 +28,8 @@
  * @param pauseBeforeOrders the least time between orders to one runner from two successive holders
  *     of the placement lease: the holder pause plus the slack for suspended daemons
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at full speed
+ * @param domainPrice the work that leaving the failure domain has to save, in calls at an endpoint;
+ *     0 if calls go to all domains alike
  * @param revocationLimit the time after which no request with a key that was taken away may be
  *     accepted, also without contact to the key-value service; null if that is not required
  */
@@ -49,6 +51,7 @@
         Duration stopLimit,
         Duration pauseBeforeOrders,
         int storeLoadsAtOnce,
+        double domainPrice,
         @Nullable Duration revocationLimit) {
     /**
      * Rejects null components, except for the last; the ranges of numbers and durations are not
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.LongSupplier;
+import org.oleanderspring.core.fleet.FailureDomain;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.organisation.CallerIdentity;
 import org.oleanderspring.core.organisation.query.OrganisationDirectory;
@@ -60,6 +61,11 @@
         mOrganisations.admitted(caller);
     }
 
+    /** Counts an attempt by the failure domains of this daemon and of the runner. */
+    void attemptBetween(FailureDomain own, FailureDomain other) {
+        mRegistry.counter("gateway.domains." + own + "." + other).inc();
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
@@ -53,6 +53,7 @@
                 settings.stopLimit(),
                 settings.pauseBeforeOrders(),
                 settings.storeLoadsAtOnce(),
+                settings.domainPrice(),
                 revocationLimit);
     }
 
@@ -83,6 +84,7 @@
                 Duration.ofSeconds(5),
                 pauseBeforeOrders,
                 2,
+                0,
                 null);
     }
 }
