Add the messages for shared rates between daemons

Cause: core/share has no way to reach the issuers. Change: ShareRequest, ShareGrant and the confirmation of an issuer as datagrams, with a codec and samples.

--- a/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
+++ b/peer/src/main/java/org/oleanderspring/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.peer;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -27,6 +28,9 @@
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.residency.Residency;
+import org.oleanderspring.core.share.RateKey;
+import org.oleanderspring.core.share.ShareGrant;
+import org.oleanderspring.core.share.ShareRequest;
 
 /**
  * A message from one daemon to another.
@@ -219,6 +223,39 @@
      */
     record PermitsGranted(PermitGrant grant) implements PeerMessage {}
 
+    /**
+     * Asks for a part of a rate that all daemons share.
+     *
+     * @param daemon the daemon that asks
+     * @param request the request
+     */
+    record ShareRequested(MemberId daemon, ShareRequest request) implements PeerMessage {}
+
+    /**
+     * Replies to a {@link ShareRequested}.
+     *
+     * @param grant the part
+     */
+    record ShareGranted(ShareGrant grant) implements PeerMessage {}
+
+    /**
+     * Asks the second issuer of a shared rate to issue nothing for a time.
+     *
+     * @param daemon the first issuer
+     * @param key the rate
+     * @param askedAt the time by the clock of the first issuer
+     */
+    record IssuerConfirmationRequested(MemberId daemon, RateKey key, Instant askedAt)
+            implements PeerMessage {}
+
+    /**
+     * Replies to an {@link IssuerConfirmationRequested}.
+     *
+     * @param key the rate
+     * @param askedAt the time in the request
+     */
+    record IssuerConfirmed(RateKey key, Instant askedAt) implements PeerMessage {}
+
     /**
      * Reports the end of a runner and the calls that it was beginning to answer.
      *
@@ -290,6 +327,10 @@
                 || this instanceof EndpointLoadNotice
                 || this instanceof PermitRequested
                 || this instanceof PermitsGranted
+                || this instanceof ShareRequested
+                || this instanceof ShareGranted
+                || this instanceof IssuerConfirmationRequested
+                || this instanceof IssuerConfirmed
                 || this instanceof CrashReport
                 || this instanceof SoundParts
                 || this instanceof QuarantineNotice;
--- a/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
+++ b/peer/src/main/java/org/oleanderspring/peer/codec/PeerCodec.java
@@ -72,6 +72,14 @@
             envelope.setPermitRequest(PermitCodec.encode(requested));
         } else if (message instanceof PeerMessage.PermitsGranted granted) {
             envelope.setPermitGrant(PermitCodec.encode(granted));
+        } else if (message instanceof PeerMessage.ShareRequested requested) {
+            envelope.setShareRequest(ShareCodec.encode(requested));
+        } else if (message instanceof PeerMessage.ShareGranted granted) {
+            envelope.setShareGrant(ShareCodec.encode(granted));
+        } else if (message instanceof PeerMessage.IssuerConfirmationRequested requested) {
+            envelope.setIssuerConfirmationRequest(ShareCodec.encode(requested));
+        } else if (message instanceof PeerMessage.IssuerConfirmed confirmed) {
+            envelope.setIssuerConfirmation(ShareCodec.encode(confirmed));
         } else if (message instanceof PeerMessage.CrashReport report) {
             envelope.setCrashReport(QuarantineCodec.encode(report));
         } else if (message instanceof PeerMessage.SoundParts sound) {
@@ -227,6 +235,11 @@
             case ENDPOINT_LOAD_NOTICE -> EndpointLoadCodec.decode(envelope.getEndpointLoadNotice());
             case PERMIT_REQUEST -> PermitCodec.decode(envelope.getPermitRequest());
             case PERMIT_GRANT -> PermitCodec.decode(envelope.getPermitGrant());
+            case SHARE_REQUEST -> ShareCodec.decode(envelope.getShareRequest());
+            case SHARE_GRANT -> ShareCodec.decode(envelope.getShareGrant());
+            case ISSUER_CONFIRMATION_REQUEST ->
+                    ShareCodec.decode(envelope.getIssuerConfirmationRequest());
+            case ISSUER_CONFIRMATION -> ShareCodec.decode(envelope.getIssuerConfirmation());
             case CRASH_REPORT -> QuarantineCodec.decode(envelope.getCrashReport());
             case SOUND_PARTS -> QuarantineCodec.decode(envelope.getSoundParts());
             case QUARANTINE_NOTICE -> QuarantineCodec.decode(envelope.getQuarantineNotice());
--- a/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerSamples.java
@@ -1,6 +1,7 @@
 package org.oleanderspring.peer;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -36,6 +37,9 @@
 import org.oleanderspring.core.quarantine.SuspectCall;
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.runner.LoadedModel;
+import org.oleanderspring.core.share.RateKey;
+import org.oleanderspring.core.share.ShareGrant;
+import org.oleanderspring.core.share.ShareRequest;
 
 /** Sample messages of every type, with every value of every enum. */
 final class PeerSamples {
@@ -102,6 +106,7 @@
         samples.add(new PeerMessage.ResidencyStatement(RESIDENCY));
         samples.addAll(loadMessages());
         samples.addAll(permitMessages());
+        samples.addAll(shareMessages());
         samples.addAll(quarantineMessages());
         samples.add(new PeerMessage.DocumentFetch(4, DOCUMENT.name()));
         samples.add(new PeerMessage.DocumentReply(4, DOCUMENT, DIGEST));
@@ -128,6 +133,20 @@
         return samples;
     }
 
+    private static List<PeerMessage> shareMessages() {
+        RateKey key = new RateKey("harbour");
+        Instant askedAt = Instant.ofEpochMilli(1_700_000_000_123L);
+        MemberId daemon = new MemberId("daemon-1");
+        return List.of(
+                new PeerMessage.ShareRequested(
+                        daemon,
+                        new ShareRequest(
+                                key, 7, List.of(826.0, 12.5), 400, 3.5, Duration.ofMillis(90))),
+                new PeerMessage.ShareGranted(new ShareGrant(key, 7, 838.5, Duration.ofMillis(250))),
+                new PeerMessage.IssuerConfirmationRequested(daemon, key, askedAt),
+                new PeerMessage.IssuerConfirmed(key, askedAt));
+    }
+
     private static List<PeerMessage> permitMessages() {
         List<PeerMessage> samples = new ArrayList<>();
         for (IssuerRank rank : IssuerRank.values()) {
