Admit calls within the quota of their organisation

Cause: no daemon knows quotas, so an organisation may send without limit. Change: QuotaGate admits calls from this daemon's part of the quota after the route is found; ShareDuty issues the parts; 429 with the time until units are available (message 22), 503 if no issuer replies (message 23); units of calls that were refused before their first attempt are given back. Takes effect only for organisations with a quota.

--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -50,6 +50,10 @@
             "it is being checked whether a part of the prompt for {0} crashes the endpoints"),
     /** The endpoints limit the rate of calls, and there is no room before the deadline. */
     RATE_LIMITED(19, Severity.ERROR, "the endpoints of {0} take no more calls for now"),
+    /** The organisation of the caller has used its quota. */
+    QUOTA_EXCEEDED(22, Severity.ERROR, "the quota of {0} is used up for now"),
+    /** No daemon that issues the quota of the organisation replied in time. */
+    QUOTA_UNKNOWN(23, Severity.ERROR, "the quota of {0} cannot be checked now"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -19,6 +19,7 @@
 import org.oleanderspring.daemon.process.command.RingLogHandler;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -179,6 +180,8 @@
             description = "Concurrent loads that the weight store serves at full speed.")
     private int mStoreLoadsAtOnce;
 
+    @Mixin private final QuotaOptions mQuotaOptions = new QuotaOptions();
+
     /** Created by picocli, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
     public GatewayCommand() {}
@@ -251,6 +254,9 @@
         checkBound("--holder-pause-millis", mHolderPauseMillis, 0, 3_600_000);
         checkBound("--wake-slack-millis", mWakeSlackMillis, 0, 3_600_000);
         checkBound("--retry-extra", mRetryExtra, 0, Integer.MAX_VALUE);
+        checkBound("--quota-window-seconds", mQuotaOptions.windowSeconds(), 1, 3_600);
+        checkBound("--quota-overrun", mQuotaOptions.overrun(), 0, 1);
+        checkBound("--quota-slack", mQuotaOptions.slack(), 0, Integer.MAX_VALUE);
         checkRange("--store-loads-at-once", mStoreLoadsAtOnce, 1_000);
         if (mRetryRatio < 0 || mRetryRatio > 1) {
             throw invalid("--retry-ratio", Double.toString(mRetryRatio), "0 to 1");
@@ -273,7 +279,8 @@
                 milliseconds(mRetryWindowSeconds * MILLIS_PER_SECOND),
                 milliseconds(mStopLimitSeconds * MILLIS_PER_SECOND),
                 milliseconds(mHolderPauseMillis + mWakeSlackMillis),
-                mStoreLoadsAtOnce);
+                mStoreLoadsAtOnce,
+                mQuotaOptions.bounds());
     }
 
     private Address address(String flag, String text) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.share.ShareBounds;
 
 /**
  * The process settings of a daemon on a hosted platform.
@@ -27,6 +28,7 @@
  * @param pauseBeforeOrders the least time between orders to one runner from two successive holders
  *     of the placement lease: the holder pause plus the slack for suspended daemons
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at full speed
+ * @param quotaBounds how exactly the quotas of organisations have to be kept over all daemons
  */
 public record GatewaySettings(
         GatewayMember self,
@@ -45,7 +47,8 @@
         Duration retryWindow,
         Duration stopLimit,
         Duration pauseBeforeOrders,
-        int storeLoadsAtOnce) {
+        int storeLoadsAtOnce,
+        ShareBounds quotaBounds) {
     /** Rejects null components; the ranges of numbers and durations are not checked here. */
     public GatewaySettings {
         Objects.requireNonNull(self, "self");
@@ -60,5 +63,6 @@
         Objects.requireNonNull(retryWindow, "retryWindow");
         Objects.requireNonNull(stopLimit, "stopLimit");
         Objects.requireNonNull(pauseBeforeOrders, "pauseBeforeOrders");
+        Objects.requireNonNull(quotaBounds, "quotaBounds");
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
@@ -23,6 +23,7 @@
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -52,7 +53,7 @@
         int status = status(refusal);
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        if (status == UNAVAILABLE) {
+        if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
             response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfter(refusal));
         }
         if (refusal.message() == ErrorMessage.DRAINING
@@ -83,6 +84,7 @@
         return switch (refusal.message()) {
             case UNKNOWN_PATH, UNKNOWN_TARGET -> NOT_FOUND;
             case BODY_TOO_LARGE -> TOO_LARGE;
+            case QUOTA_EXCEEDED -> TOO_MANY_REQUESTS;
             case QUARANTINED ->
                     refusal.workState() == WorkState.NOT_RUN ? BAD_REQUEST : BAD_GATEWAY;
             case DEADLINE_PASSED ->
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -52,6 +52,7 @@
 import org.oleanderspring.daemon.gateway.routing.command.GatewayPorts;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingDuty;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
+import org.oleanderspring.daemon.gateway.share.command.ShareDuty;
 import org.oleanderspring.daemon.gateway.store.command.ObservedKeyValueCommands;
 import org.oleanderspring.daemon.gateway.store.command.ObservedValueQueries;
 import org.oleanderspring.daemon.gateway.store.command.StoreWatchDuty;
@@ -185,6 +186,13 @@
         ResidencyDuty placement = startPlacement(messenger);
         startQuarantine(messenger);
         mRings.permits().start(new PermitDuty(messenger, new MonotonicClock(Clock.systemUTC())));
+        mRings.shares()
+                .start(
+                        new ShareDuty(
+                                mSettings.self(),
+                                mSettings.quotaBounds(),
+                                messenger,
+                                new SuspendAwareClock(Clock.systemUTC())));
         String failure = openPorts();
         if (failure != null) {
             return failure;
@@ -216,6 +224,7 @@
                         new HostedEndpointCommands(mClient, RESPONSE_SILENCE_LIMIT),
                         messenger,
                         messenger,
+                        messenger,
                         mRings);
         mRings.routing()
                 .start(
@@ -345,6 +354,7 @@
         registerRingGauges("quarantine", mRings.quarantine());
         registerRingGauges("store-watch", mRings.storeWatch());
         registerRingGauges("permits", mRings.permits());
+        registerRingGauges("shares", mRings.shares());
         Handler frontHandler =
                 new GatewayRequestHandler(
                         mRings,
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/GatewayRings.java
@@ -20,6 +20,7 @@
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRequest;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
 import org.oleanderspring.daemon.gateway.routing.command.PromptObserver;
+import org.oleanderspring.daemon.gateway.share.command.ShareInput;
 import org.oleanderspring.duty.command.DutyThread;
 import org.oleanderspring.duty.command.DutyTimer;
 import org.oleanderspring.duty.command.EventSink;
@@ -36,6 +37,12 @@
     /** Several times the calls to the key-value service that are in flight at a time. */
     private static final int STORE_WATCH_CAPACITY = 256;
 
+    /** Several times the requests of 100 daemons for a part of each quota at the same time. */
+    private static final int SHARE_CAPACITY = 2_048;
+
+    /** Less than half of the interval between two confirmations. */
+    private static final Duration SHARE_TICK = Duration.ofMillis(100);
+
     /** A request that finds no room is repeated by its daemon. */
     private static final int PERMIT_CAPACITY = 1_024;
 
@@ -68,6 +75,7 @@
     private final DutyThread<WatchEvent> mStoreWatch =
             new DutyThread<>("store-watch", STORE_WATCH_CAPACITY);
     private final DutyThread<PermitInput> mPermits = new DutyThread<>("permits", PERMIT_CAPACITY);
+    private final DutyThread<ShareInput> mShares = new DutyThread<>("shares", SHARE_CAPACITY);
     private final DutyTimer mTimer = new DutyTimer();
     private final EventSink<GatewayRoutingInput> mRoutingSink =
             new RetryingSink<>(mRouting, mTimer);
@@ -75,6 +83,7 @@
     private final EventSink<QuarantineInput> mQuarantineSink =
             new RetryingSink<>(mQuarantine, mTimer);
     private final EventSink<WatchEvent> mStoreWatchSink = new RetryingSink<>(mStoreWatch, mTimer);
+    private final EventSink<ShareInput> mShareSink = new RetryingSink<>(mShares, mTimer);
     private final EventSink<ResidencyInput> mDemandSink =
             new ReservingSink<>(mPlacement, mPlacement, PLACEMENT_RESERVE);
 
@@ -83,6 +92,7 @@
         mPlacement.onLoad(load -> DutyLoadLog.log("placement", load));
         mQuarantine.onLoad(load -> DutyLoadLog.log("quarantine", load));
         mStoreWatch.onLoad(load -> DutyLoadLog.log("store-watch", load));
+        mShares.onLoad(load -> DutyLoadLog.log("shares", load));
         mPermits.onLoad(load -> DutyLoadLog.log("permits", load));
     }
 
@@ -102,6 +112,15 @@
         return mPermits;
     }
 
+    DutyThread<ShareInput> shares() {
+        return mShares;
+    }
+
+    /** Returns the sink for events of the duty that issues shared rates that must not be lost. */
+    EventSink<ShareInput> shareSink() {
+        return mShareSink;
+    }
+
     DutyThread<WatchEvent> storeWatch() {
         return mStoreWatch;
     }
@@ -138,6 +157,7 @@
                 () -> new GatewayRoutingInput.Event(new RoutingEvent.TimerFired()));
         mTimer.scheduleAtFixedRate(
                 DEMAND_PERIOD, mRouting, GatewayRoutingInput.DemandReportDue::new);
+        mTimer.scheduleAtFixedRate(SHARE_TICK, mShares, ShareInput.TimerFired::new);
         mTimer.scheduleAtFixedRate(PLACEMENT_TICK, mPlacement, ResidencyInput.TimerFired::new);
         mTimer.scheduleAtFixedRate(
                 QUARANTINE_TICK,
@@ -216,6 +236,7 @@
         mTimer.close();
         mStoreWatch.close();
         mPermits.close();
+        mShares.close();
         mPlacement.close();
         mQuarantine.close();
         mRouting.close();
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/PeerMessenger.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +24,9 @@
 import org.oleanderspring.core.residency.Residency;
 import org.oleanderspring.core.residency.command.ResidencyEvent;
 import org.oleanderspring.core.routing.Target;
+import org.oleanderspring.core.share.RateKey;
+import org.oleanderspring.core.share.ShareGrant;
+import org.oleanderspring.core.share.ShareRequest;
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.permit.command.PermitGrantNotifier;
@@ -33,6 +37,9 @@
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
 import org.oleanderspring.daemon.gateway.routing.command.PermitNotifier;
 import org.oleanderspring.daemon.gateway.routing.command.PlacementNotifier;
+import org.oleanderspring.daemon.gateway.routing.command.ShareRequester;
+import org.oleanderspring.daemon.gateway.share.command.ShareInput;
+import org.oleanderspring.daemon.gateway.share.command.ShareNotifier;
 import org.oleanderspring.daemon.process.MonotonicClock;
 import org.oleanderspring.duty.command.EventSink;
 import org.oleanderspring.duty.command.OfferResult;
@@ -50,6 +57,8 @@
         implements PlacementNotifier,
                 PermitNotifier,
                 PermitGrantNotifier,
+                ShareRequester,
+                ShareNotifier,
                 ResidencyNotifier,
                 QuarantineNotifier,
                 EventSink<ReceivedMessage> {
@@ -177,6 +186,36 @@
         send(member, new PeerMessage.PermitsGranted(grant));
     }
 
+    @Override
+    public void requestShare(GatewayMember issuer, ShareRequest request) {
+        if (issuer.equals(mSettings.self())) {
+            mRings.shares().offer(new ShareInput.Requested(issuer.id(), request));
+            return;
+        }
+        send(issuer, new PeerMessage.ShareRequested(mSettings.self().id(), request));
+    }
+
+    @Override
+    public void sendShare(GatewayMember member, ShareGrant grant) {
+        if (member.equals(mSettings.self())) {
+            mRings.routing().offer(new GatewayRoutingInput.ShareReceived(grant));
+            return;
+        }
+        send(member, new PeerMessage.ShareGranted(grant));
+    }
+
+    @Override
+    public void requestConfirmation(GatewayMember member, RateKey key, Instant askedAt) {
+        send(
+                member,
+                new PeerMessage.IssuerConfirmationRequested(mSettings.self().id(), key, askedAt));
+    }
+
+    @Override
+    public void confirm(GatewayMember member, RateKey key, Instant askedAt) {
+        send(member, new PeerMessage.IssuerConfirmed(key, askedAt));
+    }
+
     private void offerEstimate(Target.ServiceModelTarget target, Duration readyAfter) {
         mRings.routing().offer(new GatewayRoutingInput.ReadinessEstimated(target, readyAfter));
     }
@@ -238,6 +277,13 @@
         if (message instanceof PeerMessage.PermitsGranted granted) {
             return mRings.routing().offer(new GatewayRoutingInput.PermitsReceived(granted.grant()));
         }
+        ShareInput shareInput = shareInput(message);
+        if (shareInput != null) {
+            return mRings.shares().offer(shareInput);
+        }
+        if (message instanceof PeerMessage.ShareGranted granted) {
+            return mRings.routing().offer(new GatewayRoutingInput.ShareReceived(granted.grant()));
+        }
         QuarantineEvent quarantineEvent = quarantineEvent(message);
         if (quarantineEvent != null) {
             return mRings.offerQuarantine(quarantineEvent);
@@ -258,6 +304,21 @@
         return OfferResult.ACCEPTED;
     }
 
+    /** Returns the event of a message to an issuer of shared rates, or null for another one. */
+    private static @Nullable ShareInput shareInput(PeerMessage message) {
+        if (message instanceof PeerMessage.ShareRequested requested) {
+            return new ShareInput.Requested(requested.daemon(), requested.request());
+        }
+        if (message instanceof PeerMessage.IssuerConfirmationRequested requested) {
+            return new ShareInput.ConfirmationRequested(
+                    requested.daemon(), requested.key(), requested.askedAt());
+        }
+        if (message instanceof PeerMessage.IssuerConfirmed confirmed) {
+            return new ShareInput.Confirmed(confirmed.key(), confirmed.askedAt());
+        }
+        return null;
+    }
+
     /** Returns the event of a message about prompts, or null if it is about something else. */
     private @Nullable QuarantineEvent quarantineEvent(PeerMessage message) {
         if (message instanceof PeerMessage.CrashReport report) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/StoreUpdatePublisher.java
@@ -11,6 +11,7 @@
 import org.oleanderspring.daemon.gateway.placement.command.ResidencyInput;
 import org.oleanderspring.daemon.gateway.quarantine.command.QuarantineInput;
 import org.oleanderspring.daemon.gateway.routing.command.GatewayRoutingInput;
+import org.oleanderspring.daemon.gateway.share.command.ShareInput;
 
 /**
  * Offers the updates of one watched key prefix of the key-value service to the routing and
@@ -48,6 +49,9 @@
     private void offer(StoreUpdate update) {
         mRings.routingSink().offer(new GatewayRoutingInput.StoreChanged(update));
         mRings.placementSink().offer(new ResidencyInput.StoreChanged(update));
+        if (!mPrefix.equals(GatewayKeys.RUNNERS)) {
+            mRings.shareSink().offer(new ShareInput.StoreChanged(update));
+        }
         if (mPrefix.equals(GatewayKeys.DAEMONS)) {
             mRings.quarantineSink().offer(new QuarantineInput.StoreChanged(update));
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -32,6 +32,11 @@
         mServed = registry.timer("gateway.requests.served");
     }
 
+    /** Returns the registry, for parts of the routing duty that count events of their own. */
+    MetricRegistry registry() {
+        return mRegistry;
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -35,6 +36,7 @@
 import org.oleanderspring.daemon.gateway.GatewayMember;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.process.MonotonicClock;
+import org.oleanderspring.daemon.process.SuspendAwareClock;
 import org.oleanderspring.duty.command.ByteBudget;
 import org.oleanderspring.duty.command.EventHandler;
 import org.oleanderspring.duty.command.EventSink;
@@ -78,6 +80,7 @@
     private final PermitRequester mPermitRequester;
     private final AnswerRecorder mAnswerRecorder;
     private final ByteBudget mIncompleteEvents = new ByteBudget(MAX_INCOMPLETE_EVENT_BYTES);
+    private final QuotaGate mQuotaGate;
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
     private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
     private GatewaySettings mSettings;
@@ -111,6 +114,13 @@
         mDemandReporter = new DemandReporter(ports.placement(), mFleet);
         mPermitRequester = new PermitRequester(ports.permits(), mFleet);
         mMeters = meters;
+        mQuotaGate =
+                new QuotaGate(
+                        ports.shares(),
+                        mFleet,
+                        new SuspendAwareClock(Clock.systemUTC()),
+                        meters.registry(),
+                        clock.now().toEpochMilli() << Integer.SIZE / 2);
         mClock = clock;
         mOwnRing = ownRing;
     }
@@ -141,6 +151,8 @@
         } else if (input instanceof GatewayRoutingInput.PermitsReceived received) {
             mMeters.permitsReceived(received.grant());
             decide(new RoutingEvent.PermitsGranted(received.grant()));
+        } else if (input instanceof GatewayRoutingInput.ShareReceived received) {
+            release(mQuotaGate.granted(received.grant()));
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
@@ -171,6 +183,7 @@
     private void handle(RoutingEvent event) {
         if (event instanceof RoutingEvent.TimerFired) {
             mFleet.expire(mClock.now()).ifPresent(this::decide);
+            release(mQuotaGate.expire());
         }
         decide(event);
     }
@@ -256,7 +269,18 @@
             return;
         }
         GatewayCall call = GatewayCallFactory.newCall(request, route.get(), configuration);
-        mCalls.put(request.id(), call);
+        if (mQuotaGate.admit(call)) {
+            begin(call);
+        }
+    }
+
+    private void release(QuotaGate.Released released) {
+        released.admitted().forEach(this::begin);
+        released.refused().forEach(each -> refuse(each.call().request(), each.refusal()));
+    }
+
+    private void begin(GatewayCall call) {
+        mCalls.put(call.call().id(), call);
         mDemandReporter.countArrival(call.call().target());
         decide(new RoutingEvent.CallArrived(call.call()));
     }
@@ -347,6 +371,7 @@
 
     private void removeDisconnected(CallId id) {
         GatewayCall call = mCalls.remove(id);
+        mQuotaGate.ended(id);
         if (call == null) {
             return;
         }
@@ -395,6 +420,7 @@
         Duration waited = Duration.between(call.request().arrivedAt(), now);
         CallLog.attemptStarted(call, start, waited, mFleet.view().configuration());
         mMeters.attemptStarted();
+        mQuotaGate.started(attempt.call());
         boolean stream = call.route().kind() == RouteKind.STREAMING;
         GatewayResponseRelay relay =
                 new GatewayResponseRelay(
@@ -414,6 +440,7 @@
 
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
         GatewayCall call = mCalls.remove(refuse.call());
+        mQuotaGate.ended(refuse.call());
         if (call == null) {
             return;
         }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingInput.java
@@ -13,6 +13,7 @@
 import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.Target;
 import org.oleanderspring.core.routing.command.RoutingEvent;
+import org.oleanderspring.core.share.ShareGrant;
 import org.oleanderspring.daemon.gateway.GatewaySettings;
 import org.oleanderspring.daemon.gateway.StoreUpdate;
 
@@ -122,6 +123,13 @@
      */
     record PermitsReceived(PermitGrant grant) implements GatewayRoutingInput {}
 
+    /**
+     * A daemon replied to a request for a part of a shared rate.
+     *
+     * @param grant the part
+     */
+    record ShareReceived(ShareGrant grant) implements GatewayRoutingInput {}
+
     /** The next report of the demand for models is due. */
     record DemandReportDue() implements GatewayRoutingInput {}
 
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.share.ShareBounds;
 
 /** Settings of daemons in tests. */
 public final class SampleSettings {
@@ -45,6 +46,7 @@
                 Duration.ofSeconds(10),
                 Duration.ofSeconds(5),
                 pauseBeforeOrders,
-                2);
+                2,
+                ShareBounds.STRICT);
     }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/routing/command/RoutingDutyFixture.java
@@ -106,6 +106,7 @@
                         this::send,
                         new SilentNotifier(),
                         (issuer, request) -> {},
+                        (issuer, request) -> {},
                         new SilentObserver()),
                 new GatewayMeters(new MetricRegistry()),
                 new MonotonicClock(Clock.systemUTC()),
