--- a/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
+++ b/core/src/main/java/org/oleanderspring/core/message/ErrorMessage.java
@@ -59,6 +59,10 @@
             26, Severity.ERROR, "the call is larger than the memory of the endpoints of {0}"),
     /** The call has waited for most of its time, and no endpoint has taken it. */
     NOT_TAKEN(25, Severity.ERROR, "the endpoints of {0} have had no room for the call so far"),
+    /** The organisation of the caller has used its quota. */
+    QUOTA_EXCEEDED(23, Severity.ERROR, "the quota of {0} is used up for now"),
+    /** No daemon that issues the quota of the organisation replied in time. */
+    QUOTA_UNKNOWN(24, Severity.ERROR, "the quota of {0} cannot be checked now"),
     /**
      * The settings document contains an unknown setting, or an exception for a setting that cannot
      * differ between models.
--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/command/GatewayCommand.java
@@ -21,6 +21,7 @@
 import org.oleanderspring.daemon.process.command.RingLogHandler;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
@@ -220,6 +221,8 @@
                             + " requests at a runner; 0 for no difference between domains.")
     private double mDomainPrice;
 
+    @Mixin private final QuotaOptions mQuotaOptions = new QuotaOptions();
+
     /** Created by picocli, which sets the flags. */
     @SuppressWarnings("NullAway.Init")
     public GatewayCommand() {}
@@ -292,6 +295,9 @@
         checkBound("--holder-pause-millis", mHolderPauseMillis, 0, 3_600_000);
         checkBound("--wake-slack-millis", mWakeSlackMillis, 0, 3_600_000);
         checkBound("--retry-extra", mRetryExtra, 0, Integer.MAX_VALUE);
+        checkBound("--quota-window-seconds", mQuotaOptions.windowSeconds(), 1, 3_600);
+        checkBound("--quota-overrun", mQuotaOptions.overrun(), 0, 1);
+        checkBound("--quota-slack", mQuotaOptions.slack(), 0, Integer.MAX_VALUE);
         checkRange("--store-loads-at-once", mStoreLoadsAtOnce, 1_000);
         if (mRevokeMillis != null) {
             checkBound("--revoke-millis", mRevokeMillis, 1_000, 3_600_000);
@@ -322,6 +328,7 @@
                 milliseconds(mStopLimitSeconds * MILLIS_PER_SECOND),
                 milliseconds(mHolderPauseMillis + mWakeSlackMillis),
                 mStoreLoadsAtOnce,
+                mQuotaOptions.bounds(),
                 mDomainPrice,
                 mRevokeMillis == null ? null : milliseconds(mRevokeMillis));
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.share.ShareBounds;
 
 /**
  * The process settings of a daemon on a hosted platform.
@@ -28,6 +29,7 @@
  * @param pauseBeforeOrders the least time between orders to one runner from two successive holders
  *     of the placement lease: the holder pause plus the slack for suspended daemons
  * @param storeLoadsAtOnce the number of concurrent loads that the weight store serves at full speed
+ * @param quotaBounds how exactly the quotas of organisations have to be kept over all daemons
  * @param domainPrice the work that leaving the failure domain has to save, in calls at an endpoint;
  *     0 if calls go to all domains alike
  * @param revocationLimit the time after which no request with a key that was taken away may be
@@ -51,6 +53,7 @@
         Duration stopLimit,
         Duration pauseBeforeOrders,
         int storeLoadsAtOnce,
+        ShareBounds quotaBounds,
         double domainPrice,
         @Nullable Duration revocationLimit) {
     /**
@@ -70,5 +73,6 @@
         Objects.requireNonNull(retryWindow, "retryWindow");
         Objects.requireNonNull(stopLimit, "stopLimit");
         Objects.requireNonNull(pauseBeforeOrders, "pauseBeforeOrders");
+        Objects.requireNonNull(quotaBounds, "quotaBounds");
     }
 }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/command/StatusRefusalWriter.java
@@ -24,6 +24,7 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
+    private static final int TOO_MANY_REQUESTS = 429;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -53,7 +54,7 @@
         int status = status(refusal);
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
-        if (status == UNAVAILABLE) {
+        if (status == UNAVAILABLE || status == TOO_MANY_REQUESTS) {
             response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfter(refusal));
         }
         if (refusal.message() == ErrorMessage.DRAINING
@@ -86,6 +87,7 @@
             case BODY_TOO_LARGE -> TOO_LARGE;
             case KEY_REJECTED ->
                     refusal.workState() == WorkState.NOT_RUN ? UNAUTHORIZED : BAD_GATEWAY;
+            case QUOTA_EXCEEDED -> TOO_MANY_REQUESTS;
             case QUARANTINED ->
                     refusal.workState() == WorkState.NOT_RUN ? BAD_REQUEST : BAD_GATEWAY;
             case DEADLINE_PASSED ->
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayMeters.java
@@ -66,6 +66,11 @@
         mRegistry.counter("gateway.domains." + own + "." + other).inc();
     }
 
+    /** Returns the registry, for parts of the routing duty that count events of their own. */
+    MetricRegistry registry() {
+        return mRegistry;
+    }
+
     void attemptStarted() {
         mAttempts.inc();
     }
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
@@ -72,6 +73,7 @@
     private final PermitRequester mPermitRequester;
     private final AnswerRecorder mAnswerRecorder;
     private final ByteBudget mIncompleteEvents = new ByteBudget(MAX_INCOMPLETE_EVENT_BYTES);
+    private final QuotaGate mQuotaGate;
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
     private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
     private GatewaySettings mSettings;
@@ -109,6 +111,13 @@
         mAdmission = new GatewayAdmission(mFleet, settings.revocationLimit(), storeClock);
         meters.registerProofAge(mAdmission::proofAgeMillis);
         mMeters = meters;
+        mQuotaGate =
+                new QuotaGate(
+                        ports.shares(),
+                        mFleet,
+                        new SuspendAwareClock(Clock.systemUTC()),
+                        meters.registry(),
+                        clock.now().toEpochMilli() << Integer.SIZE / 2);
         mClock = clock;
         mOwnRing = ownRing;
     }
@@ -139,6 +148,8 @@
         } else if (input instanceof GatewayRoutingInput.PermitsReceived received) {
             mMeters.permitsReceived(received.grant());
             decide(new RoutingEvent.PermitsGranted(received.grant()));
+        } else if (input instanceof GatewayRoutingInput.ShareReceived received) {
+            release(mQuotaGate.granted(received.grant()));
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
@@ -174,6 +185,7 @@
     private void handle(RoutingEvent event) {
         if (event instanceof RoutingEvent.TimerFired) {
             mFleet.expire(mClock.now()).ifPresent(this::decide);
+            release(mQuotaGate.expire());
         }
         decide(event);
     }
@@ -254,7 +266,18 @@
         }
         GatewayCall call = admitted.call();
         mMeters.admitted(call.caller());
-        mCalls.put(request.id(), call);
+        if (mQuotaGate.admit(call)) {
+            begin(call);
+        }
+    }
+
+    private void release(QuotaGate.Released released) {
+        released.admitted().forEach(this::begin);
+        released.refused().forEach(each -> refuse(each.call().request(), each.refusal()));
+    }
+
+    private void begin(GatewayCall call) {
+        mCalls.put(call.call().id(), call);
         mDemandReporter.countArrival(call.call().target());
         decide(new RoutingEvent.CallArrived(call.call()));
     }
@@ -345,6 +368,7 @@
 
     private void removeDisconnected(CallId id) {
         GatewayCall call = mCalls.remove(id);
+        mQuotaGate.ended(id);
         if (call == null) {
             return;
         }
@@ -396,6 +420,7 @@
         if (mSettings.domainPrice() > 0) {
             mMeters.attemptBetween(mSettings.failureDomain(), runner.failureDomain());
         }
+        mQuotaGate.started(attempt.call());
         boolean stream = call.route().kind() == RouteKind.STREAMING;
         GatewayResponseRelay relay =
                 new GatewayResponseRelay(
@@ -415,6 +440,7 @@
 
     private void refuse(RoutingDecision.Refuse refuse, Instant now) {
         GatewayCall call = mCalls.remove(refuse.call());
+        mQuotaGate.ended(refuse.call());
         if (call == null) {
             return;
         }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/SampleSettings.java
@@ -4,6 +4,7 @@
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 import org.oleanderspring.core.fleet.FailureDomain;
+import org.oleanderspring.core.share.ShareBounds;
 
 /** Settings of daemons in tests. */
 public final class SampleSettings {
@@ -53,6 +54,7 @@
                 settings.stopLimit(),
                 settings.pauseBeforeOrders(),
                 settings.storeLoadsAtOnce(),
+                settings.quotaBounds(),
                 settings.domainPrice(),
                 revocationLimit);
     }
@@ -84,6 +86,7 @@
                 Duration.ofSeconds(5),
                 pauseBeforeOrders,
                 2,
+                ShareBounds.STRICT,
                 0,
                 null);
     }
