--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/FleetView.java
@@ -102,11 +102,13 @@
             return false;
         }
         if (update instanceof StoreUpdate.Restored restored) {
+            boolean isFirstContact = !mirror.isListed();
             mirror.restored(now);
             LOGGER.log(
-                    Level.WARNING,
+                    isFirstContact ? Level.INFO : Level.WARNING,
                     mLogPrefix
-                            + " store-restored prefix="
+                            + (isFirstContact ? " store-era" : " store-restored")
+                            + " prefix="
                             + update.prefix()
                             + " era="
                             + restored.era());
