--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/query/ResolveHandler.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/front/query/ResolveHandler.java
@@ -23,11 +23,9 @@
 public final class ResolveHandler extends Handler.Abstract.NonBlocking {
     private static final String PATH = "/resolve";
 
-    /** The parameter that names the failure domain of the client. */
-    private static final String ZONE = "zone";
-
     private final Function<DirectoryCaller, CompletableFuture<List<String>>> mAddresses;
     private final Duration mTimeToLive;
+    private final String mFailureDomainParameter;
 
     /**
      * Creates the handler.
@@ -35,12 +33,15 @@
      * @param addresses asks the routing duty for the addresses for a client; the result is empty if
      *     no address is known or if the ring of the duty is full
      * @param timeToLive how long a client may cache the response
+     * @param failureDomainParameter the name of the parameter with the client's failure domain
      */
     public ResolveHandler(
             Function<DirectoryCaller, CompletableFuture<List<String>>> addresses,
-            Duration timeToLive) {
+            Duration timeToLive,
+            String failureDomainParameter) {
         mAddresses = addresses;
         mTimeToLive = timeToLive;
+        mFailureDomainParameter = failureDomainParameter;
     }
 
     @Override
@@ -54,11 +55,11 @@
         return true;
     }
 
-    private static DirectoryCaller callerOf(Request request) {
-        String zone = Request.extractQueryParameters(request).getValue(ZONE);
+    private DirectoryCaller callerOf(Request request) {
+        String domain = Request.extractQueryParameters(request).getValue(mFailureDomainParameter);
         return new DirectoryCaller(
                 Request.getRemoteAddr(request),
-                zone == null || zone.isEmpty() ? null : new FailureDomain(zone));
+                domain == null || domain.isEmpty() ? null : new FailureDomain(domain));
     }
 
     private void respond(JsonResponse jsonResponse, List<String> addresses) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/process/command/Gateway.java
@@ -67,6 +67,7 @@
 import org.oleanderspring.peer.PeerLimits;
 import org.oleanderspring.peer.command.PeerStartResult;
 import org.oleanderspring.peer.command.PeerTransport;
+import org.oleanderspring.platform.hosted.DirectoryParameter;
 import org.oleanderspring.platform.hosted.codec.HostedRequestHeadReader;
 import org.oleanderspring.platform.hosted.command.HostedEndpointCommands;
 import org.oleanderspring.platform.hosted.command.HostedKeyValueCommands;
@@ -388,7 +389,10 @@
                     open(
                             "directory",
                             mSettings.directory(),
-                            new ResolveHandler(mRings::addresses, mSettings.directoryTtl()),
+                            new ResolveHandler(
+                                    mRings::addresses,
+                                    mSettings.directoryTtl(),
+                                    DirectoryParameter.FAILURE_DOMAIN),
                             AUXILIARY_OPTIONS);
         }
         if (failure == null) {
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/AnswerRecorder.java
@@ -1,13 +1,15 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
 import java.time.Instant;
-import java.util.Collection;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.SuspectCall;
+import org.oleanderspring.core.routing.AttemptId;
 import org.oleanderspring.core.routing.AttemptOutcome;
+import org.oleanderspring.core.routing.CallId;
 
 /**
  * Tells the {@link PromptObserver} which prompts were answered and under which ones connections to
@@ -48,13 +50,19 @@
         }
     }
 
-    /** Adds the prompts of calls that are being answered. */
-    void answering(Collection<Prompt> prompts) {
-        for (Prompt prompt : prompts) {
-            if (!prompt.sharedParts().isEmpty()) {
-                mAnswered.add(prompt);
-            }
-        }
+    /** Adds the prompts of calls whose answers show that their prompts are sound. */
+    void answering(Map<AttemptId, ActiveAttempt> attempts, Map<CallId, GatewayCall> calls) {
+        attempts.forEach(
+                (attempt, active) -> {
+                    GatewayCall call = calls.get(attempt.call());
+                    if (call == null || !active.provesPromptSound()) {
+                        return;
+                    }
+                    Prompt prompt = call.call().prompt();
+                    if (!prompt.sharedParts().isEmpty()) {
+                        mAnswered.add(prompt);
+                    }
+                });
     }
 
     /** Adds the pattern of a call that was refused because of its prompt. */
--- a/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/gateway/routing/command/GatewayRoutingDuty.java
@@ -1,16 +1,13 @@
 package org.oleanderspring.daemon.gateway.routing.command;
 
-import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.oleanderspring.core.directory.DirectoryCaller;
 import org.oleanderspring.core.fleet.EndpointId;
@@ -18,7 +15,6 @@
 import org.oleanderspring.core.fleet.StatedPause;
 import org.oleanderspring.core.message.ErrorMessage;
 import org.oleanderspring.core.port.command.RunningAttempt;
-import org.oleanderspring.core.quarantine.Prompt;
 import org.oleanderspring.core.quarantine.PromptPattern;
 import org.oleanderspring.core.quarantine.RefusedPattern;
 import org.oleanderspring.core.quarantine.query.Quarantine;
@@ -75,7 +71,7 @@
     private final ByteBudget mIncompleteEvents = new ByteBudget(MAX_INCOMPLETE_EVENT_BYTES);
     private final QuotaGate mQuotaGate;
     private final Deque<RoutingEvent> mPendingEvents = new ArrayDeque<>();
-    private final List<CompletableFuture<Boolean>> mIdleWaiters = new ArrayList<>();
+    private final IdleWaiters mIdleWaiters = new IdleWaiters();
     private GatewaySettings mSettings;
     private boolean mShuttingDown;
 
@@ -115,7 +111,7 @@
                 new QuotaGate(
                         ports.shares(),
                         mFleet,
-                        new SuspendAwareClock(Clock.systemUTC()),
+                        storeClock,
                         meters.registry(),
                         clock.now().toEpochMilli() << Integer.SIZE / 2);
         mClock = clock;
@@ -153,14 +149,17 @@
         } else if (input instanceof GatewayRoutingInput.QuarantineChanged changed) {
             quarantineChanged(changed.quarantine());
         } else if (input instanceof GatewayRoutingInput.DemandReportDue) {
-            reportAnswers();
+            mAnswerRecorder.answering(mActiveAttempts, mCalls);
+            mAnswerRecorder.report();
             mDemandReporter.reportDemand(mCalls.values(), mActiveAttempts.keySet());
             decide(new RoutingEvent.EndpointUseReportDue());
             mMeters.refusedServable(mDecider.counters().refusedServable());
         } else {
             handleControlInput(input);
         }
-        completeIdleWaiters();
+        if (mCalls.isEmpty()) {
+            mIdleWaiters.complete();
+        }
     }
 
     private void runnerStated(EndpointId runner, EndpointStatement statement) {
@@ -494,25 +493,4 @@
         active.relay().stop();
         active.attempt().cancel();
     }
-
-    private void reportAnswers() {
-        List<Prompt> answering = new ArrayList<>();
-        mActiveAttempts.forEach(
-                (attempt, active) -> {
-                    GatewayCall call = mCalls.get(attempt.call());
-                    if (call != null && active.provesPromptSound()) {
-                        answering.add(call.call().prompt());
-                    }
-                });
-        mAnswerRecorder.answering(answering);
-        mAnswerRecorder.report();
-    }
-
-    private void completeIdleWaiters() {
-        if (!mCalls.isEmpty() || mIdleWaiters.isEmpty()) {
-            return;
-        }
-        mIdleWaiters.forEach(waiter -> waiter.complete(true));
-        mIdleWaiters.clear();
-    }
 }
