Compare the urgency of calls over a service only for calls of organisations

Cause: the wider comparison let urgent calls pass crowded runners and blocked first calls on fleets without organisations too, which are to be served as before.

Change: calls without an organisation compare with those of their target, and they do not pass a blocked first call.

--- a/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/Dispatcher.java
@@ -60,10 +60,14 @@
         startUrgent(target, context);
     }
 
-    /** Starts urgent calls for which replicas have room though they have none for the first one. */
+    /**
+     * Starts urgent calls of organisations for which replicas have room though they have none for
+     * the first call.
+     */
     private void startUrgent(TargetState target, RoutingContext context) {
         CallState call = target.queue().mostUrgent();
         while (call != null
+                && call.request().origin().organisation() != null
                 && target.needOf(call.request()).urgent()
                 && startOne(call, target, context)) {
             call = target.queue().mostUrgent();
--- a/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
+++ b/core/src/main/java/org/oleanderspring/core/routing/command/TargetState.java
@@ -62,7 +62,11 @@
 
     private @Nullable Instant mLastActivation;
 
-    private final UrgencyLevels mUrgencyLevels;
+    /** The priorities of the calls for all targets of the service. */
+    private final UrgencyLevels mServiceUrgency;
+
+    /** The priorities of the calls for this target. */
+    private final UrgencyLevels mTargetUrgency = new UrgencyLevels();
 
     /**
      * Creates a target without replicas.
@@ -72,7 +76,7 @@
      */
     TargetState(Target target, UrgencyLevels urgencyLevels) {
         mTarget = target;
-        mUrgencyLevels = urgencyLevels;
+        mServiceUrgency = urgencyLevels;
     }
 
     Target target() {
@@ -121,15 +125,20 @@
 
     /** Records the priority of a call that arrived. */
     void callArrived(CallRequest request) {
-        mUrgencyLevels.callArrived(request);
+        mServiceUrgency.callArrived(request);
+        mTargetUrgency.callArrived(request);
     }
 
     /**
-     * Returns whether a call is more urgent than others at the same endpoints. An engine runs it
-     * before those, so it need not wait here until they have ended.
+     * Returns whether a call is more urgent than others. An engine runs it before those, so it need
+     * not wait here until they have ended. Calls of organisations compete for the endpoints of
+     * their service, so all calls of the service are compared; other calls compete for their target
+     * only.
      */
     private boolean isUrgent(CallRequest request) {
-        return mUrgencyLevels.isUrgent(request);
+        return request.origin().organisation() == null
+                ? mTargetUrgency.isUrgent(request)
+                : mServiceUrgency.isUrgent(request);
     }
 
     /** Returns what a call needs of a replica. */
--- a/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
+++ b/core/src/test/java/org/oleanderspring/core/routing/command/ScarceRoomTest.java
@@ -223,6 +223,7 @@
     /** Guards against an urgent call that waits for a less urgent one with an earlier deadline. */
     @Test
     void urgentCallPassesOneThatTheFullRunnerDoesNotTake() {
+        origin("a", 100);
         table(replica(FIRST));
         calls(FIRST, 40, 0);
         assertWaits(arrive(0));
@@ -231,6 +232,20 @@
         assertThat(starts(arrive(10)).size(), is(1));
     }
 
+    /**
+     * Guards against a change for fleets without organisations, in which a call that passes others
+     * at a full runner delays calls of other models there.
+     */
+    @Test
+    void callsWithoutOrganisationKeepTheOrderOfTheirDeadlines() {
+        table(replica(FIRST));
+        calls(FIRST, 40, 0);
+        assertWaits(arrive(0));
+        mPriority = 1;
+        mPatience = PATIENCE.multipliedBy(2);
+        assertWaits(arrive(10));
+    }
+
     /**
      * Guards against a runner that crashes because the requests that it holds exceed its memory:
      * two calls of this daemon and two of others leave no room for a further one.
