--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -32,7 +32,15 @@
     private final Map<Long, Lease> mLeases = new HashMap<>();
     private long mRevision = 100;
     private long mNextLease = 7000;
+    private final java.util.Set<Socket> mSockets = java.util.concurrent.ConcurrentHashMap.newKeySet();
     private volatile boolean mClosed;
+    private volatile boolean mAway;
+    private long mEra;
+    private long mOldest;
+
+    /** What the store holds at a moment. */
+    record Copy(
+            TreeMap<String, Object> items, long revision, long nextLease, Map<Long, Long> leases) {}
 
     Store(String ip) throws IOException {
         mServer = new ServerSocket();
@@ -68,6 +76,52 @@
         return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
     }
 
+    /** Makes the store name its era in its answers. */
+    synchronized void nameEra() {
+        mEra = 1;
+    }
+
+    synchronized Copy copy() {
+        Map<Long, Long> leases = new HashMap<>();
+        mLeases.forEach((id, lease) -> leases.put(id, lease.ttlMs));
+        return new Copy(new TreeMap<>(mItems), mRevision, mNextLease, leases);
+    }
+
+    /** Closes all connections and takes none until the store is back. */
+    void away(boolean away) {
+        mAway = away;
+        if (away) {
+            for (Socket socket : mSockets) {
+                try {
+                    socket.close();
+                } catch (IOException closed) {
+                    World.ignore(closed);
+                }
+            }
+        }
+    }
+
+    /** Comes back from a copy; leases that were granted since are gone. */
+    synchronized void restore(Copy copy) {
+        mItems.clear();
+        copy.items().forEach((key, item) -> mItems.put(key, (Item) item));
+        mRevision = copy.revision();
+        mNextLease = copy.nextLease();
+        mLeases.clear();
+        copy.leases()
+                .forEach(
+                        (id, ttl) -> {
+                            Lease lease = new Lease();
+                            lease.ttlMs = ttl;
+                            lease.endNanos = System.nanoTime() + ttl * 1_000_000;
+                            mLeases.put(id, lease);
+                        });
+        mEvents.clear();
+        mOldest = mRevision;
+        mEra++;
+        notifyAll();
+    }
+
     private void write(String key, String value, long lease) {
         mRevision++;
         Item before = mItems.get(key);
@@ -115,6 +169,11 @@
         while (!mClosed) {
             try {
                 Socket socket = mServer.accept();
+                if (mAway) {
+                    socket.close();
+                    continue;
+                }
+                mSockets.add(socket);
                 World.thread("store-connection", () -> serve(socket));
             } catch (IOException closed) {
                 return;
@@ -138,12 +197,15 @@
                                         + answer[0]
                                         + " X\r\nContent-Type: application/json\r\nContent-Length: "
                                         + body.length
+                                        + (mEra == 0 ? "" : "\r\nStore-Era: " + mEra)
                                         + "\r\n\r\n"));
                 out.write(body);
                 out.flush();
             }
         } catch (IOException ended) {
-            return;
+            World.ignore(ended);
+        } finally {
+            mSockets.remove(socket);
         }
     }
 
@@ -210,6 +272,9 @@
         long after = Long.parseLong(query.get("after"));
         long end = System.nanoTime() + Long.parseLong(query.get("waitMs")) * 1_000_000;
         while (true) {
+            if (after > mRevision || after < mOldest) {
+                return new Object[] {410, Json.map("storeRevision", mRevision)};
+            }
             List<Object> events = new ArrayList<>();
             for (Event event : mEvents) {
                 if (event.revision() > after && event.key().startsWith(query.get("prefix"))) {
