--- a/review/standin-2/World.java
+++ b/review/standin-2/World.java
@@ -72,6 +72,10 @@
             return ip + ":" + mPorts[0];
         }
 
+        String directory() {
+            return ip + ":" + mPorts[2];
+        }
+
         boolean isReady() {
             try {
                 Client.Answer answer =
@@ -219,14 +223,14 @@
 
     /** Ends all daemons. */
     void kill() {
-        nodes.forEach(node -> node.process.destroyForcibly());
+        List.copyOf(nodes).forEach(node -> node.process.destroyForcibly());
     }
 
     @Override
     @SuppressWarnings("try")
     public void close() throws Exception {
         kill();
-        for (Node node : nodes) {
+        for (Node node : List.copyOf(nodes)) {
             node.process.waitFor(5, TimeUnit.SECONDS);
         }
         for (AutoCloseable part : parts) {
