--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -19,7 +19,9 @@
 final class Store implements AutoCloseable {
     private record Item(String value, long revision, long created, long lease) {}
 
-    private record Event(long revision, String key, Item item) {}
+    private record Event(long revision, String key, Item item, long atNanos) {}
+
+    private static final long HISTORY_NANOS = 20_000_000_000L;
 
     private static final class Lease {
         long ttlMs;
@@ -128,13 +130,13 @@
         Item item =
                 new Item(value, mRevision, before == null ? mRevision : before.created(), lease);
         mItems.put(key, item);
-        mEvents.add(new Event(mRevision, key, item));
+        mEvents.add(new Event(mRevision, key, item, System.nanoTime()));
     }
 
     private void remove(String key) {
         if (mItems.remove(key) != null) {
             mRevision++;
-            mEvents.add(new Event(mRevision, key, null));
+            mEvents.add(new Event(mRevision, key, null, System.nanoTime()));
         }
     }
 
@@ -151,6 +153,9 @@
                             }
                         });
                 ended.forEach(this::end);
+                while (!mEvents.isEmpty() && now - mEvents.get(0).atNanos() > HISTORY_NANOS) {
+                    mOldest = mEvents.remove(0).revision();
+                }
             }
         }
     }
