Do not let an aborted answer look complete to callers that close

What callers saw: a runner answered with a 200 that had no length and reset its connection; the caller got the part that had arrived as a complete answer.

Cause: not the reading of the reset, which was noticed each time, but the answer to the caller. If the caller sends Connection: close, or speaks HTTP/1.0, Jetty sends an answer of unknown length with neither length nor chunks, so that its end is that of the connection; an aborted answer was then closed as a whole one is. The upload, its progress and the runner's framing make no difference, except that an answer with a length keeps it.

Change: an answer without a length goes in chunks to all callers of HTTP/1.1, which then miss the last chunk. Callers of HTTP/1.0 know no chunks: their connection is reset if the answer is aborted.

Why the tests missed it: BrokenAnswerTest sends Connection: close, but takes an answer for complete only if it ends with the last chunk.

--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyResponseStream.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyResponseStream.java
@@ -1,16 +1,31 @@
 package org.oleanderspring.daemon.front.command;
 
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.List;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.oleanderspring.core.port.Header;
 import org.oleanderspring.daemon.front.Refusal;
 import org.oleanderspring.daemon.front.ResponseStream;
 
-/** Writes the response to one caller through Jetty. */
+/**
+ * Writes the response to one caller through Jetty.
+ *
+ * <p>A response that was aborted must not look complete. It does if it has neither a length nor
+ * chunks, because the end of the connection then is the end of the response. Jetty sends chunks
+ * only if the connection is kept, so this class demands them of all callers who know them. To a
+ * caller who does not, an aborted response ends with a TCP reset.
+ */
 public final class JettyResponseStream implements ResponseStream {
     private static final Logger LOGGER = System.getLogger(JettyResponseStream.class.getName());
 
@@ -18,6 +33,7 @@
     private final Callback mCallback;
     private final Runnable mOnDisconnect;
     private final RefusalWriter mRefusalWriter;
+    private volatile boolean mEndsWithConnection;
 
     /**
      * Creates the response stream.
@@ -44,6 +60,22 @@
         for (Header header : headers) {
             mResponse.getHeaders().add(header.name(), header.value());
         }
+        if (mayHaveBody(status) && !mResponse.getHeaders().contains(HttpHeader.CONTENT_LENGTH)) {
+            delimitByChunks();
+        }
+    }
+
+    private static boolean mayHaveBody(int status) {
+        return status != HttpStatus.NO_CONTENT_204 && status != HttpStatus.NOT_MODIFIED_304;
+    }
+
+    private void delimitByChunks() {
+        HttpVersion version = mResponse.getRequest().getConnectionMetaData().getHttpVersion();
+        if (version.getVersion() < HttpVersion.HTTP_1_1.getVersion()) {
+            mEndsWithConnection = true;
+            return;
+        }
+        mResponse.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED);
     }
 
     @Override
@@ -71,7 +103,7 @@
                     Level.DEBUG,
                     "[front] Aborted a response that was partly sent: {0}",
                     refusal.text());
-            mCallback.failed(new ResponseAbortedException(refusal.text()));
+            abort(refusal.text());
             return;
         }
         // begin() may have set header fields that do not belong to the refusal.
@@ -81,6 +113,29 @@
 
     @Override
     public void abandon() {
-        mCallback.failed(new ResponseAbortedException("the caller disconnected"));
+        abort("the caller disconnected");
+    }
+
+    private void abort(String reason) {
+        if (mEndsWithConnection) {
+            resetWhenClosed();
+        }
+        mCallback.failed(new ResponseAbortedException(reason));
+    }
+
+    private void resetWhenClosed() {
+        EndPoint endPoint =
+                mResponse.getRequest().getConnectionMetaData().getConnection().getEndPoint();
+        if (!(endPoint.getTransport() instanceof SocketChannel channel)) {
+            return;
+        }
+        try {
+            channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException closed) {
+            LOGGER.log(
+                    Level.DEBUG,
+                    "[front] The connection of an aborted response is closed: {0}",
+                    closed.getMessage());
+        }
     }
 }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/GatewayFixture.java
@@ -163,6 +163,18 @@
                 "op/config", configuration.substring(0, configuration.length() - 1) + fields + "}");
     }
 
+    /**
+     * Writes a configuration that allows request bodies which the buffers of a connection cannot
+     * hold, so that a runner can answer while one is being sent.
+     */
+    void configureForUploads(int version, String orderService) {
+        mStore.put(
+                "op/config",
+                CONFIGURATION
+                        .formatted(version, orderService)
+                        .replace("\"maxBodyBytes\":1000", "\"maxBodyBytes\":8000000"));
+    }
+
     static void configure(HostedStoreStandin store, int version, String orderService) {
         store.put("op/config", CONFIGURATION.formatted(version, orderService));
     }
--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/ScriptedRunners.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/ScriptedRunners.java
@@ -1,5 +1,6 @@
 package org.oleanderspring.daemon.gateway;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.io.IOException;
@@ -12,7 +13,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
 import org.oleanderspring.coordination.membership.Address;
 
 /**
@@ -24,16 +28,30 @@
     enum End {
         KEPT,
         CLOSED,
-        RESET
+        RESET,
+        /** The runner ends its side of the connection and reads on. */
+        HALF_CLOSED
+    }
+
+    /** How much of the body of a request a runner has read when it answers. */
+    enum Upload {
+        FINISHED,
+        IN_PROGRESS
     }
 
     /**
      * One answer.
      *
-     * @param text its bytes; {@code {id}} stands for the attempt of the request
+     * @param text its bytes, each a character; {@code {id}} stands for the attempt of the request
      * @param end what happens to the connection afterwards
+     * @param upload when it is sent
      */
-    record Answer(String text, End end) {}
+    record Answer(String text, End end, Upload upload) {
+        /** Creates an answer that is sent after the whole request was read. */
+        Answer(String text, End end) {
+            this(text, end, Upload.FINISHED);
+        }
+    }
 
     private static final String ENTRY =
             """
@@ -44,10 +62,15 @@
             """;
     private static final String NOT_FOUND = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
     private static final String ATTEMPT_FIELD = "\r\nattempt-id: ";
+    private static final String LENGTH_FIELD = "\r\ncontent-length: ";
 
     private final List<ServerSocket> mServers = new ArrayList<>();
     private final Map<String, Integer> mAttempts = new ConcurrentHashMap<>();
+    private final Set<Socket> mOpenConnections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger mAnswersSent = new AtomicInteger();
+    private final AtomicInteger mAnswersOnKeptConnections = new AtomicInteger();
     private volatile List<Answer> mAnswers = List.of();
+    private volatile @Nullable Answer mEarlyAnswer;
 
     ScriptedRunners() throws IOException {
         for (int number = 0; number < 2; number++) {
@@ -65,10 +88,17 @@
 
     /** Registers both as runners of a service that hold the model "m1". */
     void register(GatewayFixture fixture, String service) {
-        for (ServerSocket server : mServers) {
-            int port = server.getLocalPort();
-            fixture.store().put("servers/i-" + port, ENTRY.formatted(service, port));
-        }
+        mServers.forEach(server -> register(fixture, service, server));
+    }
+
+    /** Registers one, so that the connection of each request is known. */
+    void registerOne(GatewayFixture fixture, String service) {
+        register(fixture, service, mServers.get(0));
+    }
+
+    private static void register(GatewayFixture fixture, String service, ServerSocket server) {
+        int port = server.getLocalPort();
+        fixture.store().put("servers/i-" + port, ENTRY.formatted(service, port));
     }
 
     /** Sets the answers to the attempts of one request; the last one is repeated. */
@@ -87,25 +117,84 @@
         }
     }
 
+    /**
+     * Sends an answer on each connection that is open, and on each one that is opened later, before
+     * a request arrives there.
+     *
+     * @param answer the answer, or null for none on later connections
+     */
+    void answerBeforeRequests(@Nullable Answer answer) throws InterruptedException {
+        mEarlyAnswer = answer;
+        if (answer == null) {
+            return;
+        }
+        for (Socket connection : mOpenConnections) {
+            try {
+                send(connection, answer);
+            } catch (IOException ended) {
+                // The daemon closed the connection.
+            }
+        }
+    }
+
+    /** Returns the number of attempts that were answered, so that a test sees what was played. */
+    int answersSent() {
+        return mAnswersSent.get();
+    }
+
+    /** Returns the number of answers on connections that had carried another answer before. */
+    int answersOnKeptConnections() {
+        return mAnswersOnKeptConnections.get();
+    }
+
     private void serve(Socket connection) {
+        mOpenConnections.add(connection);
         try (Socket socket = connection) {
-            String head = readHead(socket.getInputStream());
+            Answer early = mEarlyAnswer;
+            if (early != null) {
+                send(socket, early);
+            }
+            InputStream input = socket.getInputStream();
+            String head = readHead(input);
+            boolean isKept = false;
             while (!head.isEmpty()) {
                 Answer answer = answerTo(head);
-                socket.getOutputStream().write(answer.text().getBytes(UTF_8));
-                socket.getOutputStream().flush();
-                if (answer.end() == End.RESET) {
-                    // A close with linger time 0 discards unsent data, so the answer is sent first.
-                    Thread.sleep(50);
-                    socket.setSoLinger(true, 0);
+                int unread = contentLength(head);
+                if (answer.upload() == Upload.FINISHED) {
+                    unread -= input.readNBytes(unread).length;
+                }
+                if (isKept) {
+                    mAnswersOnKeptConnections.incrementAndGet();
                 }
-                if (answer.end() != End.KEPT) {
+                send(socket, answer);
+                if (answer.end() == End.CLOSED || answer.end() == End.RESET) {
                     return;
                 }
-                head = readHead(socket.getInputStream());
+                input.skipNBytes(unread);
+                head = readHead(input);
+                isKept = true;
             }
         } catch (IOException | InterruptedException ended) {
             // The daemon closed the connection.
+        } finally {
+            mOpenConnections.remove(connection);
+        }
+    }
+
+    private static void send(Socket socket, Answer answer)
+            throws IOException, InterruptedException {
+        socket.getOutputStream().write(answer.text().getBytes(ISO_8859_1));
+        socket.getOutputStream().flush();
+        if (answer.end() == End.HALF_CLOSED) {
+            socket.shutdownOutput();
+        }
+        if (answer.end() == End.RESET) {
+            // A close with linger time 0 discards unsent data, so the answer is sent first.
+            Thread.sleep(50);
+            socket.setSoLinger(true, 0);
+        }
+        if (answer.end() == End.CLOSED || answer.end() == End.RESET) {
+            socket.close();
         }
     }
 
@@ -117,11 +206,12 @@
         int begin = field + ATTEMPT_FIELD.length();
         String id = head.substring(begin, head.indexOf("\r\n", begin));
         int attempt = mAttempts.merge(id, 1, Integer::sum) - 1;
+        mAnswersSent.incrementAndGet();
         Answer answer = mAnswers.get(Math.min(attempt, mAnswers.size() - 1));
-        return new Answer(answer.text().replace("{id}", id), answer.end());
+        return new Answer(answer.text().replace("{id}", id), answer.end(), answer.upload());
     }
 
-    /** Reads a head and the body whose length it gives. Returns the head, or nothing at the end. */
+    /** Returns the head of a request, or nothing at the end of the connection. */
     private static String readHead(InputStream input) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
@@ -131,13 +221,16 @@
             }
             head.append((char) next);
         }
-        String text = head.toString();
-        int field = text.toLowerCase(Locale.ROOT).indexOf("\r\ncontent-length: ");
-        if (field >= 0) {
-            int begin = field + "\r\ncontent-length: ".length();
-            input.readNBytes(Integer.parseInt(text.substring(begin, text.indexOf("\r\n", begin))));
+        return head.toString();
+    }
+
+    private static int contentLength(String head) {
+        int field = head.toLowerCase(Locale.ROOT).indexOf(LENGTH_FIELD);
+        if (field < 0) {
+            return 0;
         }
-        return text;
+        int begin = field + LENGTH_FIELD.length();
+        return Integer.parseInt(head.substring(begin, head.indexOf("\r\n", begin)));
     }
 
     /**
