Count a reset answer as lost in the load generator

What was seen: an answer of 200 without a length that was reset counted as served if the part that had arrived contained the marker.

Cause: Jetty's client takes a reset for the end of the stream. The daemon has a connector of its own against that; the stand-ins, which must not share the code that they test, have Jetty's.

Change: an answer with neither a length nor chunks counts as lost. The daemon sends one of both to each caller of HTTP/1.1.

Evidence: CallerClientTest got SERVED in place of LOST before, and passes now.

--- a/standin/src/main/java/org/oleanderspring/standin/load/command/CallerClient.java
+++ b/standin/src/main/java/org/oleanderspring/standin/load/command/CallerClient.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.standin.http.WholeResponses;
 import org.oleanderspring.standin.load.CallResult;
 import org.oleanderspring.standin.load.CallResult.Ending;
 
@@ -143,6 +144,9 @@
         if (result.isFailed()) {
             return resultOf(Ending.LOST, String.valueOf(result.getFailure()));
         }
+        if (!WholeResponses.isWhole(result)) {
+            return resultOf(Ending.LOST, "a response without length and chunks may be broken");
+        }
         String text = new String(content, StandardCharsets.UTF_8);
         if (result.getResponse().getStatus() == OK) {
             boolean containsMarker = text.contains(marker);
