Refuse a permit of the weight store that is broken

What was seen: the engine stand-in waited for ever for a permit whose reply was broken off, because its receiver was never called.

Cause: the body was parsed in Jetty's completion listener, and an exception there is only logged. A reply that was reset after its document counted as a permit.

Change: a reply that is not whole, or not JSON, counts as refused, as the method says of every failed request.

Evidence: WeightStoreClientTest ran into its time limit of 20 s before, and passes now; EngineStandinTest passes, 8 of 8.

--- a/standin/src/main/java/org/oleanderspring/standin/engine/command/WeightStoreClient.java
+++ b/standin/src/main/java/org/oleanderspring/standin/engine/command/WeightStoreClient.java
@@ -1,6 +1,9 @@
 package org.oleanderspring.standin.engine.command;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.UncheckedIOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
@@ -8,9 +11,11 @@
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.oleanderspring.standin.http.Json;
+import org.oleanderspring.standin.http.WholeResponses;
 
 /** HTTP client of the weight store: reads the catalogue, requests and releases download permits. */
 public final class WeightStoreClient implements AutoCloseable {
+    private static final Logger LOGGER = System.getLogger(WeightStoreClient.class.getName());
     private static final String JSON_TYPE = "application/json";
 
     private final String mBaseUrl;
@@ -71,12 +76,17 @@
     }
 
     private static DownloadPermit readPermit(Result result, byte[] content) {
-        if (result.isFailed() || result.getResponse().getStatus() != 200) {
+        if (!WholeResponses.isWhole(result) || result.getResponse().getStatus() != 200) {
+            return DownloadPermit.REFUSED;
+        }
+        try {
+            JsonNode reply = Json.parse(content);
+            return new DownloadPermit(
+                    reply.path("permit").asLong(), reply.path("slowdownPerMille").asLong());
+        } catch (UncheckedIOException malformed) {
+            LOGGER.log(Level.WARNING, "[engine] Refused a permit that is not JSON.", malformed);
             return DownloadPermit.REFUSED;
         }
-        JsonNode reply = Json.parse(content);
-        return new DownloadPermit(
-                reply.path("permit").asLong(), reply.path("slowdownPerMille").asLong());
     }
 
     /**
