Let the command line notice that a daemon's answer was reset

What was seen: a subcommand ended with success although the daemon had reset the connection after the head of its answer, or after a part without a length.

Cause: DaemonClient used Jetty's own client, which takes a reset for the end of the stream and a line feed alone for the end of a line.

Change: it uses the daemon's client, with the time limits that it had.

Evidence: DaemonClientTest plays all lengths of a document, with bodies that are sent and that are in progress; a reset after the head gave a Response with status 200 before, and gives Unreachable now.

--- a/daemon/src/main/java/org/oleanderspring/daemon/cli/DaemonClient.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/cli/DaemonClient.java
@@ -6,15 +6,17 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.ContentResponse;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
 import org.eclipse.jetty.http.HttpMethod;
 import org.jspecify.annotations.Nullable;
+import org.oleanderspring.platform.http.HttpClientOptions;
+import org.oleanderspring.platform.http.SharedHttpClient;
 
 /** HTTP client of the subcommands for one daemon. */
 public final class DaemonClient implements AutoCloseable {
@@ -23,7 +25,16 @@
     /** The time-out of one request. */
     private static final long TIMEOUT_SECONDS = 15;
 
-    private final HttpClient mClient;
+    /** For one request at a time, which nothing but its own time-out ends. */
+    private static final HttpClientOptions OPTIONS =
+            new HttpClientOptions(
+                    4,
+                    1,
+                    1,
+                    Duration.ofSeconds(TIMEOUT_SECONDS),
+                    Duration.ofSeconds(TIMEOUT_SECONDS));
+
+    private final SharedHttpClient mClient;
     private final URI mDaemon;
 
     /** The result of a request. */
@@ -61,12 +72,10 @@
      * Creates and starts a client.
      *
      * @param daemon the HTTP address of the daemon
-     * @throws Exception if the client cannot be started
      */
-    public DaemonClient(URI daemon) throws Exception {
+    public DaemonClient(URI daemon) {
         mDaemon = daemon;
-        mClient = new HttpClient();
-        mClient.start();
+        mClient = new SharedHttpClient(OPTIONS);
     }
 
     /**
@@ -90,7 +99,8 @@
 
     private Result send(HttpMethod method, String path, @Nullable String body) {
         Request request =
-                mClient.newRequest(mDaemon.resolve(path))
+                mClient.jettyClient()
+                        .newRequest(mDaemon.resolve(path))
                         .method(method)
                         .timeout(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         if (body != null) {
@@ -114,7 +124,7 @@
     }
 
     @Override
-    public void close() throws Exception {
-        mClient.stop();
+    public void close() {
+        mClient.close();
     }
 }
