Test messages between daemons that break off at each length

The transport already drops a frame whose connection is closed or reset before its end; no test played it. Change: the test, nothing else. Result: it passes on the code as it was.

--- a/peer/src/test/java/org/oleanderspring/peer/PeerTransportTest.java
+++ b/peer/src/test/java/org/oleanderspring/peer/PeerTransportTest.java
@@ -130,6 +130,26 @@
                 ByteBuffer.allocate(4).putInt(PeerLimits.DEFAULT_FRAME_BYTES + 1).array());
     }
 
+    /** Guards against a part of a message that is taken for the message, at each length of it. */
+    @Test
+    void messageThatBreaksOffIsNotReceived() throws IOException, InterruptedException {
+        byte[] whole = frame(new PeerCodec().encode(mSender.address(), MESSAGE));
+        for (int length = 0; length < whole.length; length++) {
+            try (Socket socket = new Socket()) {
+                socket.connect(socket(mReceiver.address()));
+                socket.getOutputStream().write(whole, 0, length);
+                // Every other connection is reset.
+                if (length % 2 == 0) {
+                    socket.setSoLinger(true, 0);
+                }
+            }
+        }
+        awaitCondition(() -> mReceiver.traffic().openConnections() == 0);
+        assertThat(mSender.send(mReceiver.address(), MESSAGE), is(SendResult.ACCEPTED));
+        assertThat(nextReceived(), is(new ReceivedMessage(mSender.address(), MESSAGE)));
+        assertThat("a part of a message", mReceived.poll(), is(nullValue()));
+    }
+
     /** Guards against malformed data that is accepted as a message or stops the receiver. */
     @ParameterizedTest
     @MethodSource("malformedFrames")
