Test the end of responses where both front ends write them

The fix of aborted answers is in JettyResponseStream, which the daemon's own front end uses, too; AnswerFramingTest plays the hosted one only.

ReceivedAnswer moves to the package of the front end, for both tests.

--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/ReceivedAnswer.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/front/ReceivedAnswer.java
@@ -1,4 +1,4 @@
-package org.oleanderspring.daemon.gateway;
+package org.oleanderspring.daemon.front;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
@@ -18,14 +18,15 @@
  * @param body the body, without the framing of chunks
  * @param isComplete whether a client takes the answer for complete
  */
-record ReceivedAnswer(String head, String body, boolean isComplete) {
+public record ReceivedAnswer(String head, String body, boolean isComplete) {
+    private static final String HOST = "a.example";
     private static final String END_OF_HEAD = "\r\n\r\n";
     private static final String LENGTH_FIELD = "\r\ncontent-length: ";
     private static final String CHUNKED_FIELD = "\r\ntransfer-encoding: chunked\r\n";
     private static final int TIMEOUT_MILLIS = 15_000;
 
     /** What a caller says about its connection. */
-    enum Caller {
+    public enum Caller {
         KEEPS_CONNECTION("HTTP/1.1", ""),
         CLOSES_CONNECTION("HTTP/1.1", "Connection: close\r\n"),
         /** A caller that knows no chunks. */
@@ -40,8 +41,17 @@
         }
     }
 
-    /** Sends a request on a connection of its own and reads the answer. */
-    static ReceivedAnswer to(Address daemon, Caller caller, String path, String id, int bodyBytes)
+    /**
+     * Sends a POST request on a connection of its own and reads the answer.
+     *
+     * @param daemon the address of the daemon
+     * @param caller what the request says about the connection
+     * @param path the path
+     * @param id the attempt
+     * @param bodyBytes the length of the body
+     */
+    public static ReceivedAnswer to(
+            Address daemon, Caller caller, String path, String id, int bodyBytes)
             throws IOException {
         try (Socket socket = new Socket(daemon.ip(), daemon.port())) {
             socket.setSoTimeout(TIMEOUT_MILLIS);
@@ -51,7 +61,7 @@
                             + " "
                             + caller.mVersion
                             + "\r\nHost: "
-                            + GatewayFixture.HOST
+                            + HOST
                             + "\r\nAttempt-Id: "
                             + id
                             + "\r\nDeadline-Ms: 8000\r\nModel: m1\r\n"
