--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/AnswerFramingTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/AnswerFramingTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.oleanderspring.daemon.front.ReceivedAnswer;
@@ -281,6 +282,35 @@
         throw new AssertionError("not played on the connection of " + before + ": " + odd);
     }
 
+    /**
+     * Plays each odd answer at the beginning of a stream and at its next runner; another runner
+     * then completes the stream.
+     */
+    @Test
+    void oddAnswerDoesNotEnterAStream() throws IOException {
+        beginWithRunnersOf("engine");
+        Answer begun = new Answer(STREAM_HEAD + CHUNKED + chunk(FIRST_EVENT), End.CLOSED);
+        for (String text : oddTexts()) {
+            Answer odd = new Answer(text, End.KEPT);
+            assertStreamIsWhole(FIRST_EVENT, odd, wholeStream(FIRST_EVENT));
+            assertStreamIsWhole(FIRST_EVENT + SECOND_EVENT, begun, odd, wholeStream(SECOND_EVENT));
+        }
+    }
+
+    private static Answer wholeStream(String events) {
+        return new Answer(STREAM_HEAD + CHUNKED + chunk(events) + "0\r\n\r\n", End.KEPT);
+    }
+
+    private void assertStreamIsWhole(String events, Answer... answers) throws IOException {
+        mRunners.answer(answers);
+        int sentBefore = mRunners.answersSent();
+        ReceivedAnswer received = exchange(Caller.CLOSES_CONNECTION, STREAM_PATH, 1);
+        assertThat("all were played", mRunners.answersSent(), is(sentBefore + answers.length));
+        assertThat(received.toString(), received.isComplete(), is(true));
+        assertThat(received.head(), containsString("Server-Seal: seal"));
+        assertThat(received.body(), is(events));
+    }
+
     /** The runner answers before it gets the request, so that the upload has not begun. */
     @ParameterizedTest
     @EnumSource
--- a/standin/src/main/java/org/oleanderspring/standin/http/FixedAnswerServer.java
+++ b/standin/src/main/java/org/oleanderspring/standin/http/FixedAnswerServer.java
@@ -8,11 +8,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Locale;
 
 /**
- * A server in trouble on plain sockets, which answers each request with the same bytes, whether or
- * not they are an answer in the protocol, and then closes or resets the connection.
+ * A server in trouble on plain sockets, which answers requests with given bytes, whether or not
+ * they are an answer in the protocol, and then closes or resets the connection.
  */
 public final class FixedAnswerServer implements AutoCloseable {
     /** What happens to the connection after the answer. */
@@ -28,18 +29,29 @@
     private static final String LENGTH_FIELD = "\r\ncontent-length: ";
 
     private final ServerSocket mServer;
-    private final byte[] mAnswer;
+    private final List<String> mAnswers;
     private final End mEnd;
 
     /**
-     * Starts a server on a free port.
+     * Starts a server on a free port that answers all requests alike.
      *
      * @param ip the IP address to listen on
      * @param answer the bytes of the answer, each a character
      * @param end what happens to the connection afterwards
      */
     public FixedAnswerServer(String ip, String answer, End end) {
-        mAnswer = answer.getBytes(ISO_8859_1);
+        this(ip, List.of(answer), end);
+    }
+
+    /**
+     * Starts a server on a free port.
+     *
+     * @param ip the IP address to listen on
+     * @param answers the bytes of the answers, each a character; the last one is repeated
+     * @param end what happens to a connection after its answer
+     */
+    public FixedAnswerServer(String ip, List<String> answers, End end) {
+        mAnswers = List.copyOf(answers);
         mEnd = end;
         try {
             mServer = new ServerSocket(0, BACKLOG, InetAddress.getByName(ip));
@@ -57,22 +69,24 @@
     }
 
     private void serveConnections() {
+        int answered = 0;
         while (!mServer.isClosed()) {
             try (Socket socket = mServer.accept()) {
-                serve(socket);
+                serve(socket, mAnswers.get(Math.min(answered, mAnswers.size() - 1)));
+                answered++;
             } catch (IOException ended) {
                 // The client closed the connection, or the server is closed.
             }
         }
     }
 
-    private void serve(Socket socket) throws IOException {
+    private void serve(Socket socket, String answer) throws IOException {
         InputStream input = socket.getInputStream();
         String head = readHead(input);
         if (mEnd == End.CLOSED) {
             input.skipNBytes(contentLength(head));
         }
-        socket.getOutputStream().write(mAnswer);
+        socket.getOutputStream().write(answer.getBytes(ISO_8859_1));
         if (mEnd == End.RESET) {
             socket.setSoLinger(true, 0);
         }
