--- a/standin/src/test/java/org/oleanderspring/standin/engine/command/WeightStoreClientTest.java
+++ b/standin/src/test/java/org/oleanderspring/standin/engine/command/WeightStoreClientTest.java
@@ -37,5 +37,7 @@
         }
         String noDocument = OK + "Content-Length: " + half.length() + "\r\n\r\n" + half;
         assertThat(permit(noDocument, End.CLOSED), is(DownloadPermit.REFUSED));
+        String empty = OK + "Content-Length: 0\r\n\r\n";
+        assertThat(permit(empty, End.CLOSED), is(DownloadPermit.REFUSED));
     }
 }
