Demand that each broken answer of AnswerFramingTest was played

Cause: the daemon keeps requests from a runner that has failed, and refuses them after a while. A case that is refused shows nothing about the answer it stands for, and the test did not look.

Change: each case demands that its runner has answered the request, and a sound answer before the next case ends the back-off.

--- a/daemon/src/test/java/org/oleanderspring/daemon/gateway/AnswerFramingTest.java
+++ b/daemon/src/test/java/org/oleanderspring/daemon/gateway/AnswerFramingTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 
@@ -74,6 +75,12 @@
         mFixture.awaitReady();
     }
 
+    private void beginWithOneRunner() {
+        mRunners.registerOne(mFixture, "ledger");
+        mFixture.configureForUploads(1, "ledger");
+        mFixture.awaitReady();
+    }
+
     private ReceivedAnswer exchange(Caller caller, String path, int bodyBytes) throws IOException {
         mRequests++;
         return ReceivedAnswer.to(mFixture.frontAddress(), caller, path, "c" + mRequests, bodyBytes);
@@ -87,7 +94,7 @@
         return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
-    /** Heads and bodies that their runner breaks off, without the end of their connection. */
+    /** Beginnings of answers that are not whole, however their connection ends. */
     private static List<String> brokenTexts() {
         String longer = "Content-Length: " + (BODY.length() + 1) + "\r\n\r\n";
         return List.of(
@@ -100,7 +107,7 @@
                 HEAD + CHUNKED + chunk(BODY).substring(0, BODY.length()));
     }
 
-    /** Answers that break off; of those without a length, the end may only be a reset. */
+    /** Answers that break off. One without a length does so only by a reset. */
     private static List<Answer> brokenAnswers() {
         List<Answer> answers = new ArrayList<>();
         for (Upload upload : Upload.values()) {
@@ -155,7 +162,12 @@
 
     private void assertBreaksOff(Caller caller, Answer broken) throws IOException {
         mRunners.answer(broken);
-        assertDoesNotLookComplete(broken, exchange(caller, PLAIN_PATH, bodyBytes(broken.upload())));
+        int sentBefore = mRunners.answersSent();
+        ReceivedAnswer received = exchange(caller, PLAIN_PATH, bodyBytes(broken.upload()));
+        assertThat("was played: " + broken, mRunners.answersSent(), is(sentBefore + 1));
+        assertDoesNotLookComplete(broken, received);
+        // Ends the back-off of the runner, which would refuse the next request.
+        assertArrivesWhole(caller, BODY, SOUND);
     }
 
     /** Guards against an answer without a length that is lost because it ends as a broken one. */
@@ -221,7 +233,9 @@
                     new Answer(
                             STREAM_HEAD + CHUNKED + chunk(FIRST_EVENT), End.RESET, next.upload());
             mRunners.answer(begun, next);
+            int sentBefore = mRunners.answersSent();
             ReceivedAnswer received = exchange(caller, STREAM_PATH, bodyBytes(next.upload()));
+            assertThat("both were played", mRunners.answersSent() - sentBefore, greaterThan(1));
             assertDoesNotLookComplete(next, received);
             assertThat(received.body(), containsString(FIRST_EVENT));
         }
@@ -252,9 +266,7 @@
     @ParameterizedTest
     @EnumSource
     void oddAnswerDoesNotReachTheCaller(Caller caller) throws IOException {
-        mRunners.registerOne(mFixture, "ledger");
-        mFixture.configureForUploads(1, "ledger");
-        mFixture.awaitReady();
+        beginWithOneRunner();
         for (Answer before : List.of(SOUND_AND_LAST, SOUND)) {
             for (Upload upload : Upload.values()) {
                 for (String text : oddTexts()) {
@@ -274,7 +286,9 @@
             assertArrivesWhole(caller, BODY, before);
             int keptBefore = mRunners.answersOnKeptConnections();
             mRunners.answer(odd);
+            int sentBefore = mRunners.answersSent();
             assertIsFailureOfTheDaemon(odd, exchange(caller, PLAIN_PATH, bodyBytes(odd.upload())));
+            assertThat("was played: " + odd, mRunners.answersSent(), is(sentBefore + 1));
             if (mRunners.answersOnKeptConnections() - keptBefore == expected) {
                 return;
             }
@@ -315,9 +329,7 @@
     @ParameterizedTest
     @EnumSource
     void answerBeforeTheRequestDoesNotReachTheCaller(Caller caller) throws Exception {
-        mRunners.registerOne(mFixture, "ledger");
-        mFixture.configureForUploads(1, "ledger");
-        mFixture.awaitReady();
+        beginWithOneRunner();
         List<Answer> early = new ArrayList<>();
         oddTexts().forEach(text -> early.add(new Answer(text, End.KEPT)));
         early.add(new Answer(HEAD + "\r\n" + ODD_BODY, End.RESET));
