Explain in JettyResponseStream why a response is sent in chunks

Cause: a reader of the diff could not tell what the class adds to Jetty's own choice. Change: the comment only.

--- a/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyResponseStream.java
+++ b/daemon/src/main/java/org/oleanderspring/daemon/front/command/JettyResponseStream.java
@@ -22,9 +22,9 @@
  * Writes the response to one caller through Jetty.
  *
  * <p>A response that was aborted must not look complete. It does if it has neither a length nor
- * chunks, because the end of the connection then is the end of the response. Jetty sends chunks
- * only if the connection is kept, so this class demands them of all callers who know them. To a
- * caller who does not, an aborted response ends with a TCP reset.
+ * chunks, because its end is that of the connection. Jetty sends chunks by itself only if the
+ * connection is kept, so this class asks for them whenever the length is unknown. A caller of
+ * HTTP/1.0 knows no chunks; its connection is reset if the response is aborted.
  */
 public final class JettyResponseStream implements ResponseStream {
     private static final Logger LOGGER = System.getLogger(JettyResponseStream.class.getName());
