--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -e
 cd "$(dirname "$0")/.."
 standins=""
-for name in Json Wire Store Runner World Template Client; do
+for name in Json Wire Store Runner World Template Client Garble; do
     standins="$standins review/11/$name.java"
 done
 for number in 11 12 13 14 15; do
